Lay the ground: contracts between the parts, sealed envelopes, the checks

Cause: nothing exists yet, and five people start side by side; without agreed values between agent, relay and decisions their parts would not meet.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: `python -m bench list`, `python -m bench run NAME`."""
--- /dev/null
+++ b/src/pollenmast/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent program: manifest, membership, probes and operators' endpoint."""
--- /dev/null
+++ b/src/pollenmast/callers/__init__.py
@@ -0,0 +1,1 @@
+"""What the relay reads from callers' packets and answers to them."""
--- /dev/null
+++ b/src/pollenmast/counters/_catalogue.py
@@ -0,0 +1,185 @@
+"""Every counter of the product and the reasons that each one tells apart."""
+
+import enum
+
+import attrs
+
+
+class DropReason(str, enum.Enum):
+    """Why a datagram was thrown away without an answer."""
+
+    EMPTY = "empty"
+    TRUNCATED_HEADER = "truncated_header"
+    UNSUPPORTED_VERSION = "unsupported_version"
+    SHORT_INITIAL = "short_initial"
+    EARLY_DATA = "early_data"
+    UNKNOWN_FLOW = "unknown_flow"
+    UNKNOWN_SERVICE = "unknown_service"
+    TOO_MANY_HOPS = "too_many_hops"
+    NO_OWNER = "no_owner"
+    NOT_READY = "not_ready"
+    STRANGER = "stranger"
+    SEND_FAILED = "send_failed"
+    FLOW_TABLE_FULL = "flow_table_full"
+    CALLER_SILENT = "caller_silent"
+
+
+class EnvelopeFault(str, enum.Enum):
+    """Why an envelope or control message was thrown away."""
+
+    TRUNCATED = "truncated"
+    OVERSIZED = "oversized"
+    UNKNOWN_KEY = "unknown_key"
+    FORGED = "forged"
+    REPLAYED = "replayed"
+    TOO_MANY_SENDERS = "too_many_senders"
+    MALFORMED = "malformed"
+
+
+class RefusalReason(str, enum.Enum):
+    """Why a new flow was refused with an answer."""
+
+    BUSY = "busy"
+    """No endpoint had room within the hold."""
+
+    CALLER_LIMIT = "caller_limit"
+    """The caller, or its network, already has its share of held flows."""
+
+    HOLD_FULL = "hold_full"
+    NO_ENDPOINT = "no_endpoint"
+    """No endpoint of the service takes new flows."""
+
+    RETRY_SPENT = "retry_spent"
+    """The endpoint did not answer and the retry budget is spent."""
+
+    DRAINING = "draining"
+    FLOW_TABLE_FULL = "flow_table_full"
+
+
+class RetryReason(str, enum.Enum):
+    """Why a flow's first packets were tried at another endpoint."""
+
+    UNANSWERED = "unanswered"
+    UNREACHABLE = "unreachable"
+
+
+class RepathReason(str, enum.Enum):
+    """Why a flow got a new path to its upstream."""
+
+    SILENT = "silent"
+    ADOPTED = "adopted"
+    TRANSFERRED = "transferred"
+    CALLER_MOVED = "caller_moved"
+
+
+class ForwardReason(str, enum.Enum):
+    """Why a datagram was passed to another relay."""
+
+    OWNER = "owner"
+    HOLDER = "holder"
+    ASK = "ask"
+    RETURNED = "returned"
+
+
+class ManifestOutcome(str, enum.Enum):
+    """What became of a manifest that was offered."""
+
+    ACCEPTED = "accepted"
+    OLDER = "older"
+    KNOWN = "known"
+    CONFLICT_LOST = "conflict_lost"
+    INVALID = "invalid"
+
+
+@attrs.frozen
+class CounterDefinition:
+    """A counter: its name, unit, meaning and the reasons it tells apart."""
+
+    name: str
+    unit: str
+    description: str
+    reasons: tuple[str, ...] = ("",)
+
+
+def _all(reasons: type[enum.Enum]) -> tuple[str, ...]:
+    return tuple(reason.value for reason in reasons)
+
+
+DROPS = CounterDefinition(
+    "drops", "{datagram}", "Datagrams dropped.", _all(DropReason)
+)
+ENVELOPE_FAULTS = CounterDefinition(
+    "envelope_faults",
+    "{message}",
+    "Envelopes and control messages dropped.",
+    _all(EnvelopeFault),
+)
+REFUSALS = CounterDefinition(
+    "refusals", "{flow}", "New flows refused.", _all(RefusalReason)
+)
+RETRIES = CounterDefinition(
+    "retries",
+    "{flow}",
+    "First packets tried at another endpoint.",
+    _all(RetryReason),
+)
+REPATHS = CounterDefinition(
+    "repaths", "{flow}", "Flows given a new path.", _all(RepathReason)
+)
+FORWARDS = CounterDefinition(
+    "forwards",
+    "{datagram}",
+    "Datagrams passed to another relay.",
+    _all(ForwardReason),
+)
+FLOWS_OPENED = CounterDefinition("flows_opened", "{flow}", "Flows opened.")
+FLOWS_ENDED = CounterDefinition("flows_ended", "{flow}", "Flows ended.")
+FLOWS_HELD = CounterDefinition("flows_held", "{flow}", "Flows held a while.")
+FALLBACKS = CounterDefinition(
+    "fallbacks",
+    "{flow}",
+    "Unknown flows in progress carried to their default endpoint.",
+)
+REPLICAS_SENT = CounterDefinition(
+    "replicas_sent", "{record}", "Flow records replicated."
+)
+TRANSFERS = CounterDefinition(
+    "transfers", "{flow}", "Flows handed over on a planned stop."
+)
+CONTROL_BYTES = CounterDefinition(
+    "control_bytes",
+    "By",
+    "Control bytes sent.",
+    ("gossip", "replication", "fetch", "probe", "platform"),
+)
+MANIFESTS = CounterDefinition(
+    "manifests", "{manifest}", "Manifests offered.", _all(ManifestOutcome)
+)
+PROBES = CounterDefinition(
+    "probes", "{probe}", "Endpoint probes.", ("answered", "failed", "malformed")
+)
+PLATFORM_CALLS = CounterDefinition(
+    "platform_calls",
+    "{call}",
+    "Calls to the platform's service.",
+    ("answered", "failed", "malformed"),
+)
+
+CATALOGUE: tuple[CounterDefinition, ...] = (
+    DROPS,
+    ENVELOPE_FAULTS,
+    REFUSALS,
+    RETRIES,
+    REPATHS,
+    FORWARDS,
+    FLOWS_OPENED,
+    FLOWS_ENDED,
+    FLOWS_HELD,
+    FALLBACKS,
+    REPLICAS_SENT,
+    TRANSFERS,
+    CONTROL_BYTES,
+    MANIFESTS,
+    PROBES,
+    PLATFORM_CALLS,
+)
--- /dev/null
+++ b/src/pollenmast/decisions/__init__.py
@@ -0,0 +1,11 @@
+"""Decisions that need no network: typed events and a clock in, outcomes out."""
+
+from pollenmast.decisions._outcomes import (
+    FlowRequest,
+    Held,
+    Placed,
+    Refused,
+    Released,
+)
+
+__all__ = ["FlowRequest", "Held", "Placed", "Refused", "Released"]
--- /dev/null
+++ b/src/pollenmast/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Towards operators: status, metrics, health and readiness over HTTP."""
--- /dev/null
+++ b/src/pollenmast/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What the system's own processes say to each other, and how it is sealed."""
--- /dev/null
+++ b/src/pollenmast/relay/__init__.py
@@ -0,0 +1,1 @@
+"""The relay program: carries packets between callers and upstreams."""
--- /dev/null
+++ b/src/pollenmast/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Towards the upstreams: paths for flows, and probes of health and load."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of pollenmast: one file a module."""
