Manifest: parse, render, digest and schema from one set of rules

Cause: relay, agent and stand-ins need one reading of the manifest's text. Ruled out: a schema library (none in the pinned list; faults must name the path in an operator's words) and attrs validators (they raise at the first fault; all are wanted in one go). Nesting, double keys, NaN and very long numbers are refused as values.

--- a/src/pollenmast/manifest/__init__.py
+++ b/src/pollenmast/manifest/__init__.py
@@ -1,5 +1,6 @@
 """The manifest: its model, its checks, its schema and its differences."""
 
+from pollenmast.manifest._faults import MOST_FAULTS, ManifestFault
 from pollenmast.manifest._model import (
     Endpoint,
     EndpointState,
@@ -8,12 +9,28 @@
     Service,
     ServiceKind,
 )
+from pollenmast.manifest._text import (
+    MANIFEST,
+    MOST_BYTES,
+    digest,
+    parse,
+    render,
+    schema,
+)
 
 __all__ = [
+    "MANIFEST",
+    "MOST_BYTES",
+    "MOST_FAULTS",
     "Endpoint",
     "EndpointState",
     "Limits",
     "Manifest",
+    "ManifestFault",
     "Service",
     "ServiceKind",
+    "digest",
+    "parse",
+    "render",
+    "schema",
 ]
--- /dev/null
+++ b/src/pollenmast/manifest/_text.py
@@ -0,0 +1,238 @@
+"""A manifest's JSON text: its rules, its schema, parsing and rendering."""
+
+import hashlib
+import json
+
+import attrs
+from result import Err, Ok, Result
+
+from pollenmast.manifest._faults import FaultList, ManifestFault
+from pollenmast.manifest._model import (
+    Endpoint,
+    EndpointState,
+    Limits,
+    Manifest,
+    Service,
+    ServiceKind,
+)
+from pollenmast.manifest._rules import Address, Choice, Flag, Text, Whole
+from pollenmast.manifest._shapes import Field, Items, Object
+
+MOST_BYTES = 1_000_000
+"""Bytes of a manifest; the platform's service holds no greater value."""
+
+MOST_VERSION = 2**53 - 1
+"""Greatest version: the greatest whole number that every JSON reader keeps."""
+
+_DIGEST_BYTES = 16
+
+_NAME = Text(
+    "[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?",
+    "1 to 63 of a-z, 0-9, dot and hyphen, first and last a letter or digit",
+)
+_PORT = Whole(1, 65_535, "a port")
+
+_ENDPOINT = Object(
+    "endpoint",
+    Endpoint,
+    (
+        Field("name", _NAME, "Unique within the service."),
+        Field("address", Address(), "The upstream VM's IP number."),
+        Field("port", _PORT, "UDP port that takes QUIC."),
+        Field("load_port", _PORT, "TCP port of the health and load report."),
+        Field("zone", _NAME, "The availability zone."),
+        Field(
+            "slots",
+            Whole(1, 10_000),
+            "Requests that it runs at the same time.",
+            2,
+        ),
+        Field(
+            "connections",
+            Whole(1, 1_000_000),
+            "Connections that it holds at the most.",
+            2000,
+        ),
+        Field(
+            "state",
+            Choice(EndpointState),
+            "`draining` takes no new flows; open flows go on until they end.",
+            EndpointState.SERVING.value,
+        ),
+    ),
+)
+_LIMITS = Object(
+    "limits",
+    Limits,
+    (
+        Field(
+            "hold_ms",
+            Whole(0, 10_000),
+            "Longest hold of a flow's first packets, in milliseconds.",
+            400,
+        ),
+        Field(
+            "held_flows",
+            Whole(1, 100_000),
+            "Flows that one VM holds at the most.",
+            512,
+        ),
+        Field(
+            "held_flows_per_caller",
+            Whole(1, 100_000),
+            "Flows of one caller that one VM holds at the most.",
+            32,
+        ),
+        Field(
+            "queue_per_slot",
+            Whole(0, 1_000),
+            "Requests that may wait at an endpoint for each of its slots.",
+            2,
+        ),
+    ),
+)
+_SERVICE = Object(
+    "service",
+    Service,
+    (
+        Field("name", _NAME, "Unique within the manifest."),
+        Field(
+            "number",
+            Whole(1, 65_535),
+            "Unique; stands for the service on the wire.",
+        ),
+        Field("port", _PORT, "UDP port that callers use; unique."),
+        Field(
+            "kind",
+            Choice(ServiceKind),
+            "`session`: long sessions; `request`: one request a flow.",
+        ),
+        Field(
+            "idempotent",
+            Flag(),
+            "Whether a request may run twice without harm.",
+        ),
+        Field(
+            "endpoints", Items(_ENDPOINT, 11_000, ("name",)), "The upstreams."
+        ),
+        Field("limits", _LIMITS, "What the service may ask of one VM.", None),
+    ),
+)
+MANIFEST = Object(
+    "manifest",
+    lambda version, services: Manifest(version, services, ""),
+    (
+        Field(
+            "version",
+            Whole(1, MOST_VERSION),
+            "Grows with every release.",
+        ),
+        Field(
+            "services",
+            Items(_SERVICE, 2_500, ("name", "number", "port")),
+            "Every service.",
+        ),
+    ),
+)
+
+
+def schema() -> dict[str, object]:
+    """Returns the published JSON schema of a manifest."""
+    return {
+        "$schema": "https://json-schema.org/draft/2020-12/schema",
+        "title": "pollenmast manifest",
+        **MANIFEST.schema(),
+    }
+
+
+def parse(data: bytes) -> Result[Manifest, tuple[ManifestFault, ...]]:
+    """Checks a manifest's text; refuses it whole, with every fault in it."""
+    faults = FaultList()
+    if len(data) > MOST_BYTES:
+        faults.add("", f"{len(data)} bytes", f"{MOST_BYTES} bytes at the most")
+        return Err(faults.faults)
+    value = _load(data, faults)
+    if faults.faults:
+        return Err(faults.faults)
+    manifest = MANIFEST.check(value, "", faults)
+    _refuse_shared_sockets(value, faults)
+    if faults.faults:
+        return Err(faults.faults)
+    return Ok(attrs.evolve(manifest, digest=digest(manifest)))
+
+
+def render(manifest: Manifest) -> bytes:
+    """Returns the canonical JSON text, with every default written out."""
+    value = attrs.asdict(manifest)
+    del value["digest"]
+    return json.dumps(value, sort_keys=True, separators=(",", ":")).encode()
+
+
+def digest(manifest: Manifest) -> str:
+    """Returns the digest of the canonical text."""
+    text = render(manifest)
+    return hashlib.blake2b(text, digest_size=_DIGEST_BYTES).hexdigest()
+
+
+def _load(data: bytes, faults: FaultList) -> object:
+    try:
+        return json.loads(
+            data.decode("utf-8"),
+            object_pairs_hook=lambda pairs: _once(pairs, faults),
+            parse_constant=_refuse_constant,
+        )
+    except RecursionError:
+        # A few kilobytes of brackets exhaust the stack of the JSON reader.
+        faults.add("", "too deep a nesting", "a manifest")
+    except (ValueError, UnicodeDecodeError) as error:
+        faults.add("", f"no JSON ({error})", "JSON in UTF-8")
+    return None
+
+
+def _once(
+    pairs: list[tuple[str, object]], faults: FaultList
+) -> dict[str, object]:
+    """Refuses a key that stands twice, of which readers keep either one."""
+    value = dict(pairs)
+    if len(value) != len(pairs):
+        faults.add("", "a key that stands twice in one object", "each key once")
+    return value
+
+
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f"{name} is no JSON number")
+
+
+def _refuse_shared_sockets(value: object, faults: FaultList) -> None:
+    """Refuses two endpoints with one address and port.
+
+    In two services they would lead one service's callers to the other's
+    upstream; within one, its load would be counted as two endpoints'.
+    """
+    seen: dict[tuple[object, object], str] = {}
+    for path, endpoint in _endpoints(value):
+        socket = (endpoint.get("address"), endpoint.get("port"))
+        if not isinstance(socket[0], str) or not isinstance(socket[1], int):
+            continue
+        first = seen.setdefault(socket, path)
+        if first != path:
+            faults.add(
+                f"{path}.port",
+                f"the address and port of {first}",
+                "an address and port of its own",
+            )
+
+
+def _endpoints(value: object) -> list[tuple[str, dict[str, object]]]:
+    found = []
+    for number, service in enumerate(_items(value, "services")):
+        for index, endpoint in enumerate(_items(service, "endpoints")):
+            if isinstance(endpoint, dict):
+                path = f"services[{number}].endpoints[{index}]"
+                found.append((path, endpoint))
+    return found
+
+
+def _items(value: object, key: str) -> list[object]:
+    items = value.get(key) if isinstance(value, dict) else None
+    return items if isinstance(items, list) else []
