Settings: load an INI file with every fault in one go

Cause: relay and agent start from one checked file. configparser raises at the first fault of form, so the faulty line is taken out and the rest read again; ruled out: a parser of our own, and `strict=False`, which keeps the last of two keys without a word. int() and float() take signs, underscores and other scripts' digits, so texts are matched first.

--- a/src/pollenmast/settings/__init__.py
+++ b/src/pollenmast/settings/__init__.py
@@ -1,5 +1,8 @@
 """Settings: an INI file checked into values."""
 
+from pollenmast.settings._faults import SettingsFault
+from pollenmast.settings._keys import KEY_FILE_VARIABLE, KEYS, Key
+from pollenmast.settings._load import load
 from pollenmast.settings._model import (
     AgentSettings,
     FleetSettings,
@@ -10,10 +13,15 @@
 )
 
 __all__ = [
+    "KEYS",
+    "KEY_FILE_VARIABLE",
     "AgentSettings",
     "FleetSettings",
+    "Key",
     "PlatformSettings",
     "RelaySettings",
     "Settings",
+    "SettingsFault",
     "VmSettings",
+    "load",
 ]
--- /dev/null
+++ b/src/pollenmast/settings/_load.py
@@ -0,0 +1,212 @@
+"""Loads a settings file: every fault in one go, or the settings."""
+
+import pathlib
+import re
+from collections.abc import Mapping
+
+import attrs
+from result import Err, Ok, Result
+
+from pollenmast.settings import _ini
+from pollenmast.settings._faults import SettingsFault
+from pollenmast.settings._keys import KEY_FILE_VARIABLE, KEYS, Key
+from pollenmast.settings._model import (
+    AgentSettings,
+    FleetSettings,
+    PlatformSettings,
+    RelaySettings,
+    Settings,
+    VmSettings,
+)
+
+_PORTS = (
+    ("relay", "peer_port"),
+    ("relay", "link_port"),
+    ("agent", "gossip_port"),
+    ("agent", "fetch_port"),
+    ("agent", "operators_port"),
+)
+"""Ports of one VM; each has its own, whatever its protocol."""
+
+_MOST_SHOWN = 60
+"""Characters of a found value that are shown."""
+
+_MOST_KEY_BYTES = 1024
+"""Bytes read of a key file; 64 hex digits and some space fit many times."""
+
+
+def load(
+    path: str | pathlib.Path, environ: Mapping[str, str]
+) -> Result[Settings, tuple[SettingsFault, ...]]:
+    """Reads and checks a settings file and the key files that it names."""
+    return _Loader(str(path), environ).load()
+
+
+class _Loader:
+    """Gathers values and faults of one file."""
+
+    def __init__(self, file: str, environ: Mapping[str, str]):
+        self._file = file
+        self._environ = environ
+        self._values: dict[tuple[str, str], object] = {}
+        self._faults: list[SettingsFault] = []
+
+    def load(self) -> Result[Settings, tuple[SettingsFault, ...]]:
+        text = self._read_text()
+        if text is None:
+            return Err(tuple(self._faults))
+        ini = _ini.read(text)
+        for fault in ini.faults:
+            self._faults.append(
+                SettingsFault(self._file, **attrs.asdict(fault))
+            )
+        self._refuse_unknown(ini.sections)
+        for key in KEYS:
+            self._read_key(key, ini.sections)
+        self._refuse_shared_ports()
+        key = self._read_fleet_key()
+        previous_key = self._read_previous_key()
+        if self._faults:
+            return Err(tuple(self._faults))
+        return Ok(self._settings(key, previous_key))
+
+    def _add(self, section: str, key: str, found: str, allowed: str) -> None:
+        self._faults.append(
+            SettingsFault(self._file, section, key, found, allowed)
+        )
+
+    def _read_text(self) -> str | None:
+        try:
+            with open(self._file, "rb") as file:
+                data = file.read(_ini.MOST_BYTES + 1)
+        except (OSError, ValueError) as error:
+            reason = getattr(error, "strerror", None) or "no such path"
+            self._add("", "", reason, "a settings file")
+            return None
+        if len(data) > _ini.MOST_BYTES:
+            self._add("", "", "a longer file", f"{_ini.MOST_BYTES} bytes")
+            return None
+        try:
+            text = data.decode("utf-8")
+        except UnicodeDecodeError:
+            text = "\0"
+        if "\0" in text:
+            self._add("", "", "no text", "INI in UTF-8")
+            return None
+        return text
+
+    def _refuse_unknown(self, sections: dict[str, dict[str, str]]) -> None:
+        known = {}
+        for key in KEYS:
+            known.setdefault(key.section, []).append(key.name)
+        for section, values in sections.items():
+            if section not in known:
+                names = ", ".join(f"[{name}]" for name in known)
+                self._add(_shown(section), "", "an unknown section", names)
+                continue
+            for name in values:
+                if name not in known[section]:
+                    self._add(
+                        section,
+                        _shown(name),
+                        "an unknown key",
+                        ", ".join(known[section]),
+                    )
+
+    def _read_key(self, key: Key, sections: dict[str, dict[str, str]]) -> None:
+        text = sections.get(key.section, {}).get(key.name)
+        if text is None:
+            self._values[key.section, key.name] = key.default
+            if key.required:
+                self._add(key.section, key.name, "nothing", key.kind.allowed)
+            return
+        value = key.kind.read(text)
+        if value.is_err():
+            self._add(
+                key.section, key.name, f"'{_shown(text)}'", key.kind.allowed
+            )
+            return
+        self._values[key.section, key.name] = value.unwrap()
+
+    def _refuse_shared_ports(self) -> None:
+        seen: dict[object, str] = {}
+        for section, name in _PORTS:
+            port = self._values.get((section, name))
+            if port is None:
+                continue
+            first = seen.setdefault(port, f"[{section}] {name}")
+            if first != f"[{section}] {name}":
+                self._add(
+                    section, name, f"'{port}', as {first}", "a port of its own"
+                )
+
+    def _read_fleet_key(self) -> bytes:
+        path = self._environ.get(KEY_FILE_VARIABLE) or self._values.get(
+            ("fleet", "key_file")
+        )
+        if path is None:
+            if ("fleet", "key_file") in self._values:
+                self._add(
+                    "fleet",
+                    "key_file",
+                    f"nothing, and no {KEY_FILE_VARIABLE} in the environment",
+                    "the path of a file of 64 hex digits",
+                )
+            return b""
+        return self._read_key_file("key_file", path)
+
+    def _read_previous_key(self) -> bytes | None:
+        path = self._values.get(("fleet", "previous_key_file"))
+        if path is None:
+            return None
+        return self._read_key_file("previous_key_file", path)
+
+    def _read_key_file(self, name: str, path: object) -> bytes:
+        """Reads a key; what it found is told without any of its content."""
+        try:
+            with open(str(path), "rb") as file:
+                data = file.read(_MOST_KEY_BYTES).strip()
+        except (OSError, ValueError) as error:
+            reason = getattr(error, "strerror", None) or "no such path"
+            self._add(
+                "fleet", name, f"'{_shown(str(path))}' ({reason})", "a file"
+            )
+            return b""
+        if not re.fullmatch(rb"[0-9a-fA-F]{64}", data):
+            self._add(
+                "fleet",
+                name,
+                f"a file of {len(data)} bytes that is no key",
+                "a file of 64 hex digits",
+            )
+            return b""
+        return bytes.fromhex(data.decode("ascii"))
+
+    def _settings(self, key: bytes, previous_key: bytes | None) -> Settings:
+        values = self._values
+        return Settings(
+            vm=VmSettings(
+                name=values["vm", "name"],
+                zone=values["vm", "availability_zone"],
+                address=values["vm", "address"],
+            ),
+            fleet=FleetSettings(key, previous_key, values["fleet", "seeds"]),
+            platform=PlatformSettings(
+                values["platform", "address"], values["platform", "port"]
+            ),
+            relay=RelaySettings(**self._section("relay")),
+            agent=AgentSettings(**self._section("agent")),
+        )
+
+    def _section(self, section: str) -> dict[str, object]:
+        return {
+            name: value
+            for (inner, name), value in self._values.items()
+            if inner == section
+        }
+
+
+def _shown(text: str) -> str:
+    """Returns the text on one line of printable ASCII, shortened."""
+    line = text.encode("unicode_escape").decode("ascii")
+    return line if len(line) <= _MOST_SHOWN else line[:_MOST_SHOWN] + "..."
