Decide on new flows: a first, thin Dispatcher

Cause: the relay needs the facade. Each VM takes its part of the fleet's capacity by a debt that its part of the finish rate drains; held flows are served round robin by network and caller.

A test of overload found that equal holders pushed each other out, so that every newcomer was held first and refused at the next release. Now the newcomer loses a tie and hears it in the same moment.

--- /dev/null
+++ b/src/pollenmast/decisions/_holding.py
@@ -0,0 +1,19 @@
+"""How many flows may wait, so that those who wait are served in time.
+
+Load pattern: a burst, or overload that lasts. Without a hold a burst of some
+milliseconds is refused although slots free up at once; with a long hold all
+callers wait for a queue that cannot be served, their libraries send again,
+and the work is done for callers who have gone.
+
+A flow is held only while the queue ahead can be served within the hold, at
+the rate at which this VM may place flows. One beyond that is refused in the
+same moment with a time to come back; nobody is kept waiting for a refusal.
+"""
+
+from pollenmast.manifest import Limits
+
+
+def most_held(limits: Limits, rate: float) -> int:
+    """Returns how many flows may be held at a rate of flows a second."""
+    servable = int(rate * limits.hold_ms / 1000.0)
+    return min(limits.held_flows, servable)
--- /dev/null
+++ b/src/pollenmast/decisions/_rendezvous.py
@@ -0,0 +1,60 @@
+"""The endpoint that every VM computes alike from the manifest alone.
+
+Load pattern: any VM may get any packet of a flow, also after the VM that
+carried the flow has died. Without a common default each placement would have
+to be replicated, or the flow would break with its VM.
+
+Weighted rendezvous hashing: each endpoint gets a score from the flow's hash,
+and the greatest wins. When an endpoint comes or goes only its own share of
+the flows changes its default. Draining endpoints stay in, since their open
+flows must still be found there.
+"""
+
+import hashlib
+import math
+
+from pollenmast.manifest import Service, ServiceKind
+
+_MASK = (1 << 64) - 1
+_SCALE = 2.0**-64
+
+
+def _seed(service: int, endpoint: str) -> int:
+    text = f"{service}/{endpoint}".encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
+
+
+def _mix(value: int) -> int:
+    """Scrambles 64 bits (the finaliser of splitmix64)."""
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & _MASK
+    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & _MASK
+    return value ^ (value >> 31)
+
+
+class Rendezvous:
+    """Default endpoints of one service."""
+
+    def __init__(self, service: Service):
+        by_slots = service.kind is ServiceKind.REQUEST
+        self._entries = [
+            (
+                endpoint.name,
+                _seed(service.number, endpoint.name),
+                endpoint.slots if by_slots else endpoint.connections,
+            )
+            for endpoint in service.endpoints
+        ]
+        self._alike = len({weight for _, _, weight in self._entries}) == 1
+
+    def default(self, flow_hash: int) -> str | None:
+        """Returns the flow's default endpoint, or None without endpoints."""
+        if not self._entries:
+            return None
+        if self._alike:
+            return max(self._entries, key=lambda e: _mix(flow_hash ^ e[1]))[0]
+        return max(self._entries, key=lambda e: _score(flow_hash, e))[0]
+
+
+def _score(flow_hash: int, entry: tuple[str, int, int]) -> float:
+    uniform = (_mix(flow_hash ^ entry[1]) + 0.5) * _SCALE
+    return entry[2] / -math.log(uniform) if uniform < 1.0 else math.inf
--- /dev/null
+++ b/src/pollenmast/decisions/_service.py
@@ -0,0 +1,249 @@
+"""The decisions of one VM for one service."""
+
+import random
+
+from pollenmast.counters import RefusalReason
+from pollenmast.decisions import _holding as holding
+from pollenmast.decisions._backoff import Backoff
+from pollenmast.decisions._capacity import (
+    Capacity,
+    RequestCapacity,
+    SessionCapacity,
+)
+from pollenmast.decisions._endpoint import EndpointRecord
+from pollenmast.decisions._fairness import FairQueue, HeldFlow
+from pollenmast.decisions._outcomes import (
+    FlowRequest,
+    Held,
+    Placed,
+    Refused,
+    Released,
+)
+from pollenmast.decisions._placement import Candidate, Placement
+from pollenmast.decisions._rendezvous import Rendezvous
+from pollenmast.decisions._retry import RetryBudget
+from pollenmast.manifest import Endpoint, Service, ServiceKind
+from pollenmast.peers._messages import EndpointLoad, EndpointReport
+
+REQUEST_ADVANTAGE = 0.25
+"""A request leaves its default for half a slot (of two) less load.
+
+Requests end before they are replicated, so leaving the default is cheap.
+"""
+
+SESSION_ADVANTAGE = 0.005
+"""A session leaves its default for 10 of 2,000 connections less load.
+
+Each session that leaves has to be replicated.
+"""
+
+
+class ServiceDecisions:
+    """All state of one service."""
+
+    def __init__(self, zone: str, rng: random.Random):
+        self._rng = rng
+        self._placement = Placement(zone, rng, 0.0)
+        self._backoff = Backoff(rng)
+        self._budget = RetryBudget()
+        self._queue = FairQueue()
+        self._given_up: list[Released] = []
+        self._records: dict[str, EndpointRecord] = {}
+        self._relays = 1
+        self._service: Service | None = None
+        self._rendezvous: Rendezvous | None = None
+
+    def set_service(self, service: Service, now: float) -> None:
+        """Takes a manifest's entry; endpoints that stay keep their state."""
+        first = self._service is None
+        known = self._records
+        self._service = service
+        self._rendezvous = Rendezvous(service)
+        is_request = service.kind is ServiceKind.REQUEST
+        self._placement.default_advantage = (
+            REQUEST_ADVANTAGE if is_request else SESSION_ADVANTAGE
+        )
+        self._records = {}
+        for endpoint in service.endpoints:
+            record = known.get(endpoint.name)
+            if record is None or record.endpoint.address != endpoint.address:
+                record = EndpointRecord(
+                    endpoint,
+                    self._capacity(endpoint),
+                    came_at=None if first else now,
+                )
+            record.endpoint = endpoint
+            self._records[endpoint.name] = record
+
+    def set_fleet(self, relays: int) -> None:
+        """Sets how many live relays share the load."""
+        self._relays = max(relays, 1)
+
+    def record(self, endpoint: str) -> EndpointRecord | None:
+        """Returns an endpoint's state."""
+        return self._records.get(endpoint)
+
+    def on_report(self, report: EndpointReport, now: float) -> None:
+        """Takes in a report unless it is old or repeated."""
+        record = self._records.get(report.endpoint)
+        if record is None:
+            return
+        last = record.report
+        if last is not None and report.sequence <= last.sequence:
+            return
+        record.report, record.reported_at = report, now
+        if report.healthy:
+            record.capacity.on_report(report, now, self._relays)
+
+    def on_new_flow(
+        self, request: FlowRequest, now: float
+    ) -> Placed | Held | Refused:
+        """Places, holds or refuses a new flow."""
+        self._budget.on_new_flow()
+        if not any(r.serving for r in self._records.values()):
+            return self._refused(RefusalReason.NO_ENDPOINT, now)
+        if not self._queue:
+            placed = self._place(request, now)
+            if placed is not None:
+                return placed
+        return self._hold(request, now)
+
+    def retry(
+        self, request: FlowRequest, tried: tuple[str, ...], now: float
+    ) -> Placed | Refused:
+        """Places a flow at an endpoint that was not tried, if the budget is."""
+        others = [c for c in self._usable(now) if c.record.name not in tried]
+        if not others:
+            return self._refused(RefusalReason.NO_ENDPOINT, now)
+        if not self._budget.spend():
+            return self._refused(RefusalReason.RETRY_SPENT, now)
+        roomy = [c for c in others if self._has_room(c, now)]
+        if not roomy:
+            return self._refused(RefusalReason.BUSY, now)
+        return self._choose(request, roomy, now)
+
+    def release(self, now: float) -> list[Released]:
+        """Places held flows in turn and gives up those whose time is over."""
+        released, self._given_up = self._given_up, []
+        for flow in self._queue.expired(now):
+            released.append(self._released(flow, RefusalReason.BUSY, now))
+        while self._queue:
+            roomy = self._roomy(now)
+            if not roomy:
+                break
+            flow = self._queue.pop()
+            placed = self._choose(flow.request, roomy, now)
+            released.append(Released(flow.request.ticket, placed))
+        return released
+
+    def on_caller_gone(self, ticket: int) -> bool:
+        """Lets a held flow go; whether it was held here."""
+        return self._queue.remove(ticket) is not None
+
+    def default_endpoint(self, flow_hash: int) -> str | None:
+        """Returns what every VM computes alike."""
+        return self._rendezvous.default(flow_hash)
+
+    def loads(self, now: float) -> list[EndpointLoad]:
+        """Returns each endpoint's share and why."""
+        usable = {c.record.name: c.share for c in self._usable(now)}
+        whole = sum(usable.values()) or 1.0
+        return [
+            EndpointLoad(
+                service=self._service.number,
+                endpoint=name,
+                flows=record.open_flows,
+                weight=round(usable.get(name, 0.0) / whole, 4),
+                why=self._why(record, name in usable, now),
+            )
+            for name, record in self._records.items()
+        ]
+
+    def _capacity(self, endpoint: Endpoint) -> Capacity:
+        if self._service.kind is ServiceKind.SESSION:
+            return SessionCapacity(endpoint)
+        queue = self._service.limits.queue_per_slot
+        return RequestCapacity(endpoint, queue, self._rng)
+
+    def _usable(self, now: float) -> list[Candidate]:
+        """Returns the endpoints that may get new flows.
+
+        When every one looks bad, all serving ones are used. Without this
+        floor a network fault near this VM, or reports that all mislead,
+        would turn a service away that may well be up.
+        """
+        serving = [r for r in self._records.values() if r.serving]
+        usable = [Candidate(r, r.share(now)) for r in serving]
+        good = [c for c in usable if c.share > 0.0]
+        return good or [Candidate(r, 1.0) for r in serving]
+
+    def _has_room(self, candidate: Candidate, now: float) -> bool:
+        return candidate.record.capacity.has_room(
+            now, candidate.share, self._relays
+        )
+
+    def _roomy(self, now: float) -> list[Candidate]:
+        return [c for c in self._usable(now) if self._has_room(c, now)]
+
+    def _place(self, request: FlowRequest, now: float) -> Placed | None:
+        roomy = self._roomy(now)
+        return self._choose(request, roomy, now) if roomy else None
+
+    def _choose(
+        self, request: FlowRequest, roomy: list[Candidate], now: float
+    ) -> Placed:
+        default = self.default_endpoint(request.flow_hash)
+        chosen = self._placement.choose(default, roomy, now).record
+        chosen.capacity.on_placed(now)
+        chosen.open_flows += 1
+        if chosen.name == default:
+            return Placed(default, False, "its default endpoint")
+        why = f"less loaded than its default {default}"
+        if default not in {c.record.name for c in roomy}:
+            why = f"its default {default} takes no new flow now"
+        return Placed(chosen.name, True, why)
+
+    def _hold(self, request: FlowRequest, now: float) -> Held | Refused:
+        limits = self._service.limits
+        held = self._queue.of_caller(request.caller)
+        if held >= limits.held_flows_per_caller:
+            return self._refused(RefusalReason.CALLER_LIMIT, now)
+        flow = HeldFlow(request, now + limits.hold_ms / 1000.0)
+        self._queue.push(flow)
+        rate = sum(
+            c.record.capacity.rate(c.share, self._relays)
+            for c in self._usable(now)
+        )
+        if len(self._queue) > holding.most_held(limits, rate):
+            refused = self._shed_one(flow, now)
+            if refused is not None:
+                return refused
+        return Held(flow.until)
+
+    def _shed_one(self, newest: HeldFlow, now: float) -> Refused | None:
+        """Gives up the newest flow of the greatest holder.
+
+        Returns:
+            The refusal, when that is the flow that came just now.
+        """
+        loser = self._queue.newest_of_greatest(newest)
+        self._queue.remove(loser.request.ticket)
+        if loser is newest:
+            return self._refused(RefusalReason.BUSY, now)
+        reason = RefusalReason.CALLER_LIMIT
+        self._given_up.append(self._released(loser, reason, now))
+        return None
+
+    def _released(
+        self, flow: HeldFlow, reason: RefusalReason, now: float
+    ) -> Released:
+        return Released(flow.request.ticket, self._refused(reason, now))
+
+    def _refused(self, reason: RefusalReason, now: float) -> Refused:
+        return Refused(reason, self._backoff.retry_after_ms(now))
+
+    def _why(self, record: EndpointRecord, used: bool, now: float) -> str:
+        why = record.why(now)
+        if used and record.share(now) <= 0.0:
+            return f"{why}; used all the same, since every endpoint looks bad"
+        return why
--- /dev/null
+++ b/tests/decisions_dispatcher_test.py
@@ -0,0 +1,163 @@
+"""Tests of decisions._dispatcher."""
+
+import random
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast.counters import RefusalReason
+from pollenmast.decisions import (
+    Dispatcher,
+    FlowRequest,
+    Held,
+    Placed,
+    Refused,
+)
+from pollenmast.manifest import (
+    Endpoint,
+    EndpointState,
+    Limits,
+    Manifest,
+    Service,
+    ServiceKind,
+)
+from pollenmast.peers._messages import EndpointReport
+
+_SERVICE = 1
+
+
+def _endpoint(number: int, state=EndpointState.SERVING) -> Endpoint:
+    return Endpoint(
+        f"e{number}", f"127.0.2.{number}", 5000, 6000, "z1", 2, 2000, state
+    )
+
+
+def _manifest(
+    *endpoints: Endpoint,
+    kind: ServiceKind = ServiceKind.REQUEST,
+    version: int = 1,
+) -> Manifest:
+    service = Service("s", _SERVICE, 4001, kind, True, endpoints, Limits())
+    return Manifest(version, (service,), f"digest{version}")
+
+
+def _dispatcher(*endpoints: Endpoint, **kwargs) -> Dispatcher:
+    dispatcher = Dispatcher("z1", random.Random(1))
+    dispatcher.set_fleet(1)
+    dispatcher.set_manifest(_manifest(*endpoints, **kwargs), 0.0)
+    return dispatcher
+
+
+def _flow(ticket: int, caller: str = "10.0.0.1") -> FlowRequest:
+    flow_hash = random.Random(ticket).getrandbits(64)
+    return FlowRequest(ticket, _SERVICE, caller, flow_hash)
+
+
+def _placed(dispatcher: Dispatcher, count: int, now: float) -> list[str]:
+    outcomes = [dispatcher.on_new_flow(_flow(n), now) for n in range(count)]
+    return [o.endpoint for o in outcomes if isinstance(o, Placed)]
+
+
+class DispatcherTest(TestCase):
+    """Every flow gets an outcome that its caller can live with."""
+
+    def test_idle_fleet_places_at_once(self):
+        """As many flows as there are slots are placed without a hold."""
+        dispatcher = _dispatcher(_endpoint(1), _endpoint(2), _endpoint(3))
+        self.assertEqual(6, len(_placed(dispatcher, 6, 0.0)))
+
+    @parameterized.expand([("request", "REQUEST"), ("session", "SESSION")])
+    def test_draining_endpoint_gets_none(self, _, kind):
+        """An operator drains an endpoint before its VM is replaced.
+
+        Were it given new flows, its drain would not end, and those flows
+        would be cut when the VM goes.
+        """
+        dispatcher = _dispatcher(
+            _endpoint(1),
+            _endpoint(2, EndpointState.DRAINING),
+            kind=ServiceKind[kind],
+        )
+        placed = _placed(dispatcher, 50, 0.0)
+        self.assertEqual({"e1"}, set(placed))
+
+    def test_draining_endpoint_stays_a_default(self):
+        """Open flows of a draining endpoint are still found there."""
+        before = _dispatcher(_endpoint(1), _endpoint(2))
+        after = _dispatcher(_endpoint(1), _endpoint(2, EndpointState.DRAINING))
+        for value in range(50):
+            self.assertEqual(
+                before.default_endpoint(_SERVICE, value << 40),
+                after.default_endpoint(_SERVICE, value << 40),
+            )
+
+    def test_unknown_service(self):
+        """A flow for a service that the manifest does not name is refused."""
+        dispatcher = Dispatcher("z1", random.Random(1))
+        outcome = dispatcher.on_new_flow(_flow(1), 0.0)
+        self.assertEqual(RefusalReason.NO_ENDPOINT, outcome.reason)
+
+    def test_held_flow_is_placed_when_a_slot_frees(self):
+        """A flow beyond the slots waits and is placed within its hold."""
+        dispatcher = _dispatcher(_endpoint(1))
+        outcomes = [dispatcher.on_new_flow(_flow(n), 0.0) for n in range(8)]
+        held = [o for o in outcomes if isinstance(o, Held)]
+        self.assertTrue(held)
+        released = []
+        for step in range(1, 41):
+            released += dispatcher.release(step / 100)
+        self.assertEqual(len(held), len(released))
+        self.assertIsInstance(released[0].outcome, Placed)
+
+    def test_caller_gone(self):
+        """A held caller gives up; its packets must not reach an upstream."""
+        dispatcher = _dispatcher(_endpoint(1))
+        outcomes = {n: dispatcher.on_new_flow(_flow(n), 0.0) for n in range(8)}
+        held = [n for n, o in outcomes.items() if isinstance(o, Held)]
+        for ticket in held:
+            dispatcher.on_caller_gone(ticket)
+        self.assertEqual([], dispatcher.release(0.2))
+
+    def test_overload_is_refused_in_the_same_moment(self):
+        """Far more come than can be served within the hold.
+
+        Those given up must hear it at once and with a time to come back, or
+        they wait for nothing and then all return together.
+        """
+        dispatcher = _dispatcher(_endpoint(1))
+        outcomes = [
+            dispatcher.on_new_flow(_flow(n, f"10.0.{n}.1"), 0.0)
+            for n in range(100)
+        ]
+        refused = [o for o in outcomes if isinstance(o, Refused)]
+        self.assertGreater(len(refused), 80)
+        self.assertGreater(len({o.retry_after_ms for o in refused}), 40)
+
+    def test_retry_goes_elsewhere(self):
+        """A flow whose endpoint is silent is tried at another one."""
+        dispatcher = _dispatcher(_endpoint(1), _endpoint(2))
+        outcome = dispatcher.retry(_flow(1), ("e1",), 0.0)
+        self.assertEqual("e2", outcome.endpoint)
+
+    def test_floor(self):
+        """Every report says down, as when the probes' network is cut.
+
+        The endpoints may well be up; turning everyone away would make an
+        outage of a fault in the probes.
+        """
+        dispatcher = _dispatcher(_endpoint(1), _endpoint(2))
+        for name in ("e1", "e2"):
+            report = EndpointReport(_SERVICE, name, 1, healthy=False)
+            dispatcher.on_report(report, 0.0)
+        self.assertEqual(2, len(_placed(dispatcher, 2, 0.1)))
+        self.assertIn("used all the same", dispatcher.loads(0.1)[0].why)
+
+    def test_manifest_keeps_state(self):
+        """A new manifest must not make a known endpoint cold or unknown."""
+        dispatcher = _dispatcher(_endpoint(1))
+        dispatcher.adopt(_SERVICE, "e1")
+        dispatcher.set_manifest(
+            _manifest(_endpoint(1), _endpoint(2), version=2), 1.0
+        )
+        flows = {load.endpoint: load.flows for load in dispatcher.loads(1.0)}
+        self.assertEqual({"e1": 1, "e2": 0}, flows)
