Stand-ins: platform, upstream, fabric and callers over real QUIC

One epoll set for all sockets of a process, waited for by anyio: a waiting task for each socket was ruled out, it costs two system calls more for each datagram.

--- /dev/null
+++ b/standins/_image.py
@@ -0,0 +1,82 @@
+"""A caller that makes a new flow for each image it asks for."""
+
+from standins import _asking, _flow, _records, _work
+
+
+class ImageCaller(_flow.FlowOwner):
+    """One request for one image, through all of its attempts."""
+
+    def __init__(self, shared: _asking.Shared):
+        self._shared = shared
+        self._record = shared.new_request(shared.reactor.now)
+        self._flow: _flow.Flow | None = None
+        self._answer = _asking.Answer()
+
+    def open(self) -> None:
+        """Makes one attempt on a new flow."""
+        shared = self._shared
+        plan = shared.plan
+        self._answer = _asking.Answer()
+        self._record.flow_opened = shared.reactor.now
+        flow = _flow.Flow(
+            shared.reactor,
+            plan.local,
+            plan.remote,
+            self,
+            shared.new_flow(),
+            plan.idle_s,
+        )
+        self._flow = flow
+        flow.ask(shared.line(self._record, "image"))
+        shared.reactor.at(self._deadline, lambda: self._give_up(flow))
+
+    @property
+    def _deadline(self) -> float:
+        return self._record.asked + self._shared.plan.deadline_s
+
+    def on_connected(self) -> None:
+        """Nothing to do: the request is on its way."""
+
+    def on_data(self, stream: int, data: bytes, end: bool) -> None:
+        """Collects the image; a whole one ends the flow."""
+        self._answer.add(data)
+        if end:
+            expected = _work.image(
+                self._record.identifier, self._shared.plan.size
+            )
+            outcome = self._answer.outcome(self._shared.plan.service, expected)
+            if outcome is _records.Outcome.SHED:
+                self._record.refused_attempts.append(self._record.attempt)
+            self._record.end(outcome, self._shared.reactor.now)
+            self._flow.close()
+
+    def on_end(self, ending: _flow.Ending) -> None:
+        """Comes back where it was told that nothing was run."""
+        shared = self._shared
+        shared.open_flows -= 1
+        if self._record.outcome is not _records.Outcome.PENDING:
+            return
+        now = shared.reactor.now
+        if ending.fate is _records.Fate.REFUSED:
+            self._come_back(now + ending.retry_after_s)
+        elif self._answer.begun:
+            self._record.end(_records.Outcome.CUT, now)
+        else:
+            self._record.end(_records.Outcome.LOST, now)
+
+    def _come_back(self, when: float) -> None:
+        record = self._record
+        record.refused_attempts.append(record.attempt)
+        record.attempt += 1
+        if when >= self._deadline or self._shared.finishing:
+            record.end(_records.Outcome.REFUSED, self._shared.reactor.now)
+        else:
+            self._shared.reactor.at(when, self.open)
+
+    def _give_up(self, flow: _flow.Flow) -> None:
+        if flow is not self._flow:
+            return
+        begun = self._answer.begun
+        outcome = _records.Outcome.CUT if begun else _records.Outcome.LOST
+        self._record.end(outcome, self._shared.reactor.now)
+        flow.close()
--- /dev/null
+++ b/standins/_reactor.py
@@ -0,0 +1,122 @@
+"""Timers and many UDP sockets, drained in batches, on one anyio loop."""
+
+import heapq
+import itertools
+import select
+import socket
+from collections.abc import Callable
+
+import anyio
+import anyio.lowlevel
+
+Address = tuple[str, int]
+OnDatagram = Callable[[bytes, Address], None]
+
+BATCH = 64
+"""Datagrams read from one socket before others get their turn."""
+
+SOCKETS_A_TURN = 256
+LONGEST_WAIT_S = 0.05
+"""Work that other tasks hand over is seen at the latest after this."""
+
+READ_BYTES = 65_535
+BUFFER_BYTES = 4 * 1024 * 1024
+"""Asked for; the kernel grants what its limits allow."""
+
+
+def udp_socket(address: str, port: int = 0) -> socket.socket:
+    """Returns a bound, non-blocking UDP socket with large buffers."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+    sock.bind((address, port))
+    return sock
+
+
+def send(sock: socket.socket, data: bytes, to: Address) -> None:
+    """Sends one datagram; one that the kernel refuses is lost, as on a net."""
+    try:
+        sock.sendto(data, to)
+    except OSError:
+        return
+
+
+class Reactor:
+    """Calls back when datagrams come and when timers fire.
+
+    One epoll set holds all sockets, and anyio waits for that set alone: a
+    waiting task a socket would cost two system calls more for each datagram.
+    """
+
+    def __init__(self):
+        self._epoll = select.epoll()
+        self._sockets: dict[int, tuple[socket.socket, OnDatagram]] = {}
+        self._timers: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._after: list[Callable[[], None]] = []
+        self.now = 0.0
+
+    def add(self, sock: socket.socket, on_datagram: OnDatagram) -> None:
+        """Calls back with each datagram of this socket."""
+        self._sockets[sock.fileno()] = (sock, on_datagram)
+        self._epoll.register(sock.fileno(), select.EPOLLIN)
+
+    def remove(self, sock: socket.socket) -> None:
+        """Forgets and closes the socket."""
+        if self._sockets.pop(sock.fileno(), None) is not None:
+            self._epoll.unregister(sock.fileno())
+        sock.close()
+
+    def at(self, when: float, callback: Callable[[], None]) -> None:
+        """Calls back once at this time of the runtime's clock."""
+        heapq.heappush(self._timers, (when, next(self._numbers), callback))
+
+    def after_turn(self, callback: Callable[[], None]) -> None:
+        """Calls back once at the end of this turn, or of the next one."""
+        self._after.append(callback)
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        self.now = anyio.current_time()
+        while True:
+            with anyio.move_on_after(self._longest_wait()):
+                await anyio.wait_readable(self._epoll.fileno())
+            self.now = anyio.current_time()
+            self._read_all()
+            self._fire()
+            self._finish_turn()
+            await anyio.lowlevel.checkpoint()
+
+    def _longest_wait(self) -> float:
+        if self._after:
+            return 0.0
+        if not self._timers:
+            return LONGEST_WAIT_S
+        ahead = self._timers[0][0] - anyio.current_time()
+        return min(max(ahead, 0.0), LONGEST_WAIT_S)
+
+    def _read_all(self) -> None:
+        for number, _ in self._epoll.poll(0, SOCKETS_A_TURN):
+            entry = self._sockets.get(number)
+            if entry is not None:
+                self._read(*entry)
+
+    def _read(self, sock: socket.socket, on_datagram: OnDatagram) -> None:
+        for _ in range(BATCH):
+            try:
+                data, address = sock.recvfrom(READ_BYTES)
+            except OSError:
+                return
+            on_datagram(data, address)
+            if sock.fileno() < 0:
+                return
+
+    def _fire(self) -> None:
+        while self._timers and self._timers[0][0] <= self.now:
+            heapq.heappop(self._timers)[2]()
+
+    def _finish_turn(self) -> None:
+        pending, self._after = self._after, []
+        for callback in pending:
+            callback()
--- /dev/null
+++ b/standins/_session.py
@@ -0,0 +1,179 @@
+"""A caller that keeps a long session: a live feed, and submissions."""
+
+import json
+
+from standins import _asking, _flow, _records
+
+REOPEN_S = 1.0
+
+
+class SessionCaller(_flow.FlowOwner):
+    """One publisher or cell controller.
+
+    A submission whose outcome is unknown is never sent again: it may have
+    run. One that was told not to have run comes back under the same id.
+    """
+
+    def __init__(self, shared: _asking.Shared):
+        self._shared = shared
+        self._flow: _flow.Flow | None = None
+        self._feed: int | None = None
+        self._feed_rest = b""
+        self._last_alert: float | None = None
+        self._asked: dict[int, _records.RequestRecord] = {}
+        self._answers: dict[int, _asking.Answer] = {}
+        self._again: list[_records.RequestRecord] = []
+
+    def open(self) -> None:
+        """Opens a session, unless the program is about to end."""
+        shared = self._shared
+        if shared.finishing:
+            return
+        self._feed = None
+        self._feed_rest = b""
+        self._last_alert = None
+        plan = shared.plan
+        self._flow = _flow.Flow(
+            shared.reactor,
+            plan.local,
+            plan.remote,
+            self,
+            shared.new_flow(),
+            plan.idle_s,
+        )
+
+    @property
+    def waiting(self) -> int:
+        """Submissions whose outcome is open."""
+        return len(self._asked)
+
+    def close(self) -> None:
+        """Ends the session."""
+        if self._flow is not None:
+            self._flow.close()
+
+    def on_connected(self) -> None:
+        """Opens the feed and begins to submit."""
+        plan = self._shared.plan
+        if plan.feed_s:
+            self._open_feed()
+        again, self._again = self._again, []
+        for record in again:
+            self._submit(record)
+        flow = self._flow
+        self._later(plan.keepalive_s, lambda: self._keep_alive(flow))
+        if plan.rate:
+            first_s = self._shared.rng.random() / plan.rate
+            self._later(first_s, lambda: self._submit_next(flow))
+
+    def on_data(self, stream: int, data: bytes, end: bool) -> None:
+        """Takes alerts, or an answer."""
+        if stream == self._feed:
+            self._take_alerts(data)
+            return
+        record = self._asked.get(stream)
+        if record is None:
+            return
+        answer = self._answers[stream]
+        answer.add(data)
+        if end:
+            outcome = answer.outcome(self._shared.plan.service, None)
+            self._end_request(stream, outcome)
+
+    def on_end(self, ending: _flow.Ending) -> None:
+        """Notes what is lost, and opens another session where one broke."""
+        self._shared.open_flows -= 1
+        refused = ending.fate is _records.Fate.REFUSED
+        for stream, record in list(self._asked.items()):
+            if refused:
+                self._told_not_run(record)
+            elif self._answers[stream].begun:
+                record.end(_records.Outcome.CUT, self._shared.reactor.now)
+            else:
+                record.end(_records.Outcome.LOST, self._shared.reactor.now)
+        self._asked.clear()
+        self._answers.clear()
+        if ending.fate is not _records.Fate.CLOSED:
+            self._later(ending.retry_after_s or REOPEN_S, self.open)
+
+    def _told_not_run(self, record: _records.RequestRecord) -> None:
+        record.refused_attempts.append(record.attempt)
+        record.attempt += 1
+        if self._shared.finishing:
+            record.end(_records.Outcome.REFUSED, self._shared.reactor.now)
+        else:
+            self._again.append(record)
+
+    def _open_feed(self) -> None:
+        plan = self._shared.plan
+        request = {
+            "id": "feed",
+            "op": "feed",
+            "service": plan.service,
+            "interval_s": plan.feed_s,
+        }
+        self._feed = self._flow.ask(json.dumps(request).encode())
+
+    def _take_alerts(self, data: bytes) -> None:
+        lines = (self._feed_rest + data).split(b"\n")
+        self._feed_rest = lines.pop()
+        record = self._flow.record
+        now = self._shared.reactor.now
+        for line in lines:
+            alert = json.loads(line)
+            record.alerts += 1
+            record.lateness_s = max(record.lateness_s, now - alert["at"])
+        if lines:
+            self._note_silence(record, now)
+
+    def _note_silence(self, record: _records.FlowRecord, now: float) -> None:
+        if self._last_alert is not None:
+            silence_s = now - self._last_alert
+            if silence_s > record.silence_s:
+                record.silence_s = silence_s
+                record.silence_at = now
+        self._last_alert = now
+
+    def _keep_alive(self, flow: _flow.Flow) -> None:
+        if self._gone(flow):
+            return
+        flow.ping()
+        interval_s = self._shared.plan.keepalive_s
+        self._later(interval_s, lambda: self._keep_alive(flow))
+
+    def _submit_next(self, flow: _flow.Flow) -> None:
+        if self._gone(flow) or self._shared.finishing:
+            return
+        self._submit(self._shared.new_request(flow.record.opened))
+        interval_s = self._shared.rng.expovariate(self._shared.plan.rate)
+        self._later(interval_s, lambda: self._submit_next(flow))
+
+    def _submit(self, record: _records.RequestRecord) -> None:
+        record.flow_opened = self._flow.record.opened
+        stream = self._flow.ask(self._shared.line(record, "submit"))
+        self._asked[stream] = record
+        self._answers[stream] = _asking.Answer()
+        flow = self._flow
+        self._later(
+            self._shared.plan.deadline_s,
+            lambda: self._give_up(flow, stream, record),
+        )
+
+    def _give_up(self, flow, stream: int, record) -> None:
+        if flow is self._flow and self._asked.get(stream) is record:
+            begun = self._answers[stream].begun
+            lost, cut = _records.Outcome.LOST, _records.Outcome.CUT
+            self._end_request(stream, cut if begun else lost)
+
+    def _end_request(self, stream: int, outcome: _records.Outcome) -> None:
+        record = self._asked.pop(stream)
+        del self._answers[stream]
+        if outcome is _records.Outcome.SHED:
+            record.refused_attempts.append(record.attempt)
+        record.end(outcome, self._shared.reactor.now)
+
+    def _gone(self, flow: _flow.Flow) -> bool:
+        return flow.record.fate is not _records.Fate.OPEN
+
+    def _later(self, delay_s: float, callback) -> None:
+        self._shared.reactor.at(self._shared.reactor.now + delay_s, callback)
