Command line: programs, settings, manifest, status, explain, events

Cause: operators need one command. relay and agent are imported only when they run, so that the agent does not load what only the relay needs. Status and explain are shown by the answer's own keys: ruled out was a fixed table for each, which would hide what an agent of another version tells. Settings: a key pasted in place of its path is not echoed in the fault.

--- /dev/null
+++ b/src/pollenmast/cli/_app.py
@@ -0,0 +1,63 @@
+"""The command line as a whole."""
+
+import typer
+
+from pollenmast import VERSION
+from pollenmast.cli import _manifest, _settings
+from pollenmast.cli._events import events
+from pollenmast.cli._exits import MEANINGS, ExitCode
+from pollenmast.cli._operators import explain, status
+from pollenmast.cli._output import say
+from pollenmast.cli._programs import agent, relay
+
+app = typer.Typer(
+    name="pollenmast",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    # Plain help needs no further library in the two long-running programs.
+    rich_markup_mode=None,
+    epilog=MEANINGS,
+)
+
+
+def _print_version(wanted: bool) -> None:
+    if wanted:
+        say(f"pollenmast {VERSION}")
+        raise typer.Exit(ExitCode.OK)
+
+
+@app.callback()
+def _main(
+    version: bool = typer.Option(
+        False,
+        "--version",
+        callback=_print_version,
+        is_eager=True,
+        help="Print the version and end.",
+    ),
+) -> None:
+    """A layer-4 load balancer whose fleet follows a manifest."""
+
+
+_COMMANDS = (
+    (relay, "relay --settings /run/pollenmast/vm.ini"),
+    (agent, "agent --settings /run/pollenmast/vm.ini"),
+    (status, "status --address 127.0.1.1:7005"),
+    (explain, "explain --address 127.0.1.1:7005 registry/registry-1"),
+    (events, "events --json"),
+)
+
+for _command, _example in _COMMANDS:
+    app.command(epilog=f"Example: pollenmast {_example}")(_command)
+app.add_typer(_settings.app, name="settings")
+app.add_typer(_manifest.app, name="manifest")
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Runs one command and returns its exit code."""
+    try:
+        app(arguments)
+    except SystemExit as end:
+        return end.code if isinstance(end.code, int) else ExitCode.FAILED
+    return ExitCode.OK
--- /dev/null
+++ b/src/pollenmast/cli/_output.py
@@ -0,0 +1,35 @@
+"""Output for a person (tables) and for a program (JSON)."""
+
+import json
+
+import typer
+
+_GAP = "  "
+
+
+def json_text(value: object) -> str:
+    """Returns a value as indented JSON."""
+    return json.dumps(value, indent=2)
+
+
+def table(heads: tuple[str, ...], rows: list[tuple[object, ...]]) -> str:
+    """Returns rows under their heads, in columns as wide as they need."""
+    cells = [heads, *[tuple(str(cell) for cell in row) for row in rows]]
+    widths = [max(len(row[n]) for row in cells) for n in range(len(heads))]
+    lines = []
+    for row in cells:
+        padded = [
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ]
+        lines.append(_GAP.join(padded).rstrip())
+    return "\n".join(lines)
+
+
+def say(text: str) -> None:
+    """Writes to the standard output."""
+    typer.echo(text)
+
+
+def complain(text: str) -> None:
+    """Writes to the standard error output."""
+    typer.echo(text, err=True)
--- /dev/null
+++ b/src/pollenmast/cli/_report.py
@@ -0,0 +1,59 @@
+"""Writes an agent's JSON answer as tables.
+
+The tables follow the answer's own keys, so that a command line of one
+version shows all that an agent of another version tells.
+"""
+
+from pollenmast.cli._output import table
+
+
+def report(answer: object) -> str:
+    """Returns an answer as lines and tables that a person can read."""
+    if not isinstance(answer, dict):
+        return _cell(answer)
+    plain = [(k, _cell(v)) for k, v in answer.items() if not _is_part(v)]
+    parts = [table(("WHAT", "VALUE"), plain)] if plain else []
+    for name, value in answer.items():
+        if _is_part(value):
+            parts.append(f"{name}\n{_part(value)}")
+    return "\n\n".join(parts)
+
+
+def _is_part(value: object) -> bool:
+    return isinstance(value, dict | list)
+
+
+def _part(value: dict[str, object] | list[object]) -> str:
+    if not value:
+        return "none"
+    if isinstance(value, dict):
+        return table(("WHAT", "VALUE"), _pairs("", value))
+    if all(isinstance(item, dict) for item in value):
+        heads = tuple(dict.fromkeys(key for item in value for key in item))
+        rows = [tuple(_cell(item.get(key)) for key in heads) for item in value]
+        return table(tuple(head.upper() for head in heads), rows)
+    return "\n".join(_cell(item) for item in value)
+
+
+def _pairs(prefix: str, value: dict[str, object]) -> list[tuple[object, ...]]:
+    """Flattens objects within objects, as with counters by reason."""
+    rows: list[tuple[object, ...]] = []
+    for key, inner in value.items():
+        if isinstance(inner, dict):
+            rows.extend(_pairs(f"{prefix}{key}.", inner))
+        else:
+            rows.append((f"{prefix}{key}", _cell(inner)))
+    return rows
+
+
+def _cell(value: object) -> str:
+    if value is None or value == "":
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.3g}" if abs(value) < 1 else f"{value:.1f}"
+    if isinstance(value, dict | list):
+        return f"{len(value)} items"
+    # A stranger's answer must not steer the terminal.
+    return "".join(c if c.isprintable() else "?" for c in str(value))
--- a/src/pollenmast/manifest/__init__.py
+++ b/src/pollenmast/manifest/__init__.py
@@ -1,5 +1,6 @@
 """The manifest: its model, its checks, its schema and its differences."""
 
+from pollenmast.manifest._diff import Difference, Effect, differences
 from pollenmast.manifest._faults import MOST_FAULTS, ManifestFault
 from pollenmast.manifest._model import (
     Endpoint,
@@ -22,6 +23,8 @@
     "MANIFEST",
     "MOST_BYTES",
     "MOST_FAULTS",
+    "Difference",
+    "Effect",
     "Endpoint",
     "EndpointState",
     "Limits",
@@ -29,6 +32,7 @@
     "ManifestFault",
     "Service",
     "ServiceKind",
+    "differences",
     "digest",
     "parse",
     "render",
--- a/src/pollenmast/settings/__init__.py
+++ b/src/pollenmast/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from pollenmast.settings._faults import SettingsFault
 from pollenmast.settings._keys import KEY_FILE_VARIABLE, KEYS, Key
+from pollenmast.settings._kinds import socket_address
 from pollenmast.settings._load import load
 from pollenmast.settings._model import (
     AgentSettings,
@@ -24,4 +25,5 @@
     "SettingsFault",
     "VmSettings",
     "load",
+    "socket_address",
 ]
--- a/src/pollenmast/settings/_kinds.py
+++ b/src/pollenmast/settings/_kinds.py
@@ -6,6 +6,8 @@
 
 from result import Err, Ok, Result
 
+from pollenmast.settings import _key_files
+
 
 class Kind(abc.ABC):
     """What one key's value may be."""
@@ -102,18 +104,18 @@
 class Sockets(Kind):
     """IP numbers with ports, separated by commas."""
 
+    def __init__(self, most: int):
+        self._most = most
+
     @property
     def allowed(self) -> str:
         """The form."""
         return f"up to {self._most} of IP:PORT, separated by commas"
 
-    def __init__(self, most: int):
-        self._most = most
-
     def read(self, text: str) -> Result[object, None]:
         """Returns the pairs of IP number and port."""
         parts = [part.strip() for part in text.split(",") if part.strip()]
-        sockets = [_socket(part) for part in parts]
+        sockets = [socket_address(part) for part in parts]
         if len(parts) > self._most or None in sockets:
             return Err(None)
         return Ok(tuple(sockets))
@@ -125,7 +127,7 @@
     @property
     def allowed(self) -> str:
         """That it is a path."""
-        return "the path of a file of 64 hex digits"
+        return _key_files.ALLOWED
 
     def read(self, text: str) -> Result[object, None]:
         """Returns the path."""
@@ -135,7 +137,8 @@
 PORT = Whole(1, 65_535, "a port")
 
 
-def _socket(text: str) -> tuple[str, int] | None:
+def socket_address(text: str) -> tuple[str, int] | None:
+    """Returns the IP number and port of IP:PORT, or None."""
     address, colon, port = text.rpartition(":")
     checked = Address().read(address)
     number = PORT.read(port)
--- a/src/pollenmast/settings/_load.py
+++ b/src/pollenmast/settings/_load.py
@@ -1,13 +1,12 @@
 """Loads a settings file: every fault in one go, or the settings."""
 
 import pathlib
-import re
 from collections.abc import Mapping
 
 import attrs
 from result import Err, Ok, Result
 
-from pollenmast.settings import _ini
+from pollenmast.settings import _ini, _key_files
 from pollenmast.settings._faults import SettingsFault
 from pollenmast.settings._keys import KEY_FILE_VARIABLE, KEYS, Key
 from pollenmast.settings._model import (
@@ -28,12 +27,9 @@
 )
 """Ports of one VM; each has its own, whatever its protocol."""
 
-_MOST_SHOWN = 60
+_MOST_SHOWN = 120
 """Characters of a found value that are shown."""
 
-_MOST_KEY_BYTES = 1024
-"""Bytes read of a key file; 64 hex digits and some space fit many times."""
-
 
 def load(
     path: str | pathlib.Path, environ: Mapping[str, str]
@@ -72,7 +68,7 @@
 
     def _add(self, section: str, key: str, found: str, allowed: str) -> None:
         self._faults.append(
-            SettingsFault(self._file, section, key, found, allowed)
+            SettingsFault(self._file, section, key, _shown(found), allowed)
         )
 
     def _read_text(self) -> str | None:
@@ -122,9 +118,7 @@
             return
         value = key.kind.read(text)
         if value.is_err():
-            self._add(
-                key.section, key.name, f"'{_shown(text)}'", key.kind.allowed
-            )
+            self._add(key.section, key.name, f"'{text}'", key.kind.allowed)
             return
         self._values[key.section, key.name] = value.unwrap()
 
@@ -141,46 +135,29 @@
                 )
 
     def _read_fleet_key(self) -> bytes:
-        path = self._environ.get(KEY_FILE_VARIABLE) or self._values.get(
-            ("fleet", "key_file")
-        )
-        if path is None:
-            if ("fleet", "key_file") in self._values:
-                self._add(
-                    "fleet",
-                    "key_file",
-                    f"nothing, and no {KEY_FILE_VARIABLE} in the environment",
-                    "the path of a file of 64 hex digits",
-                )
-            return b""
-        return self._read_key_file("key_file", path)
+        path = self._environ.get(KEY_FILE_VARIABLE)
+        path = path or self._values.get(("fleet", "key_file"))
+        if path is None and ("fleet", "key_file") in self._values:
+            self._add(
+                "fleet",
+                "key_file",
+                f"nothing, and no {KEY_FILE_VARIABLE} in the environment",
+                _key_files.ALLOWED,
+            )
+        return self._read_key_file("key_file", path) or b""
 
     def _read_previous_key(self) -> bytes | None:
         path = self._values.get(("fleet", "previous_key_file"))
-        if path is None:
-            return None
         return self._read_key_file("previous_key_file", path)
 
-    def _read_key_file(self, name: str, path: object) -> bytes:
-        """Reads a key; what it found is told without any of its content."""
-        try:
-            with open(str(path), "rb") as file:
-                data = file.read(_MOST_KEY_BYTES).strip()
-        except (OSError, ValueError) as error:
-            reason = getattr(error, "strerror", None) or "no such path"
-            self._add(
-                "fleet", name, f"'{_shown(str(path))}' ({reason})", "a file"
-            )
-            return b""
-        if not re.fullmatch(rb"[0-9a-fA-F]{64}", data):
-            self._add(
-                "fleet",
-                name,
-                f"a file of {len(data)} bytes that is no key",
-                "a file of 64 hex digits",
-            )
-            return b""
-        return bytes.fromhex(data.decode("ascii"))
+    def _read_key_file(self, name: str, path: object) -> bytes | None:
+        if path is None:
+            return None
+        key = _key_files.read(str(path))
+        if key.is_err():
+            self._add("fleet", name, key.unwrap_err(), _key_files.ALLOWED)
+            return None
+        return key.unwrap()
 
     def _settings(self, key: bytes, previous_key: bytes | None) -> Settings:
         values = self._values
