--- /dev/null
+++ b/tests/settings_load_test.py
@@ -0,0 +1,205 @@
+"""Tests of settings._load."""
+
+import pathlib
+import tempfile
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast.settings import KEY_FILE_VARIABLE, KEYS, Settings, load
+
+KEY = "07" * 32
+"""A fleet's key as its file holds it."""
+
+TEXT = """\
+[vm]
+name = relay-1
+availability_zone = pos-frederick
+address = 127.0.1.1
+[platform]
+address = 127.0.3.1
+port = 8000
+[fleet]
+key_file = {key_file}
+"""
+"""The least that a settings file holds."""
+
+
+class LoadCase(TestCase):
+    """Loads texts from a folder of its own."""
+
+    def setUp(self):
+        """Makes the folder."""
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.key_file = self.folder / "key"
+        self.key_file.write_text(KEY + "\n")
+
+    def load(self, text: str, environ: dict[str, str] | None = None):
+        """Loads a text in which {key_file} stands for the key's path."""
+        file = self.folder / "vm.ini"
+        text = text.replace("{key_file}", str(self.key_file))
+        file.write_bytes(text.encode("utf-8", "surrogatepass"))
+        return load(file, environ or {})
+
+    def faults(self, text: str) -> list[str]:
+        """Returns what is wrong, without the file's name."""
+        prefix = f"{self.folder / 'vm.ini'}: "
+        return [
+            str(fault).removeprefix(prefix)
+            for fault in self.load(text).err() or ()
+        ]
+
+
+class LoadTest(LoadCase):
+    """Settings are taken whole or refused with every fault."""
+
+    def test_least(self):
+        """The least file gives every default."""
+        loaded = self.load(TEXT).unwrap()
+        self.assertIsInstance(loaded, Settings)
+        self.assertEqual("pos-frederick", loaded.vm.zone)
+        self.assertEqual(bytes.fromhex(KEY), loaded.fleet.key)
+        self.assertEqual(7001, loaded.relay.peer_port)
+
+    def test_every_key(self):
+        """Every key of the catalogue is read from the file."""
+        text = TEXT + (
+            "previous_key_file = {key_file}\n"
+            "seeds = 127.0.1.2:7003, 127.0.1.3:7003\n"
+            "[relay]\npeer_port = 1\nlink_port = 2\nmost_flows = 3\n"
+            "idle_s = 4\nreplicate_after_s = 5\nreplication_bytes_per_s = 6\n"
+            "grace_s = 7\n[agent]\ngossip_port = 8\nfetch_port = 9\n"
+            "operators_port = 10\nheartbeat_s = 11\nprobe_s = 12.5\n"
+        )
+        loaded = self.load(text).unwrap()
+        self.assertEqual(
+            (("127.0.1.2", 7003), ("127.0.1.3", 7003)), loaded.fleet.seeds
+        )
+        self.assertEqual(bytes.fromhex(KEY), loaded.fleet.previous_key)
+        self.assertEqual(
+            (1, 2, 3, 4.0, 5.0, 6, 7.0), _fields(loaded.relay, "relay")
+        )
+        self.assertEqual((8, 9, 10, 11.0, 12.5), _fields(loaded.agent, "agent"))
+
+    def test_key_file_from_the_environment(self):
+        """The environment names the key file, and goes before the file."""
+        text = TEXT.replace("{key_file}", "/no/such/file")
+        loaded = self.load(text, {KEY_FILE_VARIABLE: str(self.key_file)})
+        self.assertEqual(bytes.fromhex(KEY), loaded.unwrap().fleet.key)
+
+    @parameterized.expand(
+        [
+            ("section", "[carrier]\nx = 1\n", "[carrier] found an unknown"),
+            ("default", "[DEFAULT]\nx = 1\n", "[DEFAULT] found an unknown"),
+            ("key", "colour = 1\n", "[fleet] colour found an unknown key"),
+            ("case", "[relay]\nPeer_Port = 1\n", "[relay] Peer_Port found"),
+            ("type", "[relay]\npeer_port = x\n", "[relay] peer_port found 'x'"),
+            ("sign", "[relay]\npeer_port = +9\n", "peer_port found '+9'"),
+            ("digits", "[relay]\npeer_port = \u0663\n", "peer_port found"),
+            ("range", "[relay]\npeer_port = 65536\n", "allowed: a port, 1 to"),
+            ("seconds", "[agent]\nprobe_s = nan\n", "[agent] probe_s found"),
+            ("seeds", "seeds = localhost:1\n", "[fleet] seeds found"),
+            (
+                "shared_port",
+                "[agent]\nfetch_port = 7001\n",
+                "a port of its own",
+            ),
+            ("key_twice", "seeds =\nseeds =\n", "[fleet] seeds found the key"),
+            ("section_twice", "[vm]\nname = b\n", "[vm] found the section"),
+            ("no_ini", "junk\n", "found no INI in line 10"),
+            ("interpolation", "[relay]\ngrace_s = %(x)s\n", "found '%(x)s'"),
+        ]
+    )
+    def test_fault(self, _, more, expected):
+        """Somebody mistypes one line of a settings file.
+
+        Were it passed over, the VM would run with a default that nobody
+        chose.
+        """
+        found = self.faults(TEXT + more)
+        self.assertEqual(1, len(found), found)
+        self.assertIn(expected, found[0])
+
+    def test_all_faults_in_one_go(self):
+        """Faults of form and of values are told together."""
+        found = self.faults("loose\njunk\n[vm]\nname = A\nname = b\n[x]\n")
+        self.assertEqual(10, len(found), found)
+
+    @parameterized.expand(
+        [
+            ("pasted", KEY, None),
+            ("wrong_length", "{key_file}", KEY + "07"),
+            ("no_hex", "{key_file}", "secret-words"),
+        ]
+    )
+    def test_key_is_never_shown(self, _, path, content):
+        """Somebody puts the key where its path belongs, or a wrong key.
+
+        The fault reaches screens and logs; with the key in it, whoever reads
+        them could speak for the fleet.
+        """
+        if content:
+            self.key_file.write_text(content)
+        found = self.faults(TEXT.replace("{key_file}", path))
+        self.assertEqual(1, len(found), found)
+        self.assertNotIn((content or KEY)[:12], found[0])
+
+    def test_key_is_not_in_the_text_form(self):
+        """Settings that are printed by mistake show no key."""
+        loaded = self.load(TEXT).unwrap()
+        self.assertNotIn("\\x07", repr(loaded))
+
+    @parameterized.expand(
+        [
+            ("missing", "nothing-here", b""),
+            ("not_text", "vm.ini", b"\xff\xfe"),
+            ("with_zeros", "vm.ini", b"[vm]\0"),
+            ("too_long", "vm.ini", b"#" * 70_000),
+        ]
+    )
+    def test_unreadable_file(self, _, name, content):
+        """A file that cannot be read is one fault."""
+        (self.folder / "vm.ini").write_bytes(content)
+        self.assertEqual(1, len(load(self.folder / name, {}).unwrap_err()))
+
+
+_LINES = st.lists(
+    st.sampled_from(
+        ["[vm]", "[", "]", "=", "  x", "[fleet]", "# c", "x = 1", "[]", "\r"]
+    )
+    | st.builds(
+        "{} = {}".format,
+        st.sampled_from([key.name for key in KEYS]),
+        st.text(max_size=8),
+    )
+    | st.text(max_size=8),
+    max_size=12,
+)
+
+
+class FuzzTest(LoadCase):
+    """No text makes the loader raise."""
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(_LINES)
+    def test_lines(self, lines):
+        """Near-INI lines are taken or refused."""
+        loaded = self.load("\n".join(lines))
+        self.assertTrue(loaded.err())
+
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(st.sampled_from(KEYS), st.text(max_size=20))
+    def test_values(self, key, value):
+        """Any text as any key's value is taken or refused."""
+        loaded = self.load(f"{TEXT}[{key.section}]\n{key.name} = {value}\n")
+        self.assertEqual(loaded.is_err(), bool(loaded.err()))
+
+
+def _fields(values: object, section: str) -> tuple[object, ...]:
+    names = [key.name for key in KEYS if key.section == section]
+    return tuple(getattr(values, name) for name in names)
