--- /dev/null
+++ b/standins/_processes.py
@@ -0,0 +1,119 @@
+"""Starts and ends the processes of a stand-in fleet, by id."""
+
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import anyio
+import attrs
+
+from standins import _programs
+
+CHECK_EVERY_S = 0.02
+END_WITHIN_S = 5.0
+
+
+@attrs.frozen
+class Usage:
+    """What the kernel reports of one process.
+
+    Attributes:
+        cpu_s: Processor time, in seconds.
+        peak_bytes: Greatest resident size.
+    """
+
+    cpu_s: float
+    peak_bytes: int
+
+
+class Process:
+    """One process, its output in files."""
+
+    def __init__(self, name: str, arguments: list[str], folder: pathlib.Path):
+        self.name = name
+        self.out = folder / f"{name}.out"
+        self.err = folder / f"{name}.err"
+        with self.out.open("wb") as out, self.err.open("wb") as err:
+            self._popen = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=err,
+                preexec_fn=_programs.end_with_parent,
+            )
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._popen.pid
+
+    @property
+    def exit_code(self) -> int | None:
+        """The exit code, None while it runs."""
+        return self._popen.poll()
+
+    def signal(self, number: int) -> None:
+        """Sends a signal, unless the process has ended."""
+        if self.exit_code is None:
+            self._popen.send_signal(number)
+
+    async def ready(self, within_s: float) -> bool:
+        """Waits until a stand-in says that it is ready."""
+        until = time.monotonic() + within_s
+        while time.monotonic() < until and self.exit_code is None:
+            if b'"ready"' in self.out.read_bytes():
+                return True
+            await anyio.sleep(CHECK_EVERY_S)
+        return False
+
+    async def ended(self, within_s: float) -> bool:
+        """Waits for the end."""
+        until = time.monotonic() + within_s
+        while self.exit_code is None and time.monotonic() < until:
+            await anyio.sleep(CHECK_EVERY_S)
+        return self.exit_code is not None
+
+    def usage(self) -> Usage:
+        """Returns what the kernel reports of a running process."""
+        status = pathlib.Path(f"/proc/{self.pid}/status").read_text()
+        peak = next(
+            line for line in status.splitlines() if line.startswith("VmHWM")
+        )
+        nanoseconds = sum(
+            int(thread.read_text().split()[0])
+            for thread in pathlib.Path(f"/proc/{self.pid}/task").glob(
+                "*/schedstat"
+            )
+        )
+        return Usage(nanoseconds / 1e9, int(peak.split()[1]) * 1024)
+
+
+class Processes:
+    """All processes that one program started."""
+
+    def __init__(self, folder: pathlib.Path):
+        self._folder = folder
+        self._started: list[Process] = []
+
+    def start(self, name: str, *arguments: str) -> Process:
+        """Starts `python -m ARGUMENTS`."""
+        process = Process(name, list(arguments), self._folder)
+        self._started.append(process)
+        return process
+
+    @property
+    def running(self) -> list[Process]:
+        """Those that have not ended."""
+        return [each for each in self._started if each.exit_code is None]
+
+    async def stop(self) -> None:
+        """Ends all, the slow ones with SIGKILL."""
+        with anyio.CancelScope(shield=True):
+            for number in (signal.SIGTERM, signal.SIGKILL):
+                for process in self.running:
+                    process.signal(number)
+                until = time.monotonic() + END_WITHIN_S
+                while self.running and time.monotonic() < until:
+                    await anyio.sleep(CHECK_EVERY_S)
