--- /dev/null
+++ b/src/pollenmast/decisions/_ownership.py
@@ -0,0 +1,106 @@
+"""Which VM owns a flow: a hash ring that every VM computes alike.
+
+Any packet of a flow may reach any VM, so all of them must name the same owner
+without asking. The ring answers at a cost that does not grow with the fleet,
+and a VM that comes or goes moves only the flows next to its own points.
+
+A table of buckets filled by rendezvous hashing was weighed first: for 1,400
+VMs and 65,536 buckets it takes 92 million hashes to build, half a minute of
+processor for a VM that starts (`python -m bench run ownership`).
+"""
+
+import bisect
+
+import attrs
+import xxhash
+
+POINTS_PER_VM = 160
+"""Points of one VM on the ring. The share of the greatest VM of nine is then
+about 1.15 times the mean; more points cost memory and rebuild time
+(`python -m bench run ownership`)."""
+
+MOST_WALKED = 64
+"""Points looked at for a successor. With 7 zones, a walk of 64 that meets only
+one zone is a matter of odds below one in 10^9."""
+
+
+def flow_hash(service: int, ip: str, port: int) -> int:
+    """Returns the 64-bit hash of a flow's key, the same on every VM."""
+    return xxhash.xxh3_64_intdigest(f"{service}|{ip}|{port}".encode())
+
+
+@attrs.frozen
+class Member:
+    """A VM on the ring.
+
+    Attributes:
+        number: `peers.sender_id` of its name.
+        name: The VM's name.
+        zone: Its availability zone.
+    """
+
+    number: int
+    name: str
+    zone: str
+
+
+class Ring:
+    """The owners of all flows for one set of members."""
+
+    def __init__(self, members: tuple[Member, ...] = ()):
+        points = sorted(
+            (xxhash.xxh3_64_intdigest(f"{member.name}#{n}".encode()), index)
+            for index, member in enumerate(members)
+            for n in range(POINTS_PER_VM)
+        )
+        self._members = members
+        self._points = [point for point, _ in points]
+        self._owners = [members[index] for _, index in points]
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """The VMs on the ring."""
+        return self._members
+
+    def owner(self, key: int) -> Member | None:
+        """Returns the owner of the flow with this hash."""
+        if not self._points:
+            return None
+        return self._owners[self._position(key)]
+
+    def ranks(self, key: int, count: int) -> tuple[Member, ...]:
+        """Returns the owner and its successors in the ring's order."""
+        found: dict[int, Member] = {}
+        for member in self._walk(key):
+            found[member.number] = member
+            if len(found) == count:
+                break
+        return tuple(found.values())
+
+    def backup(self, key: int, holder: Member) -> Member | None:
+        """Returns the VM that keeps the flow's record for its holder.
+
+        If the holder is not the owner, the owner keeps it: that is where
+        packets arrive that nobody placed. If the holder owns the flow, the
+        next VM in another availability zone keeps it, so that the loss of a
+        zone does not take both; with one zone, the next VM.
+        """
+        next_other: Member | None = None
+        for rank, member in enumerate(self._walk(key)):
+            if member.number == holder.number:
+                continue
+            if rank == 0 or member.zone != holder.zone:
+                return member
+            next_other = next_other or member
+        return next_other
+
+    def _walk(self, key: int):
+        if not self._points:
+            return
+        start = self._position(key)
+        size = len(self._points)
+        for step in range(min(size, MOST_WALKED)):
+            yield self._owners[(start + step) % size]
+
+    def _position(self, key: int) -> int:
+        return bisect.bisect_left(self._points, key) % len(self._points)
--- a/src/pollenmast/peers/_messages.py
+++ b/src/pollenmast/peers/_messages.py
@@ -84,6 +84,8 @@
         digest: The manifest's digest.
         vms: Every VM not dead, the own one included.
         reports: The newest report of each endpoint that has one.
+        wake_seen: The `wake` of the newest report that the agent got before
+            it made this view, while itself sure of the fleet.
     """
 
     sequence: int
@@ -92,6 +94,7 @@
     digest: str
     vms: tuple[Vm, ...]
     reports: tuple[EndpointReport, ...]
+    wake_seen: int = 0
 
 
 @attrs.frozen
@@ -172,6 +175,8 @@
         replicas: Flow records held for other relays.
         counters: Every counter, zeros included.
         endpoints: Every endpoint of the manifest.
+        wake: Grows each time the relay finds that it was frozen. Only a view
+            that has seen it is newer than the freeze.
     """
 
     version: int
@@ -184,3 +189,4 @@
     replicas: int
     counters: tuple[CounterValue, ...]
     endpoints: tuple[EndpointLoad, ...]
+    wake: int = 0
--- a/src/pollenmast/relay/__init__.py
+++ b/src/pollenmast/relay/__init__.py
@@ -1,1 +1,5 @@
 """The relay program: carries packets between callers and upstreams."""
+
+from pollenmast.relay._program import run
+
+__all__ = ["run"]
--- /dev/null
+++ b/src/pollenmast/relay/_core.py
@@ -0,0 +1,436 @@
+"""The relay without its sockets: datagrams and time in, datagrams out."""
+
+import random
+
+import attrs
+
+from pollenmast import counters as c
+from pollenmast import manifest as manifests
+from pollenmast.callers import (
+    LEAST_INITIAL_BYTES,
+    LONG_HEADER,
+    PacketType,
+    read_packet,
+    without_early_data,
+)
+from pollenmast.decisions import Dispatcher
+from pollenmast.peers import _messages as messages
+from pollenmast.peers._envelope import Opener, Sealer
+from pollenmast.peers._kinds import Kind
+from pollenmast.peers._records import endpoint_id
+from pollenmast.relay._carrier import Arrival, Carrier
+from pollenmast.relay._custody import Custody
+from pollenmast.relay._fleet import Fleet
+from pollenmast.relay._flows import TICKS_PER_S, Flow, FlowState, Listener
+from pollenmast.relay._history import Decision, History
+from pollenmast.relay._openings import Openings
+from pollenmast.relay._post import Post
+from pollenmast.relay._routing import Routing
+from pollenmast.relay._table import FlowTable, Wire
+from pollenmast.relay._upkeep import Upkeep
+from pollenmast.settings import Settings
+
+LEASE_S = 3.0
+"""How old the newest view may be for this relay to open flows, in seconds.
+An agent sends one each second; a relay without news for three of them may be
+cut off from its agent, or may itself have been frozen."""
+
+FROZEN_S = 1.0
+"""A gap between two ticks from which the process counts as frozen: 50 ticks of
+20 ms, more than a garbage collection or a busy host takes."""
+
+COME_BACK_MS = 500
+"""Told to a caller that a leaving relay refuses: the fabric and the other VMs
+know of the leaving by then."""
+
+LEAST_SHORT_BYTES = 21
+"""The shortest packet that RFC 9000 section 10.3 lets be told apart from a
+stateless reset; anything shorter is no packet of a session."""
+
+
+class RelayCore(Carrier):
+    """All that a relay knows and does, but for sockets and the clock."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        wire: Wire,
+        rng: random.Random,
+        now: float,
+    ):
+        self.tick_now = int(now * TICKS_PER_S)
+        self.counters = c.Counters()
+        self._settings = settings
+        self._fleet = Fleet(settings.vm.name, settings.vm.zone)
+        self._table = FlowTable(wire, settings.relay.most_flows)
+        self._dispatcher = Dispatcher(settings.vm.zone, rng)
+        self._history = History()
+        self._openings = Openings(
+            self._table, self._dispatcher, self.counters, self._history
+        )
+        key = settings.fleet.key
+        self._opener = Opener(key, settings.fleet.previous_key)
+        post = Post(
+            self._fleet, wire, Sealer(settings.vm.name, key), self.counters
+        )
+        budget = settings.relay.replication_bytes_per_s
+        self._custody = Custody(self._fleet, self, post, budget, self.counters)
+        self._routing = Routing(
+            self._fleet, self, self._custody, post, self.counters
+        )
+        self._upkeep = Upkeep(
+            settings.relay,
+            self._table,
+            self._fleet,
+            self._custody,
+            self._dispatcher,
+            self.counters,
+        )
+        self._manifest: manifests.Manifest | None = None
+        self._last_tick = now
+        self._last_view = now - 2 * LEASE_S
+        self._wake = 1
+        self._draining = False
+        self._handlers = {
+            Kind.FORWARD: self._routing.on_forward,
+            Kind.ASK: self._routing.on_ask,
+            Kind.UNKNOWN: self._routing.on_unknown,
+            Kind.RECORDS: self._custody.on_records,
+            Kind.RECORDS_TAKEN: self._custody.on_taken,
+        }
+
+    @property
+    def table(self) -> FlowTable:
+        """The flow table."""
+        return self._table
+
+    @property
+    def fleet(self) -> Fleet:
+        """The other VMs."""
+        return self._fleet
+
+    @property
+    def custody(self) -> Custody:
+        """The flow records between relays."""
+        return self._custody
+
+    @property
+    def openings(self) -> Openings:
+        """The flows that open."""
+        return self._openings
+
+    @property
+    def draining(self) -> bool:
+        """Whether this relay hands over its flows."""
+        return self._draining
+
+    def ready(self, now: float) -> bool:
+        """Returns whether this relay may open flows."""
+        fresh = now - self._last_view <= LEASE_S
+        return self._manifest is not None and fresh and not self._draining
+
+    def drained(self) -> bool:
+        """Returns whether nothing of any flow depends on this relay."""
+        return (
+            self._draining
+            and self._table.flows == 0
+            and self._custody.outbox.idle
+        )
+
+    # What callers send.
+
+    def on_caller(
+        self, listener: Listener, data: bytes, caller: tuple[str, int], now
+    ) -> None:
+        """Takes what the packet path does not pass on by itself."""
+        flow = listener.flows.get(caller)
+        if flow is not None:
+            self.carry(flow, data, now)
+            return
+        arrival = self.read(listener, caller, data, 0, 0)
+        if arrival is not None:
+            self.on_datagram(arrival, now)
+
+    def on_datagram(self, arrival: Arrival, now: float) -> None:
+        """Takes a datagram from the fabric or from another relay."""
+        flow = arrival.listener.flows.get(arrival.caller)
+        if flow is not None:
+            self.carry(flow, arrival.data, now)
+            return
+        opening = self._openings.find(arrival.listener, arrival.caller)
+        if opening is None:
+            self._routing.route(arrival, now)
+            return
+        data, early = self._without_early_data(arrival.listener, arrival.data)
+        if data:
+            self._openings.add_datagram(opening, data, early, now)
+
+    def read(
+        self,
+        listener: Listener,
+        caller: tuple[str, int],
+        data: bytes,
+        hops: int,
+        via: int,
+    ) -> Arrival | None:
+        """Reads a datagram; counts and drops what is no packet."""
+        packet = read_packet(data)
+        if packet.is_err():
+            self.counters.add(c.DROPS, packet.unwrap_err())
+            return None
+        reason = _unfit(packet.unwrap().type, len(data))
+        if reason is not None:
+            self.counters.add(c.DROPS, reason)
+            return None
+        return Arrival(listener, caller, packet.unwrap(), data, hops, via)
+
+    def carry(self, flow: Flow, data: bytes, now: float) -> None:
+        """Passes a caller's datagram to its upstream."""
+        if not data:
+            self.counters.add(c.DROPS, c.DropReason.EMPTY)
+            return
+        early = False
+        if data[0] & LONG_HEADER:
+            data, early = self._without_early_data(flow.listener, data)
+            if not data:
+                return
+        if flow.state is FlowState.OPENING:
+            opening = self._openings.find(flow.listener, flow.caller)
+            if opening is not None:
+                self._openings.add_datagram(opening, data, early, now)
+        flow.heard = self.tick_now
+        flow.unanswered += 1
+        flow.path.send(data, flow.target.address)
+
+    def _without_early_data(
+        self, listener: Listener, data: bytes
+    ) -> tuple[bytes, bool]:
+        """Returns what may be passed on, and whether 0-RTT is in it."""
+        stripped, found = without_early_data(data)
+        if not found:
+            return data, False
+        if listener.service.idempotent:
+            return data, True
+        self.counters.add(c.DROPS, c.DropReason.EARLY_DATA, found)
+        return (stripped if any(stripped) else b""), False
+
+    # What upstreams send.
+
+    def on_first_answer(self, flow: Flow, now: float) -> None:
+        """Notes that the upstream answers by this path."""
+        if flow.state is FlowState.OPENING:
+            self._openings.answered(flow, now)
+        elif flow.state in (FlowState.ADOPTED, FlowState.GUESSED):
+            self._custody.answered_anew(flow)
+        if flow.state is not FlowState.MOVED:
+            flow.state = FlowState.CARRIED
+
+    # What other relays send.
+
+    def on_peer(self, data: bytes, now: float) -> None:
+        """Takes an envelope of another relay."""
+        opened = self._opener.open(data, now)
+        if opened.is_err():
+            self.counters.add(c.ENVELOPE_FAULTS, opened.unwrap_err())
+            return
+        envelope = opened.unwrap()
+        handler = self._handlers.get(envelope.kind)
+        if handler is None or envelope.sender == self._fleet.me.number:
+            self.counters.add(c.ENVELOPE_FAULTS, c.EnvelopeFault.MALFORMED)
+            return
+        handler(envelope, now)
+
+    # What routing and custody ask for.
+
+    def open(self, arrival: Arrival, now: float) -> None:
+        """Decides about a new flow."""
+        if not self.ready(now):
+            self.counters.add(c.DROPS, c.DropReason.NOT_READY)
+            return
+        data, early = self._without_early_data(arrival.listener, arrival.data)
+        self._openings.begin(
+            arrival.listener, arrival.caller, arrival.packet, data, early, now
+        )
+
+    def without_owner(self, arrival: Arrival, now: float) -> None:
+        """Refuses a new flow of a leaving relay that knows no other."""
+        del now
+        if arrival.opens and self._draining:
+            self._openings.refuse_draining(
+                arrival.listener, arrival.caller, arrival.packet, COME_BACK_MS
+            )
+            return
+        self.counters.add(c.DROPS, c.DropReason.NO_OWNER)
+
+    def guess(self, arrival: Arrival, now: float) -> None:
+        """Carries an unknown flow in progress to its default endpoint."""
+        number = arrival.listener.service.number
+        name = self._dispatcher.default_endpoint(number, arrival.key)
+        if name is None or not self._table.may_guess(arrival.listener):
+            self.counters.add(c.DROPS, c.DropReason.UNKNOWN_FLOW)
+            return
+        flow = self._adopt(
+            arrival.listener,
+            arrival.caller,
+            endpoint_id(name),
+            FlowState.GUESSED,
+            now,
+        )
+        if flow is None:
+            self.counters.add(c.DROPS, c.DropReason.FLOW_TABLE_FULL)
+            return
+        self.counters.add(c.FALLBACKS)
+        self.carry(flow, arrival.data, now)
+
+    def adopt(
+        self,
+        listener: Listener,
+        caller: tuple[str, int],
+        endpoint: int,
+        reason: c.RepathReason,
+        now: float,
+    ) -> Flow | None:
+        """Takes over a flow, or returns None when it cannot be carried."""
+        flow = self._adopt(listener, caller, endpoint, FlowState.ADOPTED, now)
+        if flow is not None:
+            self.counters.add(c.REPATHS, reason)
+            self._history.note(
+                Decision(
+                    now,
+                    caller,
+                    listener.service.name,
+                    flow.target.name,
+                    f"taken over, {reason.value}",
+                )
+            )
+        return flow
+
+    def _adopt(
+        self,
+        listener: Listener,
+        caller: tuple[str, int],
+        endpoint: int,
+        state: FlowState,
+        now: float,
+    ) -> Flow | None:
+        target = self._table.target(listener.service.number, endpoint)
+        if target is None:
+            return None
+        flow = self._table.open(
+            listener, caller, target, state, self.tick_now, now
+        )
+        if flow is not None:
+            flow.off_default = state is FlowState.ADOPTED
+            self._dispatcher.adopt(target.service, target.name)
+        return flow
+
+    def let_go(self, flow: Flow, now: float) -> None:
+        """Leaves a flow to another relay; late answers still pass here."""
+        target = flow.target
+        self._dispatcher.on_flow_ended(target.service, target.name, now)
+        self._table.let_go(flow)
+
+    # What the agent and the clock bring.
+
+    def on_view(self, view: messages.FleetView, now: float) -> list[str]:
+        """Takes the agent's view; returns services whose port did not open."""
+        failed: list[str] = []
+        if view.manifest is not None:
+            failed = self._take_manifest(view.manifest, now)
+        self._fleet.update(view.vms, now)
+        self._dispatcher.set_fleet(max(1, len(self._fleet.owners)))
+        for report in view.reports:
+            self._dispatcher.on_report(report, now)
+        if view.wake_seen == self._wake:
+            self._last_view = now
+        return failed
+
+    def _take_manifest(self, data: bytes, now: float) -> list[str]:
+        parsed = manifests.parse(data)
+        if parsed.is_err():
+            self.counters.add(c.MANIFESTS, c.ManifestOutcome.INVALID)
+            return []
+        manifest = parsed.unwrap()
+        known = self._manifest
+        if known and (manifest.version, manifest.digest) < (
+            known.version,
+            known.digest,
+        ):
+            self.counters.add(c.MANIFESTS, c.ManifestOutcome.OLDER)
+            return []
+        self._manifest = manifest
+        self._dispatcher.set_manifest(manifest, now)
+        self.counters.add(c.MANIFESTS, c.ManifestOutcome.ACCEPTED)
+        return self._table.set_manifest(manifest)
+
+    def drain(self) -> None:
+        """Begins a planned stop: no new flows, every flow handed over."""
+        if not self._draining:
+            self._draining = True
+            self._upkeep.drain()
+
+    def tick(self, now: float) -> None:
+        """Does what time brings about; called every 20 ms."""
+        if now - self._last_tick > FROZEN_S:
+            # A frozen process wakes with old beliefs: others may own its
+            # flows by now. It goes on passing known flows but opens none
+            # until its agent has answered it anew.
+            self._wake += 1
+            self._last_view = now - 2 * LEASE_S
+        self._last_tick = now
+        self.tick_now = int(now * TICKS_PER_S)
+        self._openings.tick(now)
+        self._upkeep.tick(now, self.tick_now)
+        self._custody.tick(now, urgent=self._draining)
+
+    def report(self, now: float) -> messages.RelayReport:
+        """Returns what the agent wants to know, twice a second."""
+        manifest = self._manifest
+        weights = {
+            (load.service, load.endpoint): load
+            for load in self._dispatcher.loads(now)
+        }
+        return messages.RelayReport(
+            version=manifest.version if manifest else 0,
+            digest=manifest.digest if manifest else "",
+            ready=self.ready(now),
+            draining=self._draining,
+            drained=self.drained(),
+            flows=self._table.flows - self._table.moved,
+            held=self._openings.held,
+            replicas=len(self._custody.replicas),
+            counters=tuple(
+                messages.CounterValue(*item) for item in self.counters.items()
+            ),
+            endpoints=tuple(
+                _load(target, weights.get((target.service, target.name)))
+                for target in self._table.targets
+            ),
+            wake=self._wake,
+        )
+
+    def explain(
+        self, query: messages.ExplainQuery, now: float
+    ) -> messages.ExplainAnswer:
+        """Returns why something was decided."""
+        lines = self._history.explain(query.subject, now)
+        return messages.ExplainAnswer(query.identifier, lines)
+
+
+def _unfit(packet_type: PacketType, size: int) -> c.DropReason | None:
+    """Returns why a datagram cannot belong to any flow, if so."""
+    if packet_type is PacketType.INITIAL and size < LEAST_INITIAL_BYTES:
+        return c.DropReason.SHORT_INITIAL
+    if packet_type is PacketType.EARLY_DATA:
+        return c.DropReason.EARLY_DATA
+    if packet_type is PacketType.SHORT and size < LEAST_SHORT_BYTES:
+        return c.DropReason.TRUNCATED_HEADER
+    return None
+
+
+def _load(target, load: messages.EndpointLoad | None) -> messages.EndpointLoad:
+    if load is None:
+        return messages.EndpointLoad(
+            target.service, target.name, target.flows, 0.0, "not in force"
+        )
+    return attrs.evolve(load, flows=target.flows)
--- /dev/null
+++ b/src/pollenmast/relay/_custody.py
@@ -0,0 +1,217 @@
+"""Flow records between relays: who keeps them, who takes a flow over."""
+
+from pollenmast import counters as c
+from pollenmast.decisions._ownership import flow_hash
+from pollenmast.peers._envelope import Opened
+from pollenmast.peers._kinds import Kind
+from pollenmast.peers._records import (
+    FlowRecord,
+    Forwarded,
+    RecordFlag,
+    unpack_records,
+)
+from pollenmast.relay._carrier import Carrier
+from pollenmast.relay._fleet import Fleet
+from pollenmast.relay._flows import Flow, FlowState
+from pollenmast.relay._outbox import Outbox, split_batch
+from pollenmast.relay._post import Post
+from pollenmast.relay._replicas import Replica, Replicas
+
+MOST_FORMERS = 300_000
+"""Flows taken over whose former relay still waits to hear that it may go; a
+little more than a relay's whole table."""
+
+
+class Custody:
+    """The records that this relay keeps, sends and takes over."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        carrier: Carrier,
+        post: Post,
+        bytes_per_s: float,
+        counters: c.Counters,
+    ):
+        self._fleet = fleet
+        self._carrier = carrier
+        self._post = post
+        self._counters = counters
+        self._replicas = Replicas()
+        self._outbox = Outbox(self._send_records, bytes_per_s, counters)
+        self._formers: dict[Flow, int] = {}
+        self._handed: dict[tuple[int, str, int], int] = {}
+
+    @property
+    def replicas(self) -> Replicas:
+        """The records kept for other relays."""
+        return self._replicas
+
+    @property
+    def outbox(self) -> Outbox:
+        """The records on their way to other relays."""
+        return self._outbox
+
+    def replicate(self, flow: Flow, backup: int) -> None:
+        """Has a VM keep the flow's record from now on, instead of another."""
+        if flow.backup and self._fleet.carries(flow.backup):
+            self._outbox.add(flow.backup, record_of(flow, RecordFlag.FORGET))
+        flow.backup = backup
+        if backup:
+            self._outbox.add(backup, record_of(flow, RecordFlag.KEEP))
+
+    def tell_keeper(self, flow: Flow, asker: int) -> None:
+        """Has an owner that asked keep the record, so that it asks once."""
+        if flow.backup != asker and asker:
+            self.replicate(flow, asker)
+
+    def ended(self, flow: Flow) -> None:
+        """Has the flow's record forgotten."""
+        self._formers.pop(flow, None)
+        if flow.backup:
+            self._outbox.add(flow.backup, record_of(flow, RecordFlag.FORGET))
+            flow.backup = 0
+
+    def hand_over(self, flow: Flow, owner: int) -> None:
+        """Asks the new owner to carry the flow, once until it answers."""
+        record = record_of(flow, RecordFlag.TAKE)
+        if self._handed.get(record.key) == owner:
+            return
+        if self._outbox.add(owner, record):
+            self._handed[record.key] = owner
+
+    def tick(self, now: float, urgent: bool) -> None:
+        """Sends what waits; what cannot be delivered is offered anew later."""
+        undelivered: list[FlowRecord] = []
+        for vm in self._outbox.vms():
+            if not self._fleet.carries(vm):
+                undelivered.extend(self._outbox.drop_vm(vm))
+        undelivered.extend(self._outbox.flush(now, urgent))
+        for record in undelivered:
+            self._handed.pop(record.key, None)
+            flow = self._flow(record)
+            if flow is not None and record.flags == RecordFlag.KEEP:
+                flow.backup = 0
+
+    def hand_out(
+        self, replica: Replica, forwarded: Forwarded, now: float
+    ) -> None:
+        """Gives a dead holder's record to the owner that asked for it."""
+        record = FlowRecord(
+            forwarded.service,
+            forwarded.ip,
+            forwarded.port,
+            replica.endpoint,
+            RecordFlag.TAKE,
+        )
+        self._outbox.add(forwarded.asker, record)
+        self._outbox.flush(now, urgent=True)
+
+    def answered_anew(self, flow: Flow) -> None:
+        """Lets the former relay of a flow go: its upstream answers here."""
+        former = self._formers.pop(flow, None)
+        if former is not None:
+            self._outbox.add(former, record_of(flow, RecordFlag.CARRIED))
+
+    def on_records(self, opened: Opened, now: float) -> None:
+        """Takes a batch of records and acknowledges it."""
+        number, body = split_batch(opened.body)
+        records = unpack_records(body)
+        if records.is_err():
+            self._counters.add(c.ENVELOPE_FAULTS, records.unwrap_err())
+            return
+        for record in records.unwrap():
+            self._take_record(record, opened.sender, now)
+        self._post.send(opened.sender, Kind.RECORDS_TAKEN, number)
+
+    def _take_record(self, record: FlowRecord, sender: int, now: float) -> None:
+        listener = self._carrier.table.listener(record.service)
+        flow = (
+            listener.flows.get((record.ip, record.port)) if listener else None
+        )
+        if record.flags == RecordFlag.FORGET:
+            self._replicas.forget(record, sender)
+        elif record.flags == RecordFlag.RELEASE:
+            self._release(flow, record, sender)
+        elif record.flags == RecordFlag.CARRIED:
+            self._carrier.table.end_moved(record, now)
+        elif flow is not None:
+            self._on_second_holder(flow, record, sender, now)
+        elif record.flags == RecordFlag.TAKE:
+            self._take_over(record, sender, now)
+        else:
+            self._replicas.keep(record, sender)
+
+    def _take_over(self, record: FlowRecord, sender: int, now: float) -> None:
+        listener = self._carrier.table.listener(record.service)
+        if listener is None:
+            return
+        flow = self._carrier.adopt(
+            listener,
+            (record.ip, record.port),
+            record.endpoint,
+            c.RepathReason.TRANSFERRED,
+            now,
+        )
+        if flow is not None:
+            self._replicas.drop(record.service, flow.caller)
+            self._note_former(flow, sender)
+
+    def _note_former(self, flow: Flow, sender: int) -> None:
+        if len(self._formers) < MOST_FORMERS:
+            self._formers[flow] = sender
+        if flow.state is FlowState.CARRIED:
+            self.answered_anew(flow)
+
+    def _on_second_holder(
+        self, flow: Flow, record: FlowRecord, sender: int, now: float
+    ) -> None:
+        """Another relay says that it carries a flow carried here.
+
+        This comes about when the fleet was split and both sides took the
+        flow on. Left so, the two would pull the session's path to and fro;
+        the caller would see stalls. The flow's owner keeps it, the other one
+        goes on passing late answers until its path falls silent.
+        """
+        if record.flags == RecordFlag.TAKE:
+            self._note_former(flow, sender)
+            return
+        owner = self._fleet.owner(flow_hash(flow.target.service, *flow.caller))
+        if owner is not None and owner.number == sender:
+            self._release(flow, record, sender, now)
+            return
+        self._outbox.add(sender, record_of(flow, RecordFlag.RELEASE))
+
+    def _release(
+        self, flow: Flow | None, record: FlowRecord, sender: int, now: float
+    ) -> None:
+        self._replicas.keep(record, sender)
+        if flow is not None:
+            self._formers.pop(flow, None)
+            self._carrier.let_go(flow, now)
+
+    def on_taken(self, opened: Opened, now: float) -> None:
+        """Notes that a VM has taken a batch; flows handed over are let go."""
+        for record in self._outbox.acknowledged(opened.body):
+            if record.flags != RecordFlag.TAKE:
+                continue
+            self._handed.pop(record.key, None)
+            flow = self._flow(record)
+            if flow is not None:
+                self._counters.add(c.TRANSFERS)
+                self._release(flow, record, opened.sender, now)
+
+    def _flow(self, record: FlowRecord) -> Flow | None:
+        listener = self._carrier.table.listener(record.service)
+        if listener is None:
+            return None
+        return listener.flows.get((record.ip, record.port))
+
+    def _send_records(self, vm: int, body: bytes) -> None:
+        self._post.send(vm, Kind.RECORDS, body)
+
+
+def record_of(flow: Flow, flag: int) -> FlowRecord:
+    """Returns the record of a flow carried here."""
+    ip, port = flow.caller
+    return FlowRecord(flow.target.service, ip, port, flow.target.number, flag)
--- /dev/null
+++ b/src/pollenmast/relay/_fleet.py
@@ -0,0 +1,94 @@
+"""What this relay believes of the other VMs, and whom it asks for what."""
+
+from pollenmast.decisions._ownership import Member, Ring
+from pollenmast.peers._envelope import sender_id
+from pollenmast.peers._messages import Vm, VmState
+
+ASKED = 2
+"""VMs asked about a flow that nobody here knows: the one that owned it before
+the last change, and the one that would keep its record."""
+
+_OWNS = (VmState.ALIVE, VmState.SUSPECT)
+
+
+class Fleet:
+    """The VMs by number, and the ring of those that own flows."""
+
+    def __init__(self, name: str, zone: str):
+        self._me = Member(sender_id(name), name, zone)
+        self._vms: dict[int, Vm] = {}
+        self._owners = Ring()
+        self._holders = Ring()
+        self._changed_at = 0.0
+
+    @property
+    def me(self) -> Member:
+        """This VM."""
+        return self._me
+
+    @property
+    def changed_at(self) -> float:
+        """When the ring of owners last changed, on the runtime's clock."""
+        return self._changed_at
+
+    @property
+    def owners(self) -> tuple[Member, ...]:
+        """The VMs that own flows."""
+        return self._owners.members
+
+    def update(self, vms: tuple[Vm, ...], now: float) -> bool:
+        """Takes a new list; returns whether the owners changed."""
+        self._vms = {sender_id(vm.name): vm for vm in vms}
+        owners = _members(self._vms, _OWNS)
+        holders = _members(self._vms, (*_OWNS, VmState.LEAVING))
+        if holders != self._holders.members:
+            self._holders = Ring(holders)
+        if owners == self._owners.members:
+            return False
+        self._owners = Ring(owners)
+        self._changed_at = now
+        return True
+
+    def vm(self, number: int) -> Vm | None:
+        """Returns the VM with this number, unless it is dead."""
+        return self._vms.get(number)
+
+    def carries(self, number: int) -> bool:
+        """Returns whether this VM's relay can be sent packets."""
+        vm = self._vms.get(number)
+        return vm is not None and vm.relay_up
+
+    def owner(self, key: int) -> Member | None:
+        """Returns the VM that owns the flow with this hash."""
+        return self._owners.owner(key)
+
+    def owns(self, key: int) -> bool:
+        """Returns whether this VM owns the flow with this hash."""
+        owner = self._owners.owner(key)
+        return owner is not None and owner.number == self._me.number
+
+    def backup(self, key: int) -> int:
+        """Returns the number of the VM that keeps this VM's record, or 0."""
+        member = self._owners.backup(key, self._me)
+        return member.number if member else 0
+
+    def asked(self, key: int) -> list[int]:
+        """Returns the VMs to ask about a flow, the likeliest first."""
+        candidates = [*self._holders.ranks(key, ASKED + 1)]
+        keeper = self._owners.backup(key, self._me)
+        if keeper is not None:
+            candidates.insert(1, keeper)
+        numbers = dict.fromkeys(member.number for member in candidates)
+        numbers.pop(self._me.number, None)
+        return list(numbers)[:ASKED]
+
+
+def _members(
+    vms: dict[int, Vm], states: tuple[VmState, ...]
+) -> tuple[Member, ...]:
+    found = [
+        Member(number, vm.name, vm.zone)
+        for number, vm in vms.items()
+        if vm.state in states and vm.relay_up
+    ]
+    return tuple(sorted(found, key=lambda member: member.name))
--- /dev/null
+++ b/src/pollenmast/relay/_history.py
@@ -0,0 +1,76 @@
+"""The newest decisions, kept so that an operator can ask why."""
+
+import collections
+
+import attrs
+
+KEPT = 4096
+"""Decisions kept; at 41 new flows a second that is more than a minute and a
+half, and below 2 MB."""
+
+MOST_LINES = 50
+
+
+@attrs.frozen
+class Decision:
+    """One decision about a flow.
+
+    Attributes:
+        at: The runtime's clock, in seconds.
+        caller: The caller's IP number and port.
+        service: The service's name.
+        endpoint: The endpoint's name, empty where none was chosen.
+        text: What was decided and why.
+    """
+
+    at: float
+    caller: tuple[str, int]
+    service: str
+    endpoint: str
+    text: str
+
+
+class History:
+    """A bounded list of decisions."""
+
+    def __init__(self):
+        self._decisions: collections.deque[Decision] = collections.deque(
+            maxlen=KEPT
+        )
+
+    def note(self, decision: Decision) -> None:
+        """Keeps a decision; the oldest one falls out."""
+        self._decisions.append(decision)
+
+    def explain(self, subject: str, now: float) -> tuple[str, ...]:
+        """Returns the newest lines about a caller, an endpoint or anything.
+
+        Args:
+            subject: IP:PORT, IP, SERVICE/ENDPOINT, SERVICE, or empty.
+            now: The runtime's clock, in seconds.
+        """
+        found = [
+            _line(decision, now)
+            for decision in reversed(self._decisions)
+            if not subject or subject in _names(decision)
+        ]
+        return tuple(found[:MOST_LINES])
+
+
+def _names(decision: Decision) -> tuple[str, ...]:
+    ip, port = decision.caller
+    return (
+        ip,
+        f"{ip}:{port}",
+        decision.service,
+        f"{decision.service}/{decision.endpoint}",
+    )
+
+
+def _line(decision: Decision, now: float) -> str:
+    ip, port = decision.caller
+    where = decision.service
+    if decision.endpoint:
+        where += f"/{decision.endpoint}"
+    age = now - decision.at
+    return f"{age:.1f} s ago {ip}:{port} {where}: {decision.text}"
--- /dev/null
+++ b/src/pollenmast/relay/_openings.py
@@ -0,0 +1,304 @@
+"""Flows that open: placed, held, tried again or refused.
+
+From a caller's first Initial until the upstream's first answer nothing has
+been passed that could carry a request (0-RTT aside), so only in this time may
+a flow be refused or tried at another endpoint.
+"""
+
+import attrs
+
+from pollenmast import counters as c
+from pollenmast.callers import Packet, refusal
+from pollenmast.decisions import (
+    Dispatcher,
+    FlowRequest,
+    Held,
+    Placed,
+    Refused,
+)
+from pollenmast.decisions._ownership import flow_hash
+from pollenmast.peers._records import endpoint_id
+from pollenmast.relay._flows import (
+    TICKS_PER_S,
+    Flow,
+    FlowState,
+    Listener,
+    Target,
+)
+from pollenmast.relay._history import Decision, History
+from pollenmast.relay._table import FlowTable
+
+MOST_OPENINGS = 20_000
+"""Flows that may be opening at a time: at 41 new flows a second and 5 s to
+answer about 200 are usual, so a flood of half-opened flows meets this bound
+long before it hurts; at 1,300 bytes each it stays below 30 MB."""
+
+MOST_DATAGRAMS = 4
+"""First datagrams kept for a hold or a retry: an Initial may be split in two
+when it carries a large ClientHello, and each may be sent again once."""
+
+RETRY_AFTER_S = 0.3
+"""Time without an answer before another endpoint is tried. A handshake answer
+takes a few ms here; callers' libraries send again after 0.3 to 1 s."""
+
+GIVE_UP_AFTER_S = 5.0
+"""Time after which an opening that got no answer is forgotten."""
+
+CALLER_QUIET_S = 1.2
+"""A held caller that has sent nothing for so long has gone: RFC 9002 section
+6.2 lets it send its Initial again after 1 s at the latest."""
+
+
+@attrs.define
+class Opening:
+    """One flow between its first packet and the upstream's first answer.
+
+    Attributes:
+        request: What the dispatcher was asked.
+        listener: The service's port.
+        caller: The caller's IP number and port.
+        packet: The first Initial's readable part; a refusal answers it.
+        datagrams: What the caller sent so far, as passed on.
+        began: When the first datagram came, in seconds.
+        heard: When the newest datagram came.
+        sent: When the datagrams went to the endpoint now tried.
+        flow: The flow, once it is placed.
+        tried: Names of the endpoints tried.
+        early_data: Whether 0-RTT was passed, which may carry a request.
+    """
+
+    request: FlowRequest
+    listener: Listener
+    caller: tuple[str, int]
+    packet: Packet
+    datagrams: list[bytes]
+    began: float
+    heard: float
+    sent: float = 0.0
+    flow: Flow | None = None
+    tried: tuple[str, ...] = ()
+    early_data: bool = False
+
+
+class Openings:
+    """All flows that open at this relay."""
+
+    def __init__(
+        self,
+        table: FlowTable,
+        dispatcher: Dispatcher,
+        counters: c.Counters,
+        history: History,
+    ):
+        self._table = table
+        self._dispatcher = dispatcher
+        self._counters = counters
+        self._history = history
+        self._by_caller: dict[tuple[int, tuple[str, int]], Opening] = {}
+        self._by_ticket: dict[int, Opening] = {}
+        self._ticket = 0
+
+    def __len__(self) -> int:
+        return len(self._by_ticket)
+
+    @property
+    def held(self) -> int:
+        """Flows whose first packets are held."""
+        return sum(each.flow is None for each in self._by_ticket.values())
+
+    def find(
+        self, listener: Listener, caller: tuple[str, int]
+    ) -> Opening | None:
+        """Returns the opening of this caller, if there is one."""
+        return self._by_caller.get((listener.service.port, caller))
+
+    def add_datagram(
+        self, opening: Opening, data: bytes, early_data: bool, now: float
+    ) -> None:
+        """Keeps a further datagram of an opening."""
+        opening.heard = now
+        opening.early_data = opening.early_data or early_data
+        if len(opening.datagrams) < MOST_DATAGRAMS:
+            opening.datagrams.append(data)
+
+    def begin(
+        self,
+        listener: Listener,
+        caller: tuple[str, int],
+        packet: Packet,
+        data: bytes,
+        early_data: bool,
+        now: float,
+    ) -> None:
+        """Decides about a new flow and carries the decision out."""
+        if len(self._by_ticket) >= MOST_OPENINGS:
+            self._counters.add(c.DROPS, c.DropReason.FLOW_TABLE_FULL)
+            return
+        self._ticket += 1
+        service = listener.service.number
+        request = FlowRequest(
+            self._ticket, service, caller[0], flow_hash(service, *caller)
+        )
+        opening = Opening(
+            request,
+            listener,
+            caller,
+            packet,
+            [data],
+            now,
+            now,
+            early_data=early_data,
+        )
+        self._remember(opening)
+        outcome = self._dispatcher.on_new_flow(request, now)
+        if isinstance(outcome, Held):
+            self._counters.add(c.FLOWS_HELD)
+            return
+        self._settle(opening, outcome, now)
+
+    def refuse_draining(
+        self,
+        listener: Listener,
+        caller: tuple[str, int],
+        packet: Packet,
+        retry_after_ms: int,
+    ) -> None:
+        """Refuses a new flow: this relay leaves and knows no other."""
+        self._counters.add(c.REFUSALS, c.RefusalReason.DRAINING)
+        listener.send(refusal(packet, retry_after_ms), caller)
+
+    def answered(self, flow: Flow, now: float) -> None:
+        """Notes the upstream's first answer: the flow no longer opens."""
+        opening = self._by_caller.get((flow.listener.service.port, flow.caller))
+        if opening is not None and opening.flow is flow:
+            self._forget(opening)
+        target = flow.target
+        self._dispatcher.on_answered(target.service, target.name, now)
+
+    def tick(self, now: float) -> None:
+        """Releases held flows and retries those that got no answer."""
+        for released in self._dispatcher.release(now):
+            opening = self._by_ticket.get(released.ticket)
+            if opening is not None:
+                self._settle(opening, released.outcome, now)
+        for opening in list(self._by_ticket.values()):
+            self._check(opening, now)
+
+    def _check(self, opening: Opening, now: float) -> None:
+        if opening.flow is None:
+            if now - opening.heard > CALLER_QUIET_S:
+                self._counters.add(c.DROPS, c.DropReason.CALLER_SILENT)
+                self._dispatcher.on_caller_gone(opening.request.ticket)
+                self._forget(opening)
+            return
+        if now - opening.began > GIVE_UP_AFTER_S:
+            self._abandon(opening, now)
+        elif now - opening.sent > RETRY_AFTER_S and not opening.early_data:
+            self._retry(opening, now)
+
+    def _retry(self, opening: Opening, now: float) -> None:
+        target = opening.flow.target
+        opening.sent = now
+        self._dispatcher.on_unanswered(target.service, target.name, now)
+        outcome = self._dispatcher.retry(opening.request, opening.tried, now)
+        if isinstance(outcome, Placed):
+            self._counters.add(c.RETRIES, c.RetryReason.UNANSWERED)
+            self._place(opening, outcome, now)
+            return
+        self._end_flow(opening, now)
+        self._refuse(opening, outcome)
+
+    def _settle(
+        self, opening: Opening, outcome: Placed | Refused, now: float
+    ) -> None:
+        if isinstance(outcome, Refused):
+            self._refuse(opening, outcome)
+        else:
+            self._place(opening, outcome, now)
+
+    def _place(self, opening: Opening, placed: Placed, now: float) -> None:
+        listener = opening.listener
+        target = self._table.target(
+            listener.service.number, endpoint_id(placed.endpoint)
+        )
+        if target is None or not self._connect(opening, target, now):
+            self._end_flow(opening, now)
+            refused = Refused(c.RefusalReason.FLOW_TABLE_FULL, 1000)
+            self._refuse(opening, refused)
+            return
+        opening.tried = (*opening.tried, placed.endpoint)
+        opening.sent = now
+        opening.flow.off_default = placed.off_default
+        for data in opening.datagrams:
+            opening.flow.path.send(data, target.address)
+        self._note(opening, placed.endpoint, placed.why, now)
+
+    def _connect(self, opening: Opening, target: Target, now: float) -> bool:
+        tick = int(now * TICKS_PER_S)
+        if opening.flow is not None:
+            self._dispatcher.on_flow_ended(
+                target.service, opening.flow.target.name, now
+            )
+            return self._table.move(opening.flow, target, tick, now)
+        opening.flow = self._table.open(
+            opening.listener,
+            opening.caller,
+            target,
+            FlowState.OPENING,
+            tick,
+            now,
+        )
+        if opening.flow is not None:
+            self._counters.add(c.FLOWS_OPENED)
+        return opening.flow is not None
+
+    def _refuse(self, opening: Opening, refused: Refused) -> None:
+        self._forget(opening)
+        self._counters.add(c.REFUSALS, refused.reason)
+        data = refusal(opening.packet, refused.retry_after_ms)
+        opening.listener.send(data, opening.caller)
+        self._note(
+            opening,
+            "",
+            f"refused, {refused.reason.value}, "
+            f"retry after {refused.retry_after_ms} ms",
+            opening.heard,
+        )
+
+    def _abandon(self, opening: Opening, now: float) -> None:
+        self._end_flow(opening, now)
+        self._forget(opening)
+
+    def _end_flow(self, opening: Opening, now: float) -> None:
+        flow = opening.flow
+        if flow is None:
+            return
+        self._dispatcher.on_flow_ended(
+            flow.target.service, flow.target.name, now
+        )
+        self._table.end(flow, now)
+        self._counters.add(c.FLOWS_ENDED)
+        opening.flow = None
+
+    def _remember(self, opening: Opening) -> None:
+        key = (opening.listener.service.port, opening.caller)
+        self._by_caller[key] = opening
+        self._by_ticket[opening.request.ticket] = opening
+
+    def _forget(self, opening: Opening) -> None:
+        key = (opening.listener.service.port, opening.caller)
+        self._by_caller.pop(key, None)
+        self._by_ticket.pop(opening.request.ticket, None)
+
+    def _note(
+        self, opening: Opening, endpoint: str, text: str, now: float
+    ) -> None:
+        self._history.note(
+            Decision(
+                now,
+                opening.caller,
+                opening.listener.service.name,
+                endpoint,
+                text,
+            )
+        )
--- /dev/null
+++ b/src/pollenmast/relay/_outbox.py
@@ -0,0 +1,139 @@
+"""Flow records on their way to other relays: batched, acknowledged, budgeted.
+
+A lost record would show only much later, when its holder dies and the flow's
+packets go to an endpoint that does not know them. So each batch is sent again
+until it is acknowledged, and a record that cannot be delivered is offered
+anew when the members change.
+"""
+
+import struct
+
+import attrs
+
+from pollenmast.counters import CONTROL_BYTES, REPLICAS_SENT, Counters
+from pollenmast.decisions._replication import ByteBudget
+from pollenmast.peers._envelope import HEADER_BYTES, MAC_BYTES
+from pollenmast.peers._records import MOST_RECORDS, FlowRecord, pack_records
+
+RESEND_AFTER_S = 0.3
+"""Time without an acknowledgement; a round trip between zones is 2 ms, so
+this also covers a receiver that is busy for some heartbeats."""
+
+MOST_SENDS = 6
+"""Sends of one batch, about 2 s in all: by then a dead receiver is known."""
+
+MOST_QUEUED = 100_000
+"""Records queued for one VM; beyond it the oldest wait for the next change of
+members. It bounds memory when a neighbour does not answer."""
+
+_BATCH = struct.Struct("!I")
+_UDP_BYTES = 28
+_OVERHEAD = HEADER_BYTES + MAC_BYTES + _BATCH.size + _UDP_BYTES
+
+
+@attrs.define
+class _Batch:
+    """One batch that awaits its acknowledgement."""
+
+    vm: int
+    records: list[FlowRecord]
+    body: bytes
+    sent_at: float
+    sends: int = 1
+
+
+class Outbox:
+    """Batches of records for each VM."""
+
+    def __init__(self, send, bytes_per_s: float, counters: Counters):
+        self._send = send
+        self._counters = counters
+        self._budget = ByteBudget(bytes_per_s, burst=bytes_per_s * 2)
+        self._queues: dict[int, list[FlowRecord]] = {}
+        self._batches: dict[int, _Batch] = {}
+        self._number = 0
+
+    @property
+    def idle(self) -> bool:
+        """Whether every record was delivered or given up."""
+        return not self._batches and not any(self._queues.values())
+
+    def add(self, vm: int, record: FlowRecord) -> bool:
+        """Queues a record for a VM; returns whether it fitted."""
+        queue = self._queues.setdefault(vm, [])
+        if len(queue) >= MOST_QUEUED:
+            return False
+        queue.append(record)
+        return True
+
+    def acknowledged(self, body: bytes) -> list[FlowRecord]:
+        """Returns the records of the batch that a VM acknowledges."""
+        if len(body) < _BATCH.size:
+            return []
+        (number,) = _BATCH.unpack_from(body)
+        batch = self._batches.pop(number, None)
+        return batch.records if batch else []
+
+    def flush(self, now: float, urgent: bool) -> list[FlowRecord]:
+        """Sends what the budget allows; returns the records given up.
+
+        Args:
+            now: The runtime's clock, in seconds.
+            urgent: Whether to pass over the budget, as a leaving VM must.
+        """
+        given_up = self._resend(now)
+        for vm, queue in list(self._queues.items()):
+            while queue and (urgent or self._budget.available(now) > 0):
+                self._send_batch(vm, queue[:MOST_RECORDS], now)
+                del queue[:MOST_RECORDS]
+            if not queue:
+                del self._queues[vm]
+        return given_up
+
+    def drop_vm(self, vm: int) -> list[FlowRecord]:
+        """Returns and drops all that waits for a VM that is gone."""
+        dropped = self._queues.pop(vm, [])
+        for number, batch in list(self._batches.items()):
+            if batch.vm == vm:
+                dropped.extend(batch.records)
+                del self._batches[number]
+        return dropped
+
+    def vms(self) -> set[int]:
+        """Returns every VM that something waits for."""
+        waiting = {batch.vm for batch in self._batches.values()}
+        return waiting | set(self._queues)
+
+    def _send_batch(
+        self, vm: int, records: list[FlowRecord], now: float
+    ) -> None:
+        self._number += 1
+        body = _BATCH.pack(self._number) + pack_records(records)
+        self._batches[self._number] = _Batch(vm, records, body, now)
+        self._transmit(vm, body)
+        self._counters.add(REPLICAS_SENT, amount=len(records))
+
+    def _resend(self, now: float) -> list[FlowRecord]:
+        given_up: list[FlowRecord] = []
+        for number, batch in list(self._batches.items()):
+            if now - batch.sent_at < RESEND_AFTER_S:
+                continue
+            if batch.sends >= MOST_SENDS:
+                given_up.extend(batch.records)
+                del self._batches[number]
+                continue
+            batch.sends += 1
+            batch.sent_at = now
+            self._transmit(batch.vm, batch.body)
+        return given_up
+
+    def _transmit(self, vm: int, body: bytes) -> None:
+        size = len(body) + _OVERHEAD
+        self._budget.spend(size)
+        self._counters.add(CONTROL_BYTES, "replication", size)
+        self._send(vm, body)
+
+
+def split_batch(body: bytes) -> tuple[bytes, bytes]:
+    """Returns a batch's number, as bytes to acknowledge, and its records."""
+    return body[: _BATCH.size], body[_BATCH.size :]
--- /dev/null
+++ b/src/pollenmast/relay/_post.py
@@ -0,0 +1,28 @@
+"""Sends sealed envelopes to other relays by their VM's number."""
+
+from pollenmast import counters as c
+from pollenmast.peers._envelope import Sealer
+from pollenmast.peers._kinds import Kind
+from pollenmast.relay._fleet import Fleet
+from pollenmast.relay._table import Wire
+
+
+class Post:
+    """What routing and custody send by."""
+
+    def __init__(
+        self, fleet: Fleet, wire: Wire, sealer: Sealer, counters: c.Counters
+    ):
+        self._fleet = fleet
+        self._wire = wire
+        self._sealer = sealer
+        self._counters = counters
+
+    def send(self, number: int, kind: Kind, body: bytes) -> None:
+        """Sends a body to a VM, unless the VM is dead."""
+        vm = self._fleet.vm(number)
+        if vm is None:
+            self._counters.add(c.DROPS, c.DropReason.NO_OWNER)
+            return
+        envelope = self._sealer.seal(kind, body)
+        self._wire.send_peer(envelope, (vm.address, vm.relay_port))
--- /dev/null
+++ b/src/pollenmast/relay/_program.py
@@ -0,0 +1,151 @@
+"""The relay program: joins sockets, link, signals and the clock."""
+
+import gc
+import random
+import resource
+import signal
+
+import anyio
+
+from pollenmast.events import CUT, STARTED, STOPPED, STOPPING, EventLog
+from pollenmast.peers import _messages as messages
+from pollenmast.peers._envelope import Opener, Sealer
+from pollenmast.peers._link_relay import RelayLink
+from pollenmast.relay._core import RelayCore
+from pollenmast.relay._sockets import SocketWire
+from pollenmast.settings import Settings
+
+TICK_S = 0.02
+"""Between two looks at holds, retries and records: a twentieth of the usual
+hold, so that a hold ends when it should."""
+
+REPORT_S = 0.5
+"""Between two reports to the agent, as often as agents probe endpoints."""
+
+SETTLE_S = 1.0
+"""How long a drained relay still answers before it ends: the fabric's list of
+VMs lags, and what it still sends here is passed on in the meantime."""
+
+EXIT_OK = 0
+EXIT_CUT = 3
+"""Exit code after a second signal."""
+
+_GC_THRESHOLDS = (50_000, 50, 1000)
+"""Flows are many and have no cycles; the collector's usual thresholds would
+walk all of them several times a second, and packets would wait."""
+
+
+class _Program:
+    """One running relay."""
+
+    def __init__(self, settings: Settings, log: EventLog):
+        self._settings = settings
+        self._log = log
+        relay = settings.relay
+        address = settings.vm.address
+        self._wire = SocketWire(address, relay.peer_port, log)
+        rng = random.Random(settings.vm.name)
+        self._core = RelayCore(settings, self._wire, rng, anyio.current_time())
+        fleet = settings.fleet
+        self._link = RelayLink(
+            address,
+            relay.link_port,
+            Sealer(settings.vm.name, fleet.key),
+            Opener(fleet.key, fleet.previous_key),
+            self._core.counters,
+        )
+        self._grace_s = relay.grace_s
+        self._stop_at: float | None = None
+        self._exit = EXIT_OK
+
+    async def run(self) -> int:
+        """Runs until it is stopped; returns the exit code."""
+        self._log.write(STARTED, address=self._settings.vm.address)
+        async with anyio.create_task_group() as tasks:
+            for task in (self._tick, self._report, self._listen):
+                tasks.start_soon(task)
+            tasks.start_soon(self._wire.pump, self._core)
+            tasks.start_soon(self._watch_signals, tasks.cancel_scope)
+            tasks.start_soon(self._watch_drain, tasks.cancel_scope)
+        self._close()
+        return self._exit
+
+    def _close(self) -> None:
+        flows = self._core.table.flows
+        event = CUT if self._exit == EXIT_CUT else STOPPED
+        self._log.write(event, flows=flows)
+        self._link.close()
+        self._core.table.close()
+        self._wire.close()
+
+    async def _tick(self) -> None:
+        while True:
+            self._core.tick(anyio.current_time())
+            await anyio.sleep(TICK_S)
+
+    async def _report(self) -> None:
+        while True:
+            report = self._core.report(anyio.current_time())
+            await self._link.send(report)
+            await anyio.sleep(REPORT_S)
+
+    async def _listen(self) -> None:
+        while True:
+            message = await self._link.receive()
+            now = anyio.current_time()
+            if isinstance(message, messages.FleetView):
+                self._core.on_view(message, now)
+            elif isinstance(message, messages.DrainOrder):
+                self._stop(message.grace_s)
+            elif isinstance(message, messages.ExplainQuery):
+                await self._link.send(self._core.explain(message, now))
+
+    def _stop(self, grace_s: float) -> None:
+        if self._stop_at is None:
+            self._stop_at = anyio.current_time() + grace_s
+            self._log.write(STOPPING, grace_s=grace_s)
+            self._core.drain()
+
+    async def _watch_signals(self, scope: anyio.CancelScope) -> None:
+        signals = (signal.SIGTERM, signal.SIGINT)
+        with anyio.open_signal_receiver(*signals) as received:
+            async for _ in received:
+                if self._stop_at is not None:
+                    self._exit = EXIT_CUT
+                    scope.cancel()
+                    return
+                self._stop(self._grace_s)
+
+    async def _watch_drain(self, scope: anyio.CancelScope) -> None:
+        while not self._over():
+            await anyio.sleep(TICK_S)
+        await self._link.send(self._core.report(anyio.current_time()))
+        await anyio.sleep(SETTLE_S)
+        scope.cancel()
+
+    def _over(self) -> bool:
+        if self._stop_at is None:
+            return False
+        late = anyio.current_time() >= self._stop_at
+        return late or self._core.drained()
+
+
+def run(settings: Settings) -> int:
+    """Runs a relay until it is stopped.
+
+    Args:
+        settings: The VM's checked settings.
+
+    Returns:
+        The exit code: 0 after a graceful shutdown, 3 if it was cut short by
+        a second signal.
+    """
+    gc.set_threshold(*_GC_THRESHOLDS)
+    _, most_files = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most_files, most_files))
+    log = EventLog("relay", settings.vm.name)
+    return anyio.run(_run, settings, log)
+
+
+async def _run(settings: Settings, log: EventLog) -> int:
+    return await _Program(settings, log).run()
--- /dev/null
+++ b/src/pollenmast/relay/_routing.py
@@ -0,0 +1,223 @@
+"""Finds the relay that carries a caller's packet.
+
+A caller's packet may reach any VM. Who does not know its flow passes it to the
+flow's owner; an owner that does not know it either (it has just come, or has
+just taken over from a dead VM) looks into its replicas, asks the two VMs that
+may know, and only then computes the default endpoint. Each step is bounded, so
+that two VMs with different beliefs cannot pass a packet back and forth.
+"""
+
+import attrs
+
+from pollenmast import counters as c
+from pollenmast.peers._envelope import Opened
+from pollenmast.peers._kinds import Kind
+from pollenmast.peers._records import (
+    Forwarded,
+    pack_forwarded,
+    unpack_forwarded,
+)
+from pollenmast.relay._carrier import Arrival, Carrier
+from pollenmast.relay._custody import Custody
+from pollenmast.relay._fleet import Fleet
+from pollenmast.relay._post import Post
+from pollenmast.relay._replicas import Replica
+
+MOST_HOPS = 3
+"""Relays that one datagram may pass: fabric to any, to the owner, to the
+holder, and one more while beliefs differ."""
+
+ASK_AFTER_CHANGE_S = 5.0
+"""Time after a change of owners in which a new owner asks even about Initials.
+The second flight of a handshake is an Initial too; opened anew here it would
+go to an endpoint that has no such handshake, and the caller would wait until
+its handshake times out. Handshakes last some round trips, heartbeats spread a
+change within about 2 s."""
+
+
+class Routing:
+    """Passes datagrams between relays."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        carrier: Carrier,
+        custody: Custody,
+        post: Post,
+        counters: c.Counters,
+    ):
+        self._fleet = fleet
+        self._carrier = carrier
+        self._custody = custody
+        self._post = post
+        self._counters = counters
+
+    def route(self, arrival: Arrival, now: float) -> None:
+        """Finds the relay that carries a datagram's flow, or carries it."""
+        replica = self._custody.replicas.find(
+            arrival.listener.service.number, arrival.caller
+        )
+        if replica is not None and self._follow(replica, arrival, now):
+            return
+        owner = self._fleet.owner(arrival.key)
+        if owner is None:
+            self._carrier.without_owner(arrival, now)
+        elif owner.number in (self._fleet.me.number, arrival.via):
+            self._as_owner(arrival, now)
+        else:
+            self._forward(owner.number, arrival, c.ForwardReason.OWNER)
+
+    def _follow(self, replica: Replica, arrival: Arrival, now: float) -> bool:
+        """Passes a datagram to its holder, or takes a dead holder's flow."""
+        if self._fleet.carries(replica.holder):
+            if replica.holder == arrival.via:
+                return False
+            self._forward(replica.holder, arrival, c.ForwardReason.HOLDER)
+            return True
+        if not self._fleet.owns(arrival.key):
+            return False
+        return self._adopt(replica, arrival, now)
+
+    def _adopt(self, replica: Replica, arrival: Arrival, now: float) -> bool:
+        flow = self._carrier.adopt(
+            arrival.listener,
+            arrival.caller,
+            replica.endpoint,
+            c.RepathReason.ADOPTED,
+            now,
+        )
+        if flow is None:
+            return False
+        number = arrival.listener.service.number
+        self._custody.replicas.drop(number, arrival.caller)
+        self._carrier.carry(flow, arrival.data, now)
+        return True
+
+    def _as_owner(self, arrival: Arrival, now: float) -> None:
+        recent = now - self._fleet.changed_at < ASK_AFTER_CHANGE_S
+        if arrival.opens and not recent:
+            self._carrier.open(arrival, now)
+            return
+        asked = self._fleet.asked(arrival.key)
+        if not asked:
+            self._decide_unknown(arrival, now)
+            return
+        forwarded = _forwarded(
+            arrival,
+            hops=1,
+            asker=self._fleet.me.number,
+            next_asked=asked[1] if len(asked) > 1 else 0,
+        )
+        self._counters.add(c.FORWARDS, c.ForwardReason.ASK)
+        self._post.send(asked[0], Kind.ASK, pack_forwarded(forwarded))
+
+    def _decide_unknown(self, arrival: Arrival, now: float) -> None:
+        """No VM knows the flow: it is new, or its only holder has died."""
+        if arrival.opens:
+            self._carrier.open(arrival, now)
+        else:
+            self._carrier.guess(arrival, now)
+
+    def _forward(
+        self, vm: int, arrival: Arrival, reason: c.ForwardReason
+    ) -> None:
+        if arrival.hops >= MOST_HOPS:
+            self._counters.add(c.DROPS, c.DropReason.TOO_MANY_HOPS)
+            return
+        self._counters.add(c.FORWARDS, reason)
+        body = pack_forwarded(_forwarded(arrival, hops=arrival.hops + 1))
+        self._post.send(vm, Kind.FORWARD, body)
+
+    def on_forward(self, opened: Opened, now: float) -> None:
+        """Takes a datagram that another relay passed on."""
+        arrival = self._read(self._unpack(opened), opened.sender)
+        if arrival is not None:
+            self._carrier.on_datagram(arrival, now)
+
+    def on_ask(self, opened: Opened, now: float) -> None:
+        """Carries a datagram whose flow is known here, or asks on."""
+        forwarded = self._unpack(opened)
+        if forwarded is None:
+            return
+        caller = (forwarded.ip, forwarded.port)
+        listener = self._carrier.table.listener(forwarded.service)
+        flow = listener.flows.get(caller) if listener else None
+        if flow is not None:
+            self._carrier.carry(flow, forwarded.data, now)
+            self._custody.tell_keeper(flow, forwarded.asker)
+            return
+        replica = self._custody.replicas.find(forwarded.service, caller)
+        if replica is not None and replica.holder != forwarded.asker:
+            self._answer_from_replica(replica, forwarded, now)
+            return
+        self._ask_next(forwarded)
+
+    def _answer_from_replica(
+        self, replica: Replica, forwarded: Forwarded, now: float
+    ) -> None:
+        passed = attrs.evolve(forwarded, asker=0, next_asked=0, hops=2)
+        body = pack_forwarded(passed)
+        if self._fleet.carries(replica.holder):
+            self._counters.add(c.FORWARDS, c.ForwardReason.HOLDER)
+            self._post.send(replica.holder, Kind.FORWARD, body)
+            return
+        self._custody.hand_out(replica, forwarded, now)
+        self._counters.add(c.FORWARDS, c.ForwardReason.RETURNED)
+        self._post.send(forwarded.asker, Kind.FORWARD, body)
+
+    def _ask_next(self, forwarded: Forwarded) -> None:
+        following = forwarded.next_asked
+        if following and self._fleet.carries(following):
+            self._counters.add(c.FORWARDS, c.ForwardReason.ASK)
+            body = pack_forwarded(attrs.evolve(forwarded, next_asked=0))
+            self._post.send(following, Kind.ASK, body)
+            return
+        self._counters.add(c.FORWARDS, c.ForwardReason.RETURNED)
+        body = pack_forwarded(forwarded)
+        self._post.send(forwarded.asker, Kind.UNKNOWN, body)
+
+    def on_unknown(self, opened: Opened, now: float) -> None:
+        """Takes back a datagram whose flow none of the asked knows."""
+        forwarded = self._unpack(opened)
+        arrival = self._read(forwarded, opened.sender)
+        if arrival is None:
+            return
+        flow = arrival.listener.flows.get(arrival.caller)
+        if flow is not None:
+            self._carrier.carry(flow, arrival.data, now)
+            return
+        self._decide_unknown(arrival, now)
+
+    def _read(self, forwarded: Forwarded | None, sender: int) -> Arrival | None:
+        if forwarded is None:
+            return None
+        listener = self._carrier.table.listener(forwarded.service)
+        if listener is None:
+            self._counters.add(c.DROPS, c.DropReason.UNKNOWN_SERVICE)
+            return None
+        caller = (forwarded.ip, forwarded.port)
+        return self._carrier.read(
+            listener, caller, forwarded.data, forwarded.hops, sender
+        )
+
+    def _unpack(self, opened: Opened) -> Forwarded | None:
+        unpacked = unpack_forwarded(opened.body)
+        if unpacked.is_err():
+            self._counters.add(c.ENVELOPE_FAULTS, unpacked.unwrap_err())
+            return None
+        return unpacked.unwrap()
+
+
+def _forwarded(
+    arrival: Arrival, hops: int, asker: int = 0, next_asked: int = 0
+) -> Forwarded:
+    ip, port = arrival.caller
+    return Forwarded(
+        arrival.listener.service.number,
+        ip,
+        port,
+        hops,
+        arrival.data,
+        asker,
+        next_asked,
+    )
--- /dev/null
+++ b/src/pollenmast/relay/_table.py
@@ -0,0 +1,214 @@
+"""The flow table: services, endpoints and the flows between them."""
+
+import abc
+
+from pollenmast.manifest import EndpointState, Manifest, Service
+from pollenmast.peers._records import FlowRecord, endpoint_id
+from pollenmast.relay._flows import Flow, FlowState, Listener, Target
+from pollenmast.upstreams._paths import Path, PathPool
+
+
+class Wire(abc.ABC):
+    """The sockets of a relay, behind what its decisions need of them."""
+
+    @abc.abstractmethod
+    def open_listener(self, service: Service) -> Listener | None:
+        """Opens a service's port towards callers, None if it cannot."""
+
+    @abc.abstractmethod
+    def open_path(self) -> Path:
+        """Opens a local port towards upstreams."""
+
+    @abc.abstractmethod
+    def send_peer(self, data: bytes, address: tuple[str, int]) -> None:
+        """Sends an envelope to another relay."""
+
+
+class FlowTable:
+    """Every flow that this relay carries, and what it needs to carry them."""
+
+    def __init__(self, wire: Wire, most_flows: int):
+        self._wire = wire
+        self._most_flows = most_flows
+        self._pool = PathPool(wire.open_path)
+        self._listeners: dict[int, Listener] = {}
+        self._services: dict[int, Listener] = {}
+        self._targets: dict[tuple[int, int], Target] = {}
+        self._reused: set[int] = set()
+        self._flows = 0
+        self._moved: dict[tuple[int, str, int], Flow] = {}
+
+    @property
+    def flows(self) -> int:
+        """Flows in the table."""
+        return self._flows
+
+    @property
+    def full(self) -> bool:
+        """Whether no further flow fits."""
+        return self._flows >= self._most_flows
+
+    @property
+    def listeners(self) -> list[Listener]:
+        """Every open port towards callers."""
+        return list(self._listeners.values())
+
+    @property
+    def targets(self) -> list[Target]:
+        """Every endpoint that a flow may go to or still goes to."""
+        return list(self._targets.values())
+
+    @property
+    def pool(self) -> PathPool:
+        """The local ports towards upstreams."""
+        return self._pool
+
+    def set_manifest(self, manifest: Manifest) -> list[str]:
+        """Takes a manifest; returns the services whose port did not open."""
+        failed = [
+            service.name
+            for service in manifest.services
+            if not self._set_service(service)
+        ]
+        numbers = {service.number for service in manifest.services}
+        for number in set(self._services) - numbers:
+            del self._services[number]
+        self._set_targets(manifest)
+        return failed
+
+    def _set_service(self, service: Service) -> bool:
+        listener = self._listeners.get(service.port)
+        if listener is None:
+            listener = self._wire.open_listener(service)
+            if listener is None:
+                return False
+            self._listeners[service.port] = listener
+        if listener.service.number != service.number:
+            self._reused.add(service.port)
+        listener.service = service
+        self._services[service.number] = listener
+        return True
+
+    def _set_targets(self, manifest: Manifest) -> None:
+        for target in self._targets.values():
+            target.serving = False
+        for service in manifest.services:
+            for endpoint in service.endpoints:
+                key = (service.number, endpoint_id(endpoint.name))
+                address = (endpoint.address, endpoint.port)
+                target = self._targets.get(key)
+                if target is None or target.address != address:
+                    target = Target(
+                        service.number,
+                        endpoint.name,
+                        key[1],
+                        address,
+                        self._pool,
+                    )
+                    self._targets[key] = target
+                target.serving = endpoint.state is EndpointState.SERVING
+
+    def listener(self, service: int) -> Listener | None:
+        """Returns the port of the service with this number."""
+        return self._services.get(service)
+
+    def target(self, service: int, endpoint: int) -> Target | None:
+        """Returns the endpoint with this number within its service."""
+        return self._targets.get((service, endpoint))
+
+    def may_guess(self, listener: Listener) -> bool:
+        """Returns whether an unknown flow may go to its default endpoint.
+
+        A port that served another service before may still get that service's
+        packets. Guessing would send a packet meant for the registry to
+        barcodes; the caller would see its session reset by a stranger.
+        """
+        return listener.service.port not in self._reused
+
+    def open(
+        self,
+        listener: Listener,
+        caller: tuple[str, int],
+        target: Target,
+        state: FlowState,
+        tick: int,
+        now: float,
+    ) -> Flow | None:
+        """Opens a flow to an endpoint, or None when nothing is left for it."""
+        if self.full:
+            return None
+        flow = Flow(caller, listener, target, tick, state)
+        flow.path = target.paths.take(flow, now)
+        if flow.path is None:
+            return None
+        listener.flows[caller] = flow
+        target.flows += 1
+        self._flows += 1
+        return flow
+
+    def move(self, flow: Flow, target: Target, tick: int, now: float) -> bool:
+        """Gives a flow a new path, to the same endpoint or another.
+
+        The new path is taken before the old one is given back, so that the
+        flow cannot be handed the path that it is to leave.
+        """
+        old_path, old_target = flow.path, flow.target
+        path = target.paths.take(flow, now)
+        if path is None:
+            return False
+        old_target.paths.give_back(old_path, now)
+        old_target.flows -= 1
+        target.flows += 1
+        flow.path, flow.target = path, target
+        flow.answered = tick
+        flow.unanswered = 0
+        return True
+
+    def let_go(self, flow: Flow) -> None:
+        """Stops taking a flow's packets from callers; answers still pass."""
+        if flow.listener.flows.get(flow.caller) is flow:
+            del flow.listener.flows[flow.caller]
+        flow.state = FlowState.MOVED
+        self._moved[flow.target.service, *flow.caller] = flow
+
+    def end_moved(self, record: FlowRecord, now: float) -> None:
+        """Forgets a flow that another relay now carries in both directions."""
+        flow = self._moved.get((record.service, record.ip, record.port))
+        if flow is not None:
+            self.end(flow, now)
+
+    @property
+    def moved(self) -> int:
+        """Flows let go whose late answers still pass here."""
+        return len(self._moved)
+
+    def end(self, flow: Flow, now: float) -> None:
+        """Forgets a flow."""
+        if flow.listener.flows.get(flow.caller) is flow:
+            del flow.listener.flows[flow.caller]
+        key = (flow.target.service, *flow.caller)
+        if self._moved.get(key) is flow:
+            del self._moved[key]
+        flow.target.paths.give_back(flow.path, now)
+        flow.target.flows -= 1
+        self._flows -= 1
+
+    def every_flow(self) -> list[Flow]:
+        """Returns a snapshot of all flows, moved ones included."""
+        return [
+            flow for path in self._pool.paths for flow in path.flows.values()
+        ]
+
+    def close_unused(self, numbers: set[int]) -> None:
+        """Closes the ports of services that are gone and carry no flow."""
+        for port, listener in list(self._listeners.items()):
+            if listener.service.number in numbers or listener.flows:
+                continue
+            listener.close()
+            del self._listeners[port]
+
+    def close(self) -> None:
+        """Closes every port."""
+        for listener in self._listeners.values():
+            listener.close()
+        self._pool.close()
--- /dev/null
+++ b/src/pollenmast/relay/_upkeep.py
@@ -0,0 +1,141 @@
+"""Walks the flow table in slices: ends, repairs and replicates flows.
+
+One pass over 200,000 flows at once would hold up packets for a tenth of a
+second, and callers would see it as jitter. A slice a tick does not.
+"""
+
+from pollenmast import counters as c
+from pollenmast.decisions import Dispatcher
+from pollenmast.decisions._ownership import flow_hash
+from pollenmast.decisions._replication import is_due
+from pollenmast.decisions._silence import (
+    NEXT_TRY_S,
+    RepathBudget,
+    is_silent,
+)
+from pollenmast.relay._custody import Custody
+from pollenmast.relay._fleet import Fleet
+from pollenmast.relay._flows import TICKS_PER_S, Flow, FlowState
+from pollenmast.relay._table import FlowTable
+from pollenmast.settings import RelaySettings
+
+SLICE = 2_000
+"""Flows looked at in a tick of 20 ms: 200,000 flows in 2 s, at about 1 ms of
+processor a slice."""
+
+GUESS_S = 5.0
+"""Time in which the default endpoint must answer for a flow that was guessed;
+otherwise a flood of forged packets would fill the table."""
+
+ENDPOINT_ALIVE_S = 2.0
+"""How fresh an endpoint's answer to another flow must be to count."""
+
+
+class Upkeep:
+    """Everything about flows that time brings about."""
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        table: FlowTable,
+        fleet: Fleet,
+        custody: Custody,
+        dispatcher: Dispatcher,
+        counters: c.Counters,
+    ):
+        self._settings = settings
+        self._table = table
+        self._fleet = fleet
+        self._custody = custody
+        self._dispatcher = dispatcher
+        self._counters = counters
+        self._repaths = RepathBudget()
+        self._pending: list[Flow] = []
+        self._owners_at = 0.0
+        self._check_backups = False
+        self._draining = False
+
+    def drain(self) -> None:
+        """From the next pass on, hands every flow to its owner."""
+        self._draining = True
+        self._pending = []
+
+    def tick(self, now: float, tick: int) -> None:
+        """Looks at the next slice of flows."""
+        if not self._pending:
+            self._begin_pass()
+        flows = self._pending[-SLICE:]
+        del self._pending[-SLICE:]
+        for flow in flows:
+            self._look_at(flow, now, tick)
+
+    def _begin_pass(self) -> None:
+        self._pending = self._table.every_flow()
+        self._check_backups = self._owners_at != self._fleet.changed_at
+        self._owners_at = self._fleet.changed_at
+
+    def _look_at(self, flow: Flow, now: float, tick: int) -> None:
+        if flow.path.flows.get(flow.target.address) is not flow:
+            return
+        quiet = tick - max(flow.heard, flow.answered)
+        if quiet > self._settings.idle_s * TICKS_PER_S or self._unproved(
+            flow, tick
+        ):
+            self._end(flow, now)
+        elif flow.state in (FlowState.CARRIED, FlowState.ADOPTED):
+            self._keep(flow, now, tick)
+
+    def _unproved(self, flow: Flow, tick: int) -> bool:
+        """Whether a guessed flow got no answer in time."""
+        waited = tick - flow.opened
+        return flow.state is FlowState.GUESSED and waited > (
+            GUESS_S * TICKS_PER_S
+        )
+
+    def _end(self, flow: Flow, now: float) -> None:
+        if flow.state is not FlowState.MOVED:
+            self._custody.ended(flow)
+            self._dispatcher.on_flow_ended(
+                flow.target.service, flow.target.name, now
+            )
+        self._table.end(flow, now)
+        self._counters.add(c.FLOWS_ENDED)
+
+    def _keep(self, flow: Flow, now: float, tick: int) -> None:
+        if flow.unanswered:
+            self._repair(flow, now, tick)
+        if self._draining:
+            self._hand_over(flow)
+        elif not flow.backup or self._check_backups:
+            self._replicate(flow, tick)
+
+    def _hand_over(self, flow: Flow) -> None:
+        key = flow_hash(flow.target.service, *flow.caller)
+        owner = self._fleet.owner(key)
+        if owner is not None and owner.number != self._fleet.me.number:
+            self._custody.hand_over(flow, owner.number)
+
+    def _replicate(self, flow: Flow, tick: int) -> None:
+        age_s = (tick - flow.opened) / TICKS_PER_S
+        replicate_after_s = self._settings.replicate_after_s
+        if not is_due(age_s, flow.off_default, replicate_after_s):
+            return
+        key = flow_hash(flow.target.service, *flow.caller)
+        backup = self._fleet.backup(key)
+        if backup != flow.backup:
+            self._custody.replicate(flow, backup)
+
+    def _repair(self, flow: Flow, now: float, tick: int) -> None:
+        silent = is_silent(
+            flow.unanswered,
+            (tick - flow.answered) / TICKS_PER_S,
+            (tick - flow.heard) / TICKS_PER_S,
+            tick - flow.target.answered < ENDPOINT_ALIVE_S * TICKS_PER_S,
+        )
+        if not silent or not self._repaths.take(now):
+            return
+        # Dated ahead, so that the flow is next found silent only after
+        # NEXT_TRY_S more.
+        until = tick + int(NEXT_TRY_S * TICKS_PER_S)
+        if self._table.move(flow, flow.target, until, now):
+            self._counters.add(c.REPATHS, c.RepathReason.SILENT)
