Binary: a zip that loads its native modules from memory

Cause: `make binary` must give one file that starts one process and writes nothing to a disk. Ruled out: PyInstaller's one file (a bootloader process that stays the parent, and unpacking to a temporary folder), shiv and pex (unpacking to a cache folder). Native modules go through memfd_create and /proc/self/fd/N; descriptors stay open, since the C library tells modules apart by path. Namespace packages need their folders listed in the zip.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(RUN) -m bench run all --json out/bench.json
 
 binary: $(VENV)/.installed
-	$(RUN) -m packaging_zipapp
+	$(RUN) -m packing
 
 lock:
 	rm -rf $(VENV)
