Events: tell what a flood suppressed; diff: name two contents of a version

Cause: lines left out of a flood were told only if the same event came again, and the rest was lost at the end. They are now an event of their own, also written by flush(). write_to() sends a program's lines to a stream (the relay gave eliot no stream, so its lines went nowhere). Diff follows the acceptance rule: of two contents under one version the greater digest wins.

--- a/src/pollenmast/cli/_client.py
+++ b/src/pollenmast/cli/_client.py
@@ -5,6 +5,8 @@
 
 from result import Err, Ok, Result
 
+from pollenmast.cli._output import printable
+
 _TIMEOUT_S = 5.0
 """Longest wait for an answer, in seconds; agents answer from memory."""
 
@@ -12,6 +14,9 @@
 """Bytes read of an answer. At 11,000 endpoints a status has about two
 megabytes; a stranger on that port must not fill the memory."""
 
+_MOST_SHOWN = 200
+"""Bytes shown of an answer that is an error."""
+
 
 def get(address: str, port: int, path: str) -> Result[object, str]:
     """Returns the JSON of an answer, or why there is none."""
@@ -25,8 +30,13 @@
     finally:
         connection.close()
     if response.status != http.HTTPStatus.OK:
-        return Err(f"{address}:{port} answered {response.status}")
+        return Err(f"{address}:{port} answered {response.status} {_line(data)}")
     try:
         return Ok(json.loads(data))
     except (ValueError, RecursionError):
         return Err(f"{address}:{port} answered with something else than JSON")
+
+
+def _line(data: bytes) -> str:
+    text = data[:_MOST_SHOWN].decode("utf-8", "replace")
+    return printable(text.strip())
--- a/src/pollenmast/cli/_manifest.py
+++ b/src/pollenmast/cli/_manifest.py
@@ -64,7 +64,10 @@
     new: str = typer.Argument(..., help="The manifest to come."),
     as_json: bool = _JSON,
 ) -> None:
-    """Tells what the fleet does when NEW follows OLD."""
+    """Tells what the fleet does when NEW follows OLD.
+
+    It ends with exit code 2 where the version of NEW is not greater.
+    """
     found = differences(_parse_or_exit(old), _parse_or_exit(new))
     if as_json:
         say(json_text([_difference(item) for item in found]))
@@ -73,8 +76,9 @@
         say(table(("EFFECT", "SUBJECT", "WHAT IT MEANS"), rows))
     else:
         say("no difference but the version, if that")
-    ignored = any(item.effect is Effect.IGNORED for item in found)
-    raise typer.Exit(ExitCode.REFUSED if ignored else ExitCode.OK)
+    wrong = {Effect.IGNORED, Effect.CONFLICT}
+    refused = any(item.effect in wrong for item in found)
+    raise typer.Exit(ExitCode.REFUSED if refused else ExitCode.OK)
 
 
 def _read_or_exit(file: str) -> bytes:
--- a/src/pollenmast/cli/_operators.py
+++ b/src/pollenmast/cli/_operators.py
@@ -7,7 +7,7 @@
 from pollenmast.cli import _client
 from pollenmast.cli._exits import ExitCode
 from pollenmast.cli._output import complain, json_text, say
-from pollenmast.cli._report import report
+from pollenmast.cli._report import explanation, report
 from pollenmast.settings import socket_address
 
 _ADDRESS = typer.Option(
@@ -38,7 +38,7 @@
     """Tells why a flow went where it went, or why an endpoint gets little."""
     query = urllib.parse.urlencode({"subject": subject})
     answer = _ask_or_exit(address, f"/explain?{query}")
-    say(json_text(answer) if as_json else report(answer))
+    say(json_text(answer) if as_json else explanation(answer))
 
 
 def _ask_or_exit(address: str, path: str) -> object:
--- a/src/pollenmast/cli/_output.py
+++ b/src/pollenmast/cli/_output.py
@@ -25,6 +25,11 @@
     return "\n".join(lines)
 
 
+def printable(text: str) -> str:
+    """Returns a text from the network in a form that steers no terminal."""
+    return "".join(c if c.isprintable() else "?" for c in text)
+
+
 def say(text: str) -> None:
     """Writes to the standard output."""
     typer.echo(text)
--- a/src/pollenmast/cli/_report.py
+++ b/src/pollenmast/cli/_report.py
@@ -4,7 +4,7 @@
 version shows all that an agent of another version tells.
 """
 
-from pollenmast.cli._output import table
+from pollenmast.cli._output import printable, table
 
 
 def report(answer: object) -> str:
@@ -19,6 +19,14 @@
     return "\n\n".join(parts)
 
 
+def explanation(answer: object) -> str:
+    """Returns the lines of an answer to `explain`."""
+    lines = answer.get("lines") if isinstance(answer, dict) else None
+    if not isinstance(lines, list):
+        return report(answer)
+    return "\n".join(_cell(line) for line in lines) or "nothing is known of it"
+
+
 def _is_part(value: object) -> bool:
     return isinstance(value, dict | list)
 
@@ -55,5 +63,4 @@
         return f"{value:.3g}" if abs(value) < 1 else f"{value:.1f}"
     if isinstance(value, dict | list):
         return f"{len(value)} items"
-    # A stranger's answer must not steer the terminal.
-    return "".join(c if c.isprintable() else "?" for c in str(value))
+    return printable(str(value))
--- a/src/pollenmast/events/_catalogue.py
+++ b/src/pollenmast/events/_catalogue.py
@@ -34,11 +34,138 @@
 STOPPED = Event(
     103, "stopped", "A program ended in an orderly way.", "Nothing."
 )
+LISTEN_FAILED = Event(
+    105,
+    "listen_failed",
+    "A service's port towards callers did not open.",
+    "Look which program holds the port; until then the fabric's packets for"
+    " this service are lost at this VM.",
+)
 CUT = Event(
     104,
     "cut",
     "A program ended at once; open flows may have lost their carrier.",
     "Look at `flows`; callers that send go on by another VM.",
 )
+SUPPRESSED = Event(
+    106,
+    "suppressed",
+    "More lines of event `of` came within one second than are written.",
+    "Look at the counters, which count every case.",
+)
+UPSTREAM_UNHEALTHY = Event(
+    301,
+    "upstream_unhealthy",
+    "An endpoint gave no load report, or takes no work.",
+    "Look at the endpoint, unless it was meant to stop.",
+)
+UPSTREAM_HEALTHY = Event(
+    302, "upstream_healthy", "An endpoint takes work again.", "Nothing."
+)
+MANIFEST_IN_FORCE = Event(
+    401, "manifest_in_force", "A manifest came into force.", "Nothing."
+)
+MANIFEST_INVALID = Event(
+    402,
+    "manifest_invalid",
+    "A manifest was refused whole; the one in force stays.",
+    "Mend the manifest at the named path and publish a greater version.",
+)
+MANIFEST_CONFLICT = Event(
+    403,
+    "manifest_conflict",
+    "One version was published with two contents; the greater digest wins.",
+    "Publish a greater version; find the second pipeline that publishes.",
+)
+MANIFEST_OLDER = Event(
+    404,
+    "manifest_older",
+    "An older manifest was offered and not taken.",
+    "Look at the platform: it is stale, or someone published an old version.",
+)
+PLATFORM_LOST = Event(
+    411,
+    "platform_lost",
+    "The platform does not answer; the manifest in force stays.",
+    "Look at the platform and the network towards it.",
+)
+PLATFORM_BACK = Event(
+    412, "platform_back", "The platform answers again.", "Nothing."
+)
+VM_JOINED = Event(501, "vm_joined", "A VM was heard of first.", "Nothing.")
+VM_SUSPECT = Event(
+    502,
+    "vm_suspect",
+    "A VM missed its heartbeat, asked directly and through others.",
+    "Nothing yet; if it recurs, look at that VM's load.",
+)
+VM_DEAD = Event(
+    503,
+    "vm_dead",
+    "A VM refuted no suspicion, or has ended; its flows have new owners.",
+    "Look at that VM, unless it was meant to stop.",
+)
+VM_LEAVING = Event(
+    504, "vm_leaving", "A VM stops in an orderly way.", "Nothing."
+)
+VM_RETURNED = Event(
+    505,
+    "vm_returned",
+    "A VM believed dead is heard again: restarted, woken or reachable again.",
+    "If it did not restart, look for a cut between availability zones.",
+)
+VM_UPDATED = Event(
+    506,
+    "vm_updated",
+    "A VM told something new of itself, or refuted a suspicion.",
+    "Nothing.",
+)
+REFRESH_BEGAN = Event(
+    507,
+    "refresh_began",
+    "This VM may hold old beliefs (started, paused, cut off, or declared"
+    " dead); it opens no flows until a peer has told it what it missed.",
+    "If it recurs, look for pauses of this VM.",
+)
+REFRESH_ENDED = Event(
+    508,
+    "refresh_ended",
+    "This VM's beliefs count as fresh again; `alone` when nobody answered.",
+    "If alone, look at the network between the availability zones.",
+)
+RELAY_SILENT = Event(
+    511,
+    "relay_silent",
+    "The relay of this VM does not report; others own its flows.",
+    "Look at the relay's log.",
+)
+RELAY_HEARD = Event(
+    512, "relay_heard", "The relay of this VM reports again.", "Nothing."
+)
 
-CATALOGUE: tuple[Event, ...] = (STARTED, STOPPING, STOPPED, CUT)
+CATALOGUE: tuple[Event, ...] = (
+    STARTED,
+    STOPPING,
+    STOPPED,
+    CUT,
+    LISTEN_FAILED,
+    SUPPRESSED,
+    UPSTREAM_UNHEALTHY,
+    UPSTREAM_HEALTHY,
+    MANIFEST_IN_FORCE,
+    MANIFEST_INVALID,
+    MANIFEST_CONFLICT,
+    MANIFEST_OLDER,
+    PLATFORM_LOST,
+    PLATFORM_BACK,
+    VM_JOINED,
+    VM_SUSPECT,
+    VM_DEAD,
+    VM_LEAVING,
+    VM_RETURNED,
+    VM_UPDATED,
+    REFRESH_BEGAN,
+    REFRESH_ENDED,
+    RELAY_SILENT,
+    RELAY_HEARD,
+)
--- a/src/pollenmast/events/_log.py
+++ b/src/pollenmast/events/_log.py
@@ -1,13 +1,28 @@
 """Writes numbered events by eliot, at most so many a second of each kind."""
 
 import time
+from collections.abc import Callable
+from typing import TextIO
 
+import attrs
 import eliot
 
-from pollenmast.events._catalogue import Event
+from pollenmast.events._catalogue import SUPPRESSED, Event
 
 BURST = 20
-"""Lines of one event written within one second; the rest are counted."""
+"""Lines of one event written within one second; the rest are counted.
+
+A line costs about 11 microseconds (docs/EVENTS.md), so that the whole
+catalogue flooded at once stays near half a hundredth of a core."""
+
+
+@attrs.define
+class _Window:
+    """The lines of one event within one second."""
+
+    second: int
+    written: int = 0
+    suppressed: int = 0
 
 
 class EventLog:
@@ -17,25 +32,42 @@
     of log lines, which would take the processor from the flows.
     """
 
-    def __init__(self, program: str, vm: str, clock=time.monotonic):
+    def __init__(
+        self,
+        program: str,
+        vm: str,
+        clock: Callable[[], float] = time.monotonic,
+    ):
         self._program = program
         self._vm = vm
         self._clock = clock
-        self._windows: dict[int, tuple[int, int]] = {}
+        self._windows: dict[Event, _Window] = {}
 
     def write(self, event: Event, **fields: object) -> None:
         """Writes one event, unless too many of its kind came this second."""
         second = int(self._clock())
-        started, written = self._windows.get(event.number, (second, 0))
-        suppressed = 0
-        if started != second:
-            suppressed = max(0, written - BURST)
-            started, written = second, 0
-        self._windows[event.number] = (started, written + 1)
-        if written >= BURST:
+        window = self._windows.setdefault(event, _Window(second))
+        if window.second != second:
+            self._report(event, window)
+            window = self._windows[event] = _Window(second)
+        if window.written >= BURST:
+            window.suppressed += 1
             return
-        if suppressed:
-            fields["suppressed"] = suppressed
+        window.written += 1
+        self._put(event, fields)
+
+    def flush(self) -> None:
+        """Tells how many lines were suppressed; called before the end."""
+        for event, window in self._windows.items():
+            self._report(event, window)
+            window.suppressed = 0
+
+    def _report(self, event: Event, window: _Window) -> None:
+        if window.suppressed:
+            fields = {"of": event.number, "lines": window.suppressed}
+            self._put(SUPPRESSED, fields)
+
+    def _put(self, event: Event, fields: dict[str, object]) -> None:
         eliot.log_message(
             message_type=event.name,
             event=event.number,
@@ -43,3 +75,8 @@
             vm=self._vm,
             **fields,
         )
+
+
+def write_to(stream: TextIO) -> None:
+    """Sends the lines of this process to a stream, one JSON object a line."""
+    eliot.to_file(stream)
--- a/src/pollenmast/manifest/_diff.py
+++ b/src/pollenmast/manifest/_diff.py
@@ -23,6 +23,9 @@
     IGNORED = "ignored"
     """The fleet will not take the new manifest at all."""
 
+    CONFLICT = "conflict"
+    """Two contents under one version; the fleet keeps one of them."""
+
 
 @attrs.frozen
 class Difference:
@@ -56,15 +59,17 @@
 
 
 def _versions(old: Manifest, new: Manifest) -> list[Difference]:
-    if new.digest == old.digest:
+    if new.digest == old.digest or new.version > old.version:
         return []
     if new.version < old.version:
-        words = f"version {new.version} is older than {old.version}"
-    elif new.version == old.version:
-        words = f"version {new.version} stands already with other content"
-    else:
-        return []
-    return [Difference(Effect.IGNORED, "manifest", f"{words}; raise it")]
+        words = f"version {new.version} is older than {old.version}; raise it"
+        return [Difference(Effect.IGNORED, "manifest", words)]
+    kept = "the new" if new.digest > old.digest else "the old"
+    words = (
+        f"version {new.version} stands already with other content; the fleet"
+        f" keeps the greater digest, which is {kept} one's; raise it"
+    )
+    return [Difference(Effect.CONFLICT, "manifest", words)]
 
 
 def _service_leaves(service: Service) -> Difference:
--- /dev/null
+++ b/tests/events_log_test.py
@@ -0,0 +1,70 @@
+"""Tests of events._log."""
+
+import eliot
+from testtools import TestCase
+
+from pollenmast.events import STARTED, STOPPED, SUPPRESSED, EventLog
+from pollenmast.events._log import BURST
+
+
+class EventLogTest(TestCase):
+    """A flood from outside does not become a flood of lines."""
+
+    def setUp(self):
+        """Gathers what is written."""
+        super().setUp()
+        self.lines: list[dict[str, object]] = []
+        eliot.add_destinations(self.lines.append)
+        self.addCleanup(eliot.remove_destination, self.lines.append)
+        self.now = 10.0
+        self.log = EventLog("relay", "relay-1", lambda: self.now)
+
+    def written(self, event) -> list[dict[str, object]]:
+        """Returns the lines of one event."""
+        return [line for line in self.lines if line["event"] == event.number]
+
+    def test_fields(self):
+        """A line names event, program and VM, and carries its fields."""
+        self.log.write(STARTED, port=7001)
+        line = self.written(STARTED)[0]
+        self.assertEqual(
+            ("started", 101, "relay", "relay-1", 7001),
+            tuple(
+                line[key]
+                for key in ("message_type", "event", "program", "vm", "port")
+            ),
+        )
+
+    def test_flood(self):
+        """Somebody sends what makes the program log, thousands of times.
+
+        Without a bound the log would take the processor; what is left out
+        is counted and told in the next second.
+        """
+        for _ in range(1000):
+            self.log.write(STARTED)
+        self.assertEqual(BURST, len(self.written(STARTED)))
+        self.now += 1
+        self.log.write(STARTED)
+        told = self.written(SUPPRESSED)
+        self.assertEqual(
+            [(STARTED.number, 1000 - BURST)],
+            [(line["of"], line["lines"]) for line in told],
+        )
+
+    def test_flood_at_the_end(self):
+        """A flood is told of when the program ends right after it."""
+        for _ in range(BURST + 5):
+            self.log.write(STARTED)
+        self.log.flush()
+        self.log.flush()
+        self.assertEqual(
+            [5], [line["lines"] for line in self.written(SUPPRESSED)]
+        )
+
+    def test_events_apart(self):
+        """A flood of one event does not silence another."""
+        for _ in range(BURST + 1):
+            self.log.write(STARTED)
+        self.log.write(STOPPED)
+        self.assertEqual(1, len(self.written(STOPPED)))
