Spread requests by own flows, not by lagging reports; measure it

Now each VM spreads requests by its own recent flows, which are exact and not shared; reports only tell speed (Little's law, two memories), fill and whether they can be believed.

Ruled out: looking at two random endpoints by reported load for requests.

--- /dev/null
+++ b/bench/_load_measures.py
@@ -0,0 +1,134 @@
+"""What callers received, and how even the endpoints were."""
+
+import bisect
+
+from bench._load_model import Fleet, Job, Result
+
+BIN_S = 1.0
+WINDOW_S = 5.0
+"""Imbalance over time is that of windows of five seconds, each second."""
+
+EVEN = 1.15
+"""The aim for steady load."""
+
+
+def quantile(ordered: list[float], part: float) -> float:
+    """Returns the value below which this part of an ordered list lies."""
+    if not ordered:
+        return 0.0
+    return ordered[min(int(part * len(ordered)), len(ordered) - 1)]
+
+
+def _ms(seconds: float) -> float:
+    return round(seconds * 1000.0, 1)
+
+
+def received(jobs: list[Job], begin: float, end: float) -> dict:
+    """Returns what callers who asked from `begin` to `end` received."""
+    asked = [job for job in jobs if begin <= job.asked_at < end]
+    counts = dict.fromkeys(
+        ("answered", "late", "refused", "shed", "unanswered"), 0
+    )
+    for job in asked:
+        counts[job.result or Result.UNANSWERED] += 1
+    times = sorted(
+        job.ended_at - job.asked_at
+        for job in asked
+        if job.result in (Result.ANSWERED, Result.LATE)
+    )
+    return {
+        "asked": len(asked),
+        **counts,
+        "median_ms": _ms(quantile(times, 0.5)),
+        "p99_ms": _ms(quantile(times, 0.99)),
+        "p999_ms": _ms(quantile(times, 0.999)),
+    }
+
+
+def refusals(fleet: Fleet) -> dict:
+    """Returns how long the refused waited for their answer."""
+    delays = sorted(fleet.refusal_delays)
+    at_once = sum(1 for delay in delays if delay < 0.005)
+    return {
+        "refusals": len(delays),
+        "at_once": round(at_once / len(delays), 4) if delays else 1.0,
+        "told_p99_ms": _ms(quantile(delays, 0.99)),
+        "told_most_ms": _ms(delays[-1]) if delays else 0.0,
+    }
+
+
+def goodput(fleet: Fleet, begin: float, end: float, per_s: float) -> float:
+    """Returns answers in time a second, as a part of the capacity."""
+    good = sum(
+        1
+        for job in fleet.jobs
+        if job.result == Result.ANSWERED and begin <= job.ended_at < end
+    )
+    return round(good / (end - begin) / per_s, 3)
+
+
+def _ratio(values: list[float]) -> float:
+    mean = sum(values) / len(values) if values else 0.0
+    return max(values) / mean if mean else 1.0
+
+
+def _windows(begin: float, end: float) -> list[tuple[float, float]]:
+    count = max(int(end - begin - WINDOW_S) + 1, 1)
+    return [
+        (begin + n * BIN_S, begin + n * BIN_S + WINDOW_S) for n in range(count)
+    ]
+
+
+def placed_in(fleet: Fleet, names: list[str], window) -> list[float]:
+    """Returns how much work each endpoint got in a window."""
+    counts = []
+    for name in names:
+        times = fleet.upstreams[name].placed
+        low = bisect.bisect_left(times, window[0])
+        counts.append(float(bisect.bisect_left(times, window[1]) - low))
+    return counts
+
+
+def used_in(fleet: Fleet, names: list[str], window) -> list[float]:
+    """Returns each endpoint's mean fullness in a window."""
+    means = []
+    for name in names:
+        used = [
+            used
+            for time, used in fleet.upstreams[name].samples
+            if window[0] <= time < window[1]
+        ]
+        means.append(sum(used) / len(used) if used else 0.0)
+    return means
+
+
+def imbalance(
+    fleet: Fleet, names: list[str], begin: float, end: float, values=placed_in
+) -> dict:
+    """Returns greatest over mean, for all the time and for its windows."""
+    ratios = sorted(
+        _ratio(values(fleet, names, window)) for window in _windows(begin, end)
+    )
+    return {
+        "whole": round(_ratio(values(fleet, names, (begin, end))), 3),
+        "window_median": round(quantile(ratios, 0.5), 3),
+        "window_most": round(ratios[-1], 3),
+    }
+
+
+def time_to_even(
+    fleet: Fleet, names: list[str], begin: float, end: float, values=placed_in
+) -> float | None:
+    """Returns seconds until windows stay even, or None if they never do.
+
+    A window counts from its beginning: 0 says that the first five seconds
+    after the change were even already.
+    """
+    late = None
+    for window in _windows(begin, end):
+        if _ratio(values(fleet, names, window)) > EVEN:
+            late = window[0]
+    if late is None:
+        return 0.0
+    last = _windows(begin, end)[-1][0]
+    return None if late >= last else round(late + BIN_S - begin, 1)
--- /dev/null
+++ b/bench/_load_model.py
@@ -0,0 +1,363 @@
+"""A small event loop with fake upstreams, callers and N dispatchers.
+
+No sockets and no threads: a heap of timed events, an explicit clock and
+seeded randomness, so that a run gives the same figures each time. One unit
+of time is a second.
+"""
+
+import collections
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+import attrs
+
+from pollenmast.decisions import Dispatcher, FlowRequest, Held, Placed
+from pollenmast.manifest import Manifest
+from pollenmast.peers._messages import EndpointReport
+
+WAY_S = 0.001
+"""One way between caller, VM and upstream."""
+
+RELEASE_S = 0.01
+"""How often a relay asks for released flows."""
+
+PROBE_S = 0.5
+"""How often each endpoint is probed."""
+
+LAG_S = (0.05, 0.55)
+"""How long a report takes to reach a VM: probe, gossip and link."""
+
+RETRY_S = 0.3
+"""Silence after which a relay calls a new flow unanswered."""
+
+SHED_QUEUE = 64
+"""Requests that an upstream queues by itself before it sheds."""
+
+DEADLINE_S = 1.0
+"""An answer later than this is late: its caller has no more use for it."""
+
+
+class Result:
+    """How a request can end, as its caller sees it."""
+
+    ANSWERED = "answered"
+    LATE = "late"
+    REFUSED = "refused"
+    SHED = "shed"
+    UNANSWERED = "unanswered"
+
+
+@attrs.define(eq=False)
+class Job:
+    """One request or session of one caller.
+
+    Attributes:
+        ticket: Unique.
+        caller: The IP number.
+        group: The part of the load it belongs to, such as "hot".
+        asked_at: When the caller first sent it.
+        length_s: Time that it holds a slot, on a warm endpoint.
+        tries: How often it still asks again after a refusal.
+        flow_hash: Of this attempt.
+        tried: Endpoints tried.
+        result: How it ended.
+        ended_at: When the caller knew.
+        retry_after_ms: What the refusal said.
+        sent_at: When this attempt was sent.
+    """
+
+    ticket: int
+    caller: str
+    group: str
+    asked_at: float
+    length_s: float
+    tries: int = 0
+    flow_hash: int = 0
+    tried: tuple[str, ...] = ()
+    result: str = ""
+    ended_at: float = 0.0
+    retry_after_ms: int = 0
+    sent_at: float = 0.0
+
+
+class Loop:
+    """Timed events in order."""
+
+    def __init__(self):
+        self.now = 0.0
+        self._heap = []
+        self._numbers = itertools.count()
+
+    def at(self, time: float, call: Callable[..., None], *args) -> None:
+        """Calls at a time."""
+        heapq.heappush(self._heap, (time, next(self._numbers), call, args))
+
+    def after(self, delay: float, call: Callable[..., None], *args) -> None:
+        """Calls after a delay."""
+        self.at(self.now + delay, call, *args)
+
+    def run(self, until: float) -> None:
+        """Runs every event up to a time."""
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, call, args = heapq.heappop(self._heap)
+            call(*args)
+        self.now = until
+
+
+class Upstream:
+    """A fake endpoint: slots, a queue, and reports that may lie.
+
+    Attributes:
+        name: The endpoint's name.
+        slots: Requests it runs at once.
+        slowness: Factor on each request's length.
+        cold_until: Until then it is `cold_factor` times slower.
+        silent: Whether it answers nothing (its reports still do).
+        lie: Changes a report before it is sent, or None.
+        placed: Times at which work arrived.
+        samples: (time, running + queued or connections) every 50 ms.
+    """
+
+    COLD_FACTOR = 4.0
+
+    def __init__(self, name: str, slots: int, loop: Loop):
+        self.name = name
+        self.slots = slots
+        self.slowness = 1.0
+        self.cold_until = 0.0
+        self.started_at = -1000.0
+        self.silent = False
+        self.lie: Callable[[EndpointReport], EndpointReport] | None = None
+        self.placed: list[float] = []
+        self.samples: list[tuple[float, int]] = []
+        self._loop = loop
+        self._running = 0
+        self._queue: collections.deque = collections.deque()
+        self._connections = 0
+        self._finished = 0
+        self._sequence = 0
+
+    def offer(self, job: Job, done: Callable[[Job, str], None]) -> bool:
+        """Takes a request; False when silent."""
+        if self.silent:
+            return False
+        self.placed.append(self._loop.now)
+        if self._running < self.slots:
+            self._start(job, done)
+        elif len(self._queue) < SHED_QUEUE:
+            self._queue.append((job, done))
+        else:
+            done(job, Result.SHED)
+        return True
+
+    def connect(self, job: Job, done: Callable[[Job, str], None]) -> bool:
+        """Takes a session."""
+        if self.silent:
+            return False
+        self.placed.append(self._loop.now)
+        self._connections += 1
+        self._loop.after(job.length_s, self._disconnect, job, done)
+        return True
+
+    def sample(self) -> None:
+        """Notes how full it is."""
+        used = self._running + len(self._queue) + self._connections
+        self.samples.append((self._loop.now, used))
+
+    def report(self, service: int) -> EndpointReport:
+        """Returns what its load endpoint says."""
+        self._sequence += 1
+        report = EndpointReport(
+            service,
+            self.name,
+            self._sequence,
+            True,
+            self._running,
+            len(self._queue),
+            self._connections,
+            self._finished,
+            self._loop.now - self.started_at,
+        )
+        return self.lie(report) if self.lie else report
+
+    def _start(self, job: Job, done) -> None:
+        self._running += 1
+        length = job.length_s * self.slowness
+        if self._loop.now < self.cold_until:
+            length *= self.COLD_FACTOR
+        self._loop.after(length, self._end, job, done)
+
+    def _end(self, job: Job, done) -> None:
+        self._running -= 1
+        self._finished += 1
+        done(job, Result.ANSWERED)
+        if self._queue:
+            self._start(*self._queue.popleft())
+
+    def _disconnect(self, job: Job, done) -> None:
+        self._connections -= 1
+        self._finished += 1
+        done(job, Result.ANSWERED)
+
+
+class Fleet:
+    """N VMs, their upstreams and their callers.
+
+    Attributes:
+        loop: The event loop.
+        upstreams: By name.
+        jobs: Every job that was asked.
+        refusal_delays: Seconds from sending to the refusal, each refusal.
+        asked: Times of every attempt, repeats included.
+        off_default: Flows placed off their default.
+    """
+
+    def __init__(
+        self,
+        manifest: Manifest,
+        dispatchers: list[Dispatcher],
+        seed: int,
+        sessions: bool = False,
+    ):
+        self.loop = Loop()
+        self.rng = random.Random(seed)
+        self.manifest = manifest
+        self.service = manifest.services[0]
+        self.dispatchers = dispatchers
+        self.upstreams: dict[str, Upstream] = {}
+        self.jobs: list[Job] = []
+        self.refusal_delays: list[float] = []
+        self.asked: list[float] = []
+        self.off_default = 0
+        self.retries = 0
+        self._sessions = sessions
+        self._held: list[dict[int, Job]] = [{} for _ in dispatchers]
+        self._tickets = itertools.count()
+        for endpoint in self.service.endpoints:
+            self.add_upstream(endpoint.name, endpoint.slots)
+        for number, dispatcher in enumerate(dispatchers):
+            dispatcher.set_fleet(len(dispatchers))
+            dispatcher.set_manifest(manifest, 0.0)
+            phase = self.rng.random() * RELEASE_S
+            self.loop.at(phase, self._release, number)
+        self.loop.at(0.0, self._sample)
+
+    def add_upstream(self, name: str, slots: int) -> Upstream:
+        """Starts an upstream."""
+        upstream = Upstream(name, slots, self.loop)
+        self.upstreams[name] = upstream
+        phase = self.rng.random() * PROBE_S
+        self.loop.after(phase, self._probe, upstream)
+        return upstream
+
+    def publish(self, manifest: Manifest, within: float = 1.0) -> None:
+        """Brings a manifest into force on each VM, within a second."""
+        for dispatcher in self.dispatchers:
+            self.loop.after(
+                self.rng.random() * within, self._manifest, dispatcher, manifest
+            )
+
+    def ask(self, caller: str, group: str, length_s: float, tries: int = 0):
+        """A caller sends a new request now."""
+        job = Job(
+            next(self._tickets), caller, group, self.loop.now, length_s, tries
+        )
+        self.jobs.append(job)
+        self._send(job)
+
+    def _send(self, job: Job) -> None:
+        job.flow_hash = self.rng.getrandbits(64)
+        job.sent_at = self.loop.now
+        job.tried = ()
+        self.asked.append(self.loop.now)
+        vm = self.rng.randrange(len(self.dispatchers))
+        self.loop.after(WAY_S, self._arrive, vm, job)
+
+    def _manifest(self, dispatcher, manifest: Manifest) -> None:
+        dispatcher.set_manifest(manifest, self.loop.now)
+
+    def _request(self, job: Job) -> FlowRequest:
+        return FlowRequest(
+            job.ticket, self.service.number, job.caller, job.flow_hash
+        )
+
+    def _arrive(self, vm: int, job: Job) -> None:
+        outcome = self.dispatchers[vm].on_new_flow(
+            self._request(job), self.loop.now
+        )
+        self._follow(vm, job, outcome)
+
+    def _follow(self, vm: int, job: Job, outcome) -> None:
+        if isinstance(outcome, Placed):
+            self.off_default += outcome.off_default
+            self.loop.after(WAY_S, self._reach, vm, job, outcome.endpoint)
+        elif isinstance(outcome, Held):
+            self._held[vm][job.ticket] = job
+        else:
+            job.retry_after_ms = outcome.retry_after_ms
+            self.loop.after(WAY_S, self._told_refused, job)
+
+    def _release(self, vm: int) -> None:
+        self.loop.after(RELEASE_S, self._release, vm)
+        for released in self.dispatchers[vm].release(self.loop.now):
+            job = self._held[vm].pop(released.ticket)
+            self._follow(vm, job, released.outcome)
+
+    def _reach(self, vm: int, job: Job, endpoint: str) -> None:
+        upstream = self.upstreams[endpoint]
+        take = upstream.connect if self._sessions else upstream.offer
+        if take(job, self._finish):
+            self.loop.after(WAY_S, self._answered, vm, endpoint)
+        else:
+            self.loop.after(RETRY_S, self._unanswered, vm, job, endpoint)
+
+    def _answered(self, vm: int, endpoint: str) -> None:
+        self.dispatchers[vm].on_answered(
+            self.service.number, endpoint, self.loop.now
+        )
+
+    def _unanswered(self, vm: int, job: Job, endpoint: str) -> None:
+        now = self.loop.now
+        dispatcher = self.dispatchers[vm]
+        dispatcher.on_unanswered(self.service.number, endpoint, now)
+        job.tried += (endpoint,)
+        self.retries += 1
+        self._follow(
+            vm, job, dispatcher.retry(self._request(job), job.tried, now)
+        )
+
+    def _finish(self, job: Job, result: str) -> None:
+        late = self.loop.now + 2 * WAY_S - job.asked_at > DEADLINE_S
+        if result == Result.ANSWERED and late and not self._sessions:
+            result = Result.LATE
+        self._end(job, result, self.loop.now + 2 * WAY_S)
+
+    def _told_refused(self, job: Job) -> None:
+        self.refusal_delays.append(self.loop.now - job.sent_at)
+        if job.tries > 0:
+            job.tries -= 1
+            self.loop.after(job.retry_after_ms / 1000.0, self._send, job)
+        else:
+            self._end(job, Result.REFUSED, self.loop.now)
+
+    def _end(self, job: Job, result: str, now: float) -> None:
+        job.result, job.ended_at = result, now
+
+    def _probe(self, upstream: Upstream) -> None:
+        if upstream.name not in self.upstreams:
+            return
+        self.loop.after(PROBE_S, self._probe, upstream)
+        report = upstream.report(self.service.number)
+        for dispatcher in self.dispatchers:
+            lag = self.rng.uniform(*LAG_S)
+            self.loop.after(lag, self._deliver, dispatcher, report)
+
+    def _deliver(self, dispatcher, report: EndpointReport) -> None:
+        dispatcher.on_report(report, self.loop.now)
+
+    def _sample(self) -> None:
+        self.loop.after(0.05, self._sample)
+        for upstream in self.upstreams.values():
+            upstream.sample()
--- /dev/null
+++ b/bench/_load_patterns.py
@@ -0,0 +1,397 @@
+"""The load patterns: what callers ask, and what happens to upstreams."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from bench._load_model import Fleet, Job
+from pollenmast.manifest import (
+    Endpoint,
+    EndpointState,
+    Limits,
+    Manifest,
+    Service,
+    ServiceKind,
+)
+
+VMS = 9
+ENDPOINTS = 7
+SLOTS = 2
+MEAN_S = 0.05
+"""Mean request: 50 ms, exponential, so that short and long ones mix."""
+
+CAPACITY = ENDPOINTS * SLOTS / MEAN_S
+"""Requests a second that all endpoints finish together: 280."""
+
+ZONES = ("hall-bor", "hall-fres", "hall-sag", "hall-kontroll")
+
+
+def manifest(
+    version: int = 1,
+    endpoints: int = ENDPOINTS,
+    draining: int | None = None,
+    kind: ServiceKind = ServiceKind.REQUEST,
+) -> Manifest:
+    """Returns a manifest of one service."""
+    entries = tuple(
+        Endpoint(
+            f"e{n}",
+            f"127.0.2.{n + 1}",
+            5000,
+            6000,
+            ZONES[n % len(ZONES)],
+            SLOTS,
+            2000,
+            EndpointState.DRAINING if n == draining else EndpointState.SERVING,
+        )
+        for n in range(endpoints)
+    )
+    service = Service("scans", 1, 4001, kind, True, entries, Limits())
+    return Manifest(version, (service,), str(version))
+
+
+def exponential(rng: random.Random) -> float:
+    """Returns a request's length of 50 ms in the mean."""
+    return rng.expovariate(1.0 / MEAN_S)
+
+
+def long_among_short(rng: random.Random) -> float:
+    """One in fifty takes a second, the others 30 ms: 50 ms in the mean."""
+    return 1.0 if rng.random() < 0.0204 else rng.expovariate(1.0 / 0.030)
+
+
+def steady(
+    fleet: Fleet,
+    rate: float,
+    begin: float,
+    end: float,
+    group: str = "others",
+    caller: Callable[[random.Random], str] | None = None,
+    length: Callable[[random.Random], float] = exponential,
+    tries: int = 0,
+) -> None:
+    """Asks at random moments at a mean rate."""
+    rng = random.Random(f"{fleet.rng.random()}{group}")
+    caller = caller or any_caller
+
+    def ask() -> None:
+        fleet.ask(caller(rng), group, length(rng), tries)
+        following = fleet.loop.now + rng.expovariate(rate)
+        if following < end:
+            fleet.loop.at(following, ask)
+
+    fleet.loop.at(begin + rng.expovariate(rate), ask)
+
+
+def any_caller(rng: random.Random) -> str:
+    """One of many callers in many networks."""
+    return f"10.{rng.randrange(8)}.{rng.randrange(250)}.{rng.randrange(250)}"
+
+
+def one_caller(rng: random.Random) -> str:
+    """One caller alone."""
+    return "192.0.2.7"
+
+
+def one_network(rng: random.Random) -> str:
+    """Any of 200 callers in one network."""
+    return f"192.0.2.{rng.randrange(200)}"
+
+
+@attrs.frozen
+class Pattern:
+    """A load pattern.
+
+    Attributes:
+        name: Short and unique.
+        meaning: One line for the table.
+        begin: From when it is measured.
+        end: Until when callers ask.
+        setup: Puts callers and faults into a fleet.
+        sessions: Whether its service has long sessions.
+        judged: The group of callers whose answers are judged, or "" for all.
+        names: Endpoints whose imbalance is measured.
+        change_at: When something changed, for the time to return.
+        capacity: Requests a second that can be finished, or 0 if not judged.
+    """
+
+    name: str
+    meaning: str
+    begin: float
+    end: float
+    setup: Callable[[Fleet], None]
+    sessions: bool = False
+    judged: str = ""
+    names: tuple[str, ...] = tuple(f"e{n}" for n in range(ENDPOINTS))
+    change_at: float | None = None
+    capacity: float = 0.0
+
+    def belongs(self, job: Job) -> bool:
+        """Whether the job's caller is judged."""
+        return not self.judged or job.group == self.judged
+
+
+def _steady_setup(fleet: Fleet) -> None:
+    steady(fleet, 0.7 * CAPACITY, 0.0, 40.0)
+
+
+def _burst_setup(fleet: Fleet) -> None:
+    steady(fleet, 0.3 * CAPACITY, 0.0, 20.0)
+    for _ in range(3):
+        steady(fleet, 400.0, 10.0, 10.25, "burst")
+
+
+def _hot_caller_setup(fleet: Fleet) -> None:
+    steady(fleet, 0.6 * CAPACITY, 0.0, 25.0)
+    steady(fleet, 3.0 * CAPACITY, 5.0, 25.0, "hot", one_caller)
+
+
+def _hot_network_setup(fleet: Fleet) -> None:
+    steady(fleet, 0.6 * CAPACITY, 0.0, 25.0)
+    steady(fleet, 3.0 * CAPACITY, 5.0, 25.0, "hot", one_network)
+
+
+def _slow_setup(fleet: Fleet) -> None:
+    steady(fleet, 0.5 * CAPACITY, 0.0, 30.0)
+    fleet.loop.at(5.0, _slow_down, fleet, 5.0)
+
+
+def _slow_down(fleet: Fleet, factor: float) -> None:
+    fleet.upstreams["e0"].slowness = factor
+
+
+def _long_setup(fleet: Fleet) -> None:
+    steady(fleet, 0.6 * CAPACITY, 0.0, 40.0, length=long_among_short)
+
+
+def _overload(times: float, tries: int = 0) -> Callable[[Fleet], None]:
+    def setup(fleet: Fleet) -> None:
+        steady(fleet, times * CAPACITY, 0.0, 25.0, tries=tries)
+
+    return setup
+
+
+def _returning_setup(fleet: Fleet) -> None:
+    steady(fleet, 0.6 * CAPACITY, 0.0, 25.0, tries=8)
+    steady(fleet, 4.0 * CAPACITY, 5.0, 6.0, "surge", tries=8)
+
+
+def _idle_lie(report):
+    return attrs.evolve(report, running=0, queued=0)
+
+
+def _lying_setup(fleet: Fleet) -> None:
+    steady(fleet, 0.5 * CAPACITY, 0.0, 30.0)
+    fleet.loop.at(5.0, _slow_down, fleet, 5.0)
+    fleet.loop.at(5.0, _lie, fleet, _idle_lie)
+
+
+def _lie(fleet: Fleet, lie) -> None:
+    fleet.upstreams["e0"].lie = lie
+
+
+def _freeze(fleet: Fleet, running: int, queued: int) -> None:
+    seen = fleet.upstreams["e0"].report(1)
+
+    def frozen(report):
+        return attrs.evolve(
+            seen, sequence=report.sequence, running=running, queued=queued
+        )
+
+    fleet.upstreams["e0"].lie = frozen
+
+
+def _frozen_setup(running: int, queued: int, load: float):
+    def setup(fleet: Fleet) -> None:
+        steady(fleet, load * CAPACITY, 0.0, 30.0)
+        fleet.loop.at(5.0, _freeze, fleet, running, queued)
+
+    return setup
+
+
+def _silent_setup(fleet: Fleet) -> None:
+    steady(fleet, 0.6 * CAPACITY, 0.0, 30.0)
+    fleet.loop.at(5.0, _silence, fleet, True)
+    fleet.loop.at(15.0, _silence, fleet, False)
+
+
+def _silence(fleet: Fleet, silent: bool) -> None:
+    fleet.upstreams["e0"].silent = silent
+
+
+def _leaves_setup(fleet: Fleet) -> None:
+    steady(fleet, 0.6 * CAPACITY, 0.0, 40.0)
+    fleet.loop.at(10.0, fleet.publish, manifest(2, draining=0))
+
+
+def _cold_setup(fleet: Fleet) -> None:
+    steady(fleet, 0.7 * CAPACITY, 0.0, 40.0)
+    fleet.loop.at(10.0, _cold_start, fleet)
+
+
+def _cold_start(fleet: Fleet) -> None:
+    upstream = fleet.add_upstream("e7", SLOTS)
+    upstream.started_at = fleet.loop.now
+    upstream.cold_until = fleet.loop.now + 6.0
+    fleet.publish(manifest(2, ENDPOINTS + 1))
+
+
+def _session_length(rng: random.Random) -> float:
+    return rng.expovariate(1.0 / 60.0)
+
+
+def _sessions_setup(fleet: Fleet) -> None:
+    steady(fleet, 200.0, 0.0, 10.0, length=_session_length)
+    steady(fleet, 2000 / 60.0, 10.0, 120.0, length=_session_length)
+
+
+def _session_leaves_setup(fleet: Fleet) -> None:
+    _sessions_setup(fleet)
+    change = manifest(2, draining=0, kind=ServiceKind.SESSION)
+    fleet.loop.at(60.0, fleet.publish, change)
+
+
+def _session_cold_setup(fleet: Fleet) -> None:
+    _sessions_setup(fleet)
+    fleet.loop.at(60.0, _session_cold_start, fleet)
+
+
+def _session_cold_start(fleet: Fleet) -> None:
+    fleet.add_upstream("e7", SLOTS).started_at = fleet.loop.now
+    fleet.publish(manifest(2, ENDPOINTS + 1, kind=ServiceKind.SESSION))
+
+
+_REST = tuple(f"e{n}" for n in range(1, ENDPOINTS))
+_GROWN = tuple(f"e{n}" for n in range(ENDPOINTS + 1))
+
+PATTERNS: tuple[Pattern, ...] = (
+    Pattern("steady", "70% load", 5.0, 40.0, _steady_setup),
+    Pattern("burst", "30% load, 300 more in 0.25 s", 9.9, 11.5, _burst_setup),
+    Pattern(
+        "hot caller",
+        "60% load, one caller sends 300% more; the others judged",
+        6.0,
+        25.0,
+        _hot_caller_setup,
+        judged="others",
+        capacity=CAPACITY,
+    ),
+    Pattern(
+        "hot network",
+        "60% load, one /24 sends 300% more; the others judged",
+        6.0,
+        25.0,
+        _hot_network_setup,
+        judged="others",
+        capacity=CAPACITY,
+    ),
+    Pattern(
+        "slow upstream",
+        "50% load, one is 5 times slower",
+        5.0,
+        30.0,
+        _slow_setup,
+    ),
+    Pattern(
+        "long among short", "60% load, 2% take 1 s", 5.0, 40.0, _long_setup
+    ),
+    Pattern(
+        "overload 2",
+        "twice the capacity",
+        5.0,
+        25.0,
+        _overload(2.0),
+        capacity=CAPACITY,
+    ),
+    Pattern(
+        "overload 5",
+        "five times the capacity",
+        5.0,
+        25.0,
+        _overload(5.0),
+        capacity=CAPACITY,
+    ),
+    Pattern(
+        "refused return",
+        "60% load, 4 times for a second, 8 tries",
+        5.0,
+        25.0,
+        _returning_setup,
+        capacity=CAPACITY,
+    ),
+    Pattern(
+        "lying report",
+        "50% load, one 5 times slower that says idle",
+        5.0,
+        30.0,
+        _lying_setup,
+    ),
+    Pattern(
+        "frozen idle",
+        "60% load, one report frozen at idle",
+        5.0,
+        30.0,
+        _frozen_setup(0, 0, 0.6),
+    ),
+    Pattern(
+        "frozen full",
+        "80% load, one report frozen at 2 running, 4 queued",
+        5.0,
+        30.0,
+        _frozen_setup(2, 4, 0.8),
+    ),
+    Pattern(
+        "silent upstream",
+        "60% load, one silent for 10 s, its report healthy",
+        5.0,
+        30.0,
+        _silent_setup,
+    ),
+    Pattern(
+        "leaves",
+        "60% load, one endpoint drains",
+        10.0,
+        40.0,
+        _leaves_setup,
+        names=_REST,
+        change_at=10.0,
+    ),
+    Pattern(
+        "cold start",
+        "70% load, an eighth comes, 4 times slower for 6 s",
+        10.0,
+        40.0,
+        _cold_setup,
+        names=_GROWN,
+        change_at=10.0,
+    ),
+    Pattern(
+        "sessions",
+        "2,000 open, 33 a second end and come",
+        15.0,
+        120.0,
+        _sessions_setup,
+        sessions=True,
+    ),
+    Pattern(
+        "session leaves",
+        "2,000 open, one endpoint drains",
+        60.0,
+        120.0,
+        _session_leaves_setup,
+        sessions=True,
+        names=_REST,
+        change_at=60.0,
+    ),
+    Pattern(
+        "session cold",
+        "2,000 open, an eighth endpoint comes",
+        60.0,
+        120.0,
+        _session_cold_setup,
+        sessions=True,
+        names=_GROWN,
+        change_at=60.0,
+    ),
+)
--- /dev/null
+++ b/bench/overload.py
@@ -0,0 +1,138 @@
+"""Decisions under load, judged by what callers receive.
+
+Each load pattern runs with the baseline (random placement, no limits), with
+everything on, and once with each mechanism off that answers it. Every run of
+one pattern has the same seed, so the same callers ask.
+"""
+
+import contextlib
+import random
+
+from bench import _load_measures as measures
+from bench._load_baseline import RandomDispatcher
+from bench._load_model import Fleet
+from bench._load_patterns import PATTERNS, VMS, ZONES, Pattern, manifest
+from bench._load_switches import SWITCHES
+from pollenmast.decisions import Dispatcher
+from pollenmast.manifest import ServiceKind
+
+NAME = "overload"
+DESCRIPTION = "Decisions under load: what callers receive, and imbalance."
+
+SEED = 20
+
+SETTLE_S = 5.0
+"""Time after the last request in which the open ones may end."""
+
+
+def run_pattern(pattern: Pattern, make=Dispatcher, seed: int = SEED) -> Fleet:
+    """Runs one pattern and returns the fleet for measuring."""
+    kind = ServiceKind.SESSION if pattern.sessions else ServiceKind.REQUEST
+    dispatchers = [
+        make(ZONES[vm % len(ZONES)], random.Random(seed * 1000 + vm))
+        for vm in range(VMS)
+    ]
+    fleet = Fleet(manifest(kind=kind), dispatchers, seed, pattern.sessions)
+    pattern.setup(fleet)
+    fleet.loop.run(pattern.end + SETTLE_S)
+    return fleet
+
+
+def measure(pattern: Pattern, fleet: Fleet) -> dict:
+    """Returns a run's figures."""
+    jobs = [job for job in fleet.jobs if pattern.belongs(job)]
+    names = list(pattern.names)
+    begin, end = pattern.begin, pattern.end
+    figures = measures.received(jobs, begin, end)
+    figures |= measures.refusals(fleet)
+    figures["retries"] = fleet.retries
+    figures["off_default"] = round(
+        fleet.off_default / max(len(fleet.jobs), 1), 3
+    )
+    if pattern.capacity:
+        figures["goodput"] = measures.goodput(
+            fleet, begin, end, pattern.capacity
+        )
+    figures["placed"] = measures.imbalance(fleet, names, begin, end)
+    figures["used"] = measures.imbalance(
+        fleet, names, begin, end, measures.used_in
+    )
+    if pattern.change_at is not None:
+        figures |= _change(pattern, fleet, names)
+    return figures
+
+
+def _change(pattern: Pattern, fleet: Fleet, names: list[str]) -> dict:
+    values = measures.used_in if pattern.sessions else measures.placed_in
+    gone = set(fleet.upstreams) - set(names)
+    last = [fleet.upstreams[n].placed[-1] - pattern.change_at for n in gone]
+    return {
+        "to_even_s": measures.time_to_even(
+            fleet, names, pattern.change_at, pattern.end, values
+        ),
+        "last_new_work_s": round(max(last), 2) if last else None,
+    }
+
+
+def _variants(pattern: Pattern):
+    yield "baseline", RandomDispatcher, contextlib.nullcontext
+    yield "all on", Dispatcher, contextlib.nullcontext
+    for switch in SWITCHES:
+        if pattern.name in switch.patterns:
+            yield f"no {switch.name}", Dispatcher, switch.off
+
+
+def run() -> dict:
+    """Runs every pattern in every variant."""
+    results = {}
+    for pattern in PATTERNS:
+        rows = {}
+        for name, make, off in _variants(pattern):
+            with off():
+                rows[name] = measure(pattern, run_pattern(pattern, make))
+        results[pattern.name] = {"meaning": pattern.meaning, "variants": rows}
+    return results
+
+
+def table(results: dict) -> str:
+    """Returns the results as a Markdown table."""
+    lines = [
+        "| pattern | variant | asked | answered | late | refused | shed "
+        "| unanswered | median ms | p99 ms | p99.9 ms | told refused p99 ms "
+        "| goodput | placed, whole/window | in use, whole/window "
+        "| off default | back to even s |",
+        "|" + " --- |" * 17,
+    ]
+    for pattern, result in results.items():
+        for variant, row in result["variants"].items():
+            lines.append(_line(pattern, variant, row))
+    return "\n".join(lines)
+
+
+def _line(pattern: str, variant: str, row: dict) -> str:
+    cells = [pattern, variant]
+    cells += [
+        row[key]
+        for key in (
+            "asked",
+            "answered",
+            "late",
+            "refused",
+            "shed",
+            "unanswered",
+            "median_ms",
+            "p99_ms",
+            "p999_ms",
+            "told_p99_ms",
+        )
+    ]
+    cells.append(row.get("goodput", ""))
+    for kind in ("placed", "used"):
+        cells.append(f"{row[kind]['whole']}/{row[kind]['window_median']}")
+    cells.append(row["off_default"])
+    cells.append(row.get("to_even_s", ""))
+    return "| " + " | ".join(str(cell) for cell in cells) + " |"
+
+
+if __name__ == "__main__":
+    print(table(run()))
--- a/src/pollenmast/decisions/_endpoint.py
+++ b/src/pollenmast/decisions/_endpoint.py
@@ -5,9 +5,27 @@
 from pollenmast.decisions import _slow_start as slow_start
 from pollenmast.decisions._capacity import Capacity
 from pollenmast.decisions._evidence import Evidence
+from pollenmast.decisions._trust import ReportTrust, Verdict
 from pollenmast.manifest import Endpoint, EndpointState
 from pollenmast.peers._messages import EndpointReport
 
+SLOW = 1.5
+"""Service time, by the service's median, from which an endpoint gets less.
+
+Below it the difference may be chance; from there the share is that of its
+speed, so that its slots are as busy as the others'.
+"""
+
+LEAST_SHARE = 0.05
+"""Share that a slow or stuck endpoint keeps, so that its return is seen."""
+
+_SPOKEN = {
+    Verdict.STALE: "its load report is old: not counted",
+    Verdict.FROZEN: "its load report is frozen: not counted",
+    Verdict.STUCK: "its slots are taken and nothing finishes",
+    Verdict.HIDES: "its load report hides work that was sent there",
+}
+
 
 @attrs.define(eq=False)
 class EndpointRecord:
@@ -16,6 +34,8 @@
     Attributes:
         endpoint: The manifest's entry.
         capacity: How full it is.
+        trust: Whether its load report may be believed.
+        speed: Its part of the usual speed, 1 unless it is clearly slow.
         evidence: What this VM has seen of it.
         came_at: When a manifest brought it while others served, or None for
             one that was there from the start.
@@ -26,6 +46,8 @@
 
     endpoint: Endpoint
     capacity: Capacity
+    trust: ReportTrust
+    speed: float = 1.0
     came_at: float | None = None
     evidence: Evidence = attrs.field(factory=Evidence)
     open_flows: int = 0
@@ -55,11 +77,47 @@
             return slow_start.share(now - self.came_at)
         return 1.0
 
+    def on_placed(self, now: float) -> None:
+        """This VM placed a flow there."""
+        self.capacity.on_placed(now)
+        self.trust.on_placed()
+        self.open_flows += 1
+
+    def on_report(
+        self, report: EndpointReport, now: float, relays: int
+    ) -> None:
+        """Takes in a report unless it is old or repeated.
+
+        A repeated one, come by another way, would count its finished
+        requests as none and make the endpoint look slow.
+        """
+        last = self.report
+        if last is not None and report.sequence <= last.sequence:
+            return
+        self.report, self.reported_at = report, now
+        if not report.healthy:
+            return
+        self.trust.on_report(report, now, relays)
+        if self.trust.verdict(now) in (Verdict.BELIEVED, Verdict.HIDES):
+            self.capacity.on_report(report, now, relays)
+
+    def set_speed(self, median_s: float) -> None:
+        """Compares its service time with the service's median."""
+        pace = self.capacity.pace()
+        slow = pace > SLOW * median_s > 0.0
+        self.speed = max(median_s / pace, LEAST_SHARE) if slow else 1.0
+
     def share(self, now: float) -> float:
         """Returns its share of new flows, 0 to 1, before any floor."""
         if not self.serving or self.reported_down():
             return 0.0
-        return self.evidence.share(now) * self.warmth(now)
+        share = self.evidence.share(now) * self.warmth(now) * self.speed
+        verdict = self.trust.verdict(now)
+        if verdict is Verdict.STUCK:
+            return share * LEAST_SHARE
+        if verdict is Verdict.HIDES:
+            return share * max(self.trust.accounted, LEAST_SHARE)
+        return share
 
     def why(self, now: float) -> str:
         """Says why the share is what it is, in an operator's words."""
@@ -73,6 +131,11 @@
             return "returning after an ejection"
         if self.warmth(now) < 1.0:
             return "slow start: it runs since a few seconds only"
+        verdict = self.trust.verdict(now)
+        if verdict is not Verdict.BELIEVED:
+            return _SPOKEN[verdict]
+        if self.speed < 1.0:
+            return "slower than the others"
         if self.report is None:
             return "no report yet: counted as healthy"
         return "healthy"
--- a/src/pollenmast/decisions/_service.py
+++ b/src/pollenmast/decisions/_service.py
@@ -1,15 +1,12 @@
 """The decisions of one VM for one service."""
 
 import random
+import statistics
 
 from pollenmast.counters import RefusalReason
 from pollenmast.decisions import _holding as holding
 from pollenmast.decisions._backoff import Backoff
-from pollenmast.decisions._capacity import (
-    Capacity,
-    RequestCapacity,
-    SessionCapacity,
-)
+from pollenmast.decisions._capacity import Capacity, SessionCapacity
 from pollenmast.decisions._endpoint import EndpointRecord
 from pollenmast.decisions._fairness import FairQueue, HeldFlow
 from pollenmast.decisions._outcomes import (
@@ -19,31 +16,27 @@
     Refused,
     Released,
 )
-from pollenmast.decisions._placement import Candidate, Placement
+from pollenmast.decisions._placement import (
+    Candidate,
+    Placement,
+    RequestPlacement,
+    SessionPlacement,
+)
 from pollenmast.decisions._rendezvous import Rendezvous
+from pollenmast.decisions._request_capacity import RequestCapacity
 from pollenmast.decisions._retry import RetryBudget
+from pollenmast.decisions._trust import ReportTrust
 from pollenmast.manifest import Endpoint, Service, ServiceKind
 from pollenmast.peers._messages import EndpointLoad, EndpointReport
 
-REQUEST_ADVANTAGE = 0.25
-"""A request leaves its default for half a slot (of two) less load.
-
-Requests end before they are replicated, so leaving the default is cheap.
-"""
-
-SESSION_ADVANTAGE = 0.005
-"""A session leaves its default for 10 of 2,000 connections less load.
-
-Each session that leaves has to be replicated.
-"""
-
 
 class ServiceDecisions:
     """All state of one service."""
 
     def __init__(self, zone: str, rng: random.Random):
+        self._zone = zone
         self._rng = rng
-        self._placement = Placement(zone, rng, 0.0)
+        self._placement: Placement = RequestPlacement(zone, rng)
         self._backoff = Backoff(rng)
         self._budget = RetryBudget()
         self._queue = FairQueue()
@@ -59,10 +52,9 @@
         known = self._records
         self._service = service
         self._rendezvous = Rendezvous(service)
-        is_request = service.kind is ServiceKind.REQUEST
-        self._placement.default_advantage = (
-            REQUEST_ADVANTAGE if is_request else SESSION_ADVANTAGE
-        )
+        is_session = service.kind is ServiceKind.SESSION
+        placement = SessionPlacement if is_session else RequestPlacement
+        self._placement = placement(self._zone, self._rng)
         self._records = {}
         for endpoint in service.endpoints:
             record = known.get(endpoint.name)
@@ -70,6 +62,7 @@
                 record = EndpointRecord(
                     endpoint,
                     self._capacity(endpoint),
+                    ReportTrust(endpoint.slots),
                     came_at=None if first else now,
                 )
             record.endpoint = endpoint
@@ -84,16 +77,16 @@
         return self._records.get(endpoint)
 
     def on_report(self, report: EndpointReport, now: float) -> None:
-        """Takes in a report unless it is old or repeated."""
+        """Takes in a report and compares the endpoints' speeds."""
         record = self._records.get(report.endpoint)
         if record is None:
             return
-        last = record.report
-        if last is not None and report.sequence <= last.sequence:
-            return
-        record.report, record.reported_at = report, now
-        if report.healthy:
-            record.capacity.on_report(report, now, self._relays)
+        record.on_report(report, now, self._relays)
+        serving = [r for r in self._records.values() if r.serving]
+        if serving:
+            paces = [r.capacity.pace() for r in serving]
+            median = statistics.median_low(paces)
+            record.set_speed(median)
 
     def on_new_flow(
         self, request: FlowRequest, now: float
@@ -194,8 +187,7 @@
     ) -> Placed:
         default = self.default_endpoint(request.flow_hash)
         chosen = self._placement.choose(default, roomy, now).record
-        chosen.capacity.on_placed(now)
-        chosen.open_flows += 1
+        chosen.on_placed(now)
         if chosen.name == default:
             return Placed(default, False, "its default endpoint")
         why = f"less loaded than its default {default}"
