--- a/src/pollenmast/manifest/__init__.py
+++ b/src/pollenmast/manifest/__init__.py
@@ -10,6 +10,7 @@
     Service,
     ServiceKind,
 )
+from pollenmast.manifest._shapes import Field, Items, Object
 from pollenmast.manifest._text import (
     MANIFEST,
     MOST_BYTES,
@@ -27,9 +28,12 @@
     "Effect",
     "Endpoint",
     "EndpointState",
+    "Field",
+    "Items",
     "Limits",
     "Manifest",
     "ManifestFault",
+    "Object",
     "Service",
     "ServiceKind",
     "differences",
--- a/src/pollenmast/manifest/_shapes.py
+++ b/src/pollenmast/manifest/_shapes.py
@@ -28,6 +28,11 @@
     meaning: str
     default: object = MISSING
 
+    @property
+    def required(self) -> bool:
+        """Whether the key must stand."""
+        return self.default is MISSING
+
 
 class Object(Rule):
     """An object with known keys only, held as an attrs class."""
@@ -67,7 +72,7 @@
         return {
             "type": "object",
             "properties": properties,
-            "required": [f.name for f in self.fields if f.default is MISSING],
+            "required": [f.name for f in self.fields if f.required],
             "additionalProperties": False,
         }
 
@@ -106,7 +111,7 @@
         inner = f"{path}.{field.name}" if path else field.name
         if field.name in value:
             return field.rule.check(value[field.name], inner, faults)
-        if field.default is MISSING:
+        if field.required:
             faults.add(inner, "nothing", field.rule.allowed)
         return MISSING
 
--- /dev/null
+++ b/tests/cli_app_test.py
@@ -0,0 +1,237 @@
+"""Tests of cli: every command, as an operator calls it."""
+
+import contextlib
+import io
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+from parameterized import parameterized
+from testtools import TestCase
+from testtools.matchers import StartsWith
+
+import pollenmast
+from pollenmast import agent, relay
+from pollenmast.cli import ExitCode, main
+from pollenmast.events import CATALOGUE
+from tests.manifest_text_test import encode, example
+from tests.settings_load_test import KEY, TEXT
+
+
+class CommandCase(TestCase):
+    """Runs commands on files in a folder of its own."""
+
+    def setUp(self):
+        """Makes the folder with a valid file of each sort."""
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        key_file = self.write("key", KEY)
+        self.settings = self.write("vm.ini", TEXT.format(key_file=key_file))
+        self.manifest = self.write("old.json", encode(example()).decode())
+
+    def write(self, name: str, text: str) -> str:
+        """Writes a file and returns its path."""
+        (self.folder / name).write_text(text)
+        return str(self.folder / name)
+
+    def run_command(self, *arguments: str) -> tuple[int, str, str]:
+        """Returns a command's exit code, output and complaints."""
+        output, complaints = io.StringIO(), io.StringIO()
+        with (
+            contextlib.redirect_stdout(output),
+            contextlib.redirect_stderr(complaints),
+        ):
+            code = main(list(arguments))
+        return code, output.getvalue(), complaints.getvalue()
+
+
+class CommandTest(CommandCase):
+    """What each command prints, and how it ends."""
+
+    def test_version(self):
+        """The version is that of the package."""
+        self.assertEqual(
+            (0, f"pollenmast {pollenmast.VERSION}\n", ""),
+            self.run_command("--version"),
+        )
+
+    @parameterized.expand(
+        [
+            (" ".join(words), words)
+            for words in (
+                ["relay"],
+                ["agent"],
+                ["status"],
+                ["explain"],
+                ["events"],
+                ["settings", "check"],
+                ["manifest", "check"],
+                ["manifest", "schema"],
+                ["manifest", "diff"],
+            )
+        ]
+    )
+    def test_help(self, _, words):
+        """Each command's help shows an example of that command."""
+        code, output, _ = self.run_command(*words, "--help")
+        self.assertEqual(ExitCode.OK, code)
+        self.assertIn(f"Example: pollenmast {' '.join(words)}", output)
+
+    def test_exit_codes_are_told(self):
+        """The help names every exit code."""
+        _, output, _ = self.run_command("--help")
+        for code in ExitCode:
+            self.assertIn(f"{code.value} ", output.split("Exit codes:")[1])
+
+    @parameterized.expand(
+        [
+            ("no_command", ["fly"]),
+            ("no_settings", ["relay"]),
+            ("unknown_option", ["events", "--colour"]),
+            ("no_address", ["status"]),
+            ("host_name", ["status", "--address", "localhost:7005"]),
+        ]
+    )
+    def test_usage(self, _, words):
+        """A wrong command line ends with exit code 2."""
+        self.assertEqual(ExitCode.REFUSED, self.run_command(*words)[0])
+
+    def test_events(self):
+        """The catalogue is printed whole, as a table and as JSON."""
+        _, output, _ = self.run_command("events", "--json")
+        self.assertEqual(
+            [event.number for event in CATALOGUE],
+            [event["number"] for event in json.loads(output)],
+        )
+        _, output, _ = self.run_command("events")
+        self.assertEqual(len(CATALOGUE) + 1, len(output.splitlines()))
+
+
+class SettingsTest(CommandCase):
+    """`settings check` and the programs' own check."""
+
+    def test_check(self):
+        """Every value in force is shown, but for the key."""
+        code, output, _ = self.run_command("settings", "check", self.settings)
+        self.assertEqual(ExitCode.OK, code)
+        self.assertIn("pos-frederick", output)
+        self.assertNotIn(KEY[:8], output)
+        _, output, _ = self.run_command(
+            "settings", "check", self.settings, "--json"
+        )
+        shown = json.loads(output)
+        self.assertEqual(7001, shown["settings"]["relay"]["peer_port"])
+        self.assertEqual([], shown["faults"])
+        self.assertNotIn(KEY[:8], output)
+
+    @parameterized.expand(
+        [
+            ("check", ["settings", "check"]),
+            ("relay", ["relay", "--settings"]),
+            ("agent", ["agent", "--settings"]),
+        ]
+    )
+    def test_faults(self, _, words):
+        """A VM gets a wrong settings file.
+
+        Each fault is one line, and nothing is started with a part of it.
+        """
+        file = self.write("wrong.ini", "[vm]\nname = A\n")
+        code, output, complaints = self.run_command(*words, file)
+        self.assertEqual((ExitCode.REFUSED, ""), (code, output))
+        self.assertEqual(6, len(complaints.splitlines()), complaints)
+        for line in complaints.splitlines():
+            self.assertThat(line, StartsWith(f"{file}: ["))
+
+    @parameterized.expand([("relay", relay), ("agent", agent)])
+    def test_programs(self, name, package):
+        """A program gets the settings, and its exit code is the command's."""
+        given = []
+
+        def run(settings):
+            given.append(settings.vm.name)
+            return int(ExitCode.CUT)
+
+        self.patch(package, "run", run)
+        code, _, _ = self.run_command(name, "--settings", self.settings)
+        self.assertEqual((ExitCode.CUT, ["relay-1"]), (code, given))
+
+    def test_imports_are_late(self):
+        """The agent, or a mere check, loads what only the relay needs.
+
+        The two programs of a small VM would outgrow its memory.
+        """
+        code = (
+            "import sys, pollenmast.cli, pollenmast.agent;"
+            "sys.exit('aioquic' in sys.modules)"
+        )
+        done = subprocess.run([sys.executable, "-c", code], check=False)
+        self.assertEqual(0, done.returncode)
+
+
+class ManifestTest(CommandCase):
+    """`manifest check`, `manifest schema` and `manifest diff`."""
+
+    def test_check(self):
+        """A valid manifest is summed up."""
+        code, output, _ = self.run_command("manifest", "check", self.manifest)
+        self.assertEqual(ExitCode.OK, code)
+        self.assertIn("registry", output)
+        _, output, _ = self.run_command(
+            "manifest", "check", self.manifest, "--json"
+        )
+        self.assertEqual(3, json.loads(output)["version"])
+
+    def test_faults(self):
+        """A wrong manifest is refused with path and reason."""
+        file = self.write("wrong.json", encode(example(port=0)).decode())
+        code, _, complaints = self.run_command("manifest", "check", file)
+        self.assertEqual(ExitCode.REFUSED, code)
+        self.assertEqual(
+            f"{file}: services[0].endpoints[0].port: found 0, allowed: a port,"
+            " 1 to 65535\n",
+            complaints,
+        )
+
+    @parameterized.expand(
+        [
+            ("check", ["manifest", "check"]),
+            ("diff", ["manifest", "diff", "/"]),
+        ]
+    )
+    def test_no_file(self, _, words):
+        """A file that cannot be read is told, without a traceback."""
+        code, _, complaints = self.run_command(*words, "/no/such/file")
+        self.assertEqual(ExitCode.REFUSED, code)
+        self.assertEqual(1, len(complaints.splitlines()))
+
+    def test_schema(self):
+        """The schema is JSON."""
+        _, output, _ = self.run_command("manifest", "schema")
+        self.assertEqual("pollenmast manifest", json.loads(output)["title"])
+
+    def test_diff(self):
+        """A release is told in words and as JSON."""
+        value = {**example(state="draining"), "version": 4}
+        new = self.write("new.json", encode(value).decode())
+        code, output, _ = self.run_command(
+            "manifest", "diff", self.manifest, new
+        )
+        self.assertEqual(ExitCode.OK, code)
+        self.assertIn("drain   registry/registry-1", output)
+        _, output, _ = self.run_command(
+            "manifest", "diff", self.manifest, new, "--json"
+        )
+        self.assertEqual("drain", json.loads(output)[0]["effect"])
+
+    def test_diff_of_an_older_version(self):
+        """A release that the fleet will not take ends with exit code 2."""
+        new = self.write(
+            "new.json", encode({**example(port=5), "version": 2}).decode()
+        )
+        code, _, _ = self.run_command("manifest", "diff", self.manifest, new)
+        self.assertEqual(ExitCode.REFUSED, code)
