--- a/standins/_asking.py
+++ b/standins/_asking.py
@@ -51,6 +51,7 @@
     plan: Plan
     rng: random.Random
     results: _records.Results = attrs.field(factory=_records.Results)
+    returning: dict[str, _records.RequestRecord] = attrs.field(factory=dict)
     finishing: bool = False
     open_flows: int = 0
 
@@ -73,8 +74,21 @@
         self.results.requests.append(record)
         return record
 
+    def told_not_run(self, record: _records.RequestRecord) -> None:
+        """Notes that a record's newest attempt was refused."""
+        record.refused_attempts.append(record.attempt)
+        record.attempt += 1
+        self.returning[record.identifier] = record
+
+    def give_up_returning(self) -> None:
+        """Ends what was refused and has not come back."""
+        for record in self.returning.values():
+            record.end(_records.Outcome.REFUSED, self.reactor.now)
+        self.returning.clear()
+
     def line(self, record: _records.RequestRecord, operation: str) -> bytes:
         """Returns the request line of a record's newest attempt."""
+        self.returning.pop(record.identifier, None)
         left_s = record.asked + self.plan.deadline_s - self.reactor.now
         request = {
             "id": record.identifier,
--- a/standins/_image.py
+++ b/standins/_image.py
@@ -15,6 +15,8 @@
     def open(self) -> None:
         """Makes one attempt on a new flow."""
         shared = self._shared
+        if self._record.outcome is not _records.Outcome.PENDING:
+            return
         plan = shared.plan
         self._answer = _asking.Answer()
         self._record.flow_opened = shared.reactor.now
@@ -65,13 +67,13 @@
             self._record.end(_records.Outcome.LOST, now)
 
     def _come_back(self, when: float) -> None:
-        record = self._record
-        record.refused_attempts.append(record.attempt)
-        record.attempt += 1
-        if when >= self._deadline or self._shared.finishing:
-            record.end(_records.Outcome.REFUSED, self._shared.reactor.now)
-        else:
+        self._shared.told_not_run(self._record)
+        if when < self._deadline:
             self._shared.reactor.at(when, self.open)
+        else:
+            self._shared.returning.pop(self._record.identifier)
+            now = self._shared.reactor.now
+            self._record.end(_records.Outcome.REFUSED, now)
 
     def _give_up(self, flow: _flow.Flow) -> None:
         if flow is not self._flow:
--- a/standins/_listener.py
+++ b/standins/_listener.py
@@ -32,6 +32,7 @@
         self._listener = listener
         self._session = session
         self.ids: set[bytes] = set()
+        self.refused = False
 
     def on_event(self, event: events.QuicEvent) -> None:
         if isinstance(event, events.ConnectionIdIssued):
@@ -41,7 +42,7 @@
             self.ids.discard(event.connection_id)
             self._listener.links.pop(event.connection_id, None)
         elif isinstance(event, events.ConnectionTerminated):
-            self._listener.forget(self.ids)
+            self._listener.forget(self.ids, self.refused)
             self._session.on_event(event)
         else:
             self._session.on_event(event)
@@ -74,9 +75,9 @@
         self._socket = _reactor.udp_socket(*address)
         reactor.add(self._socket, self._on_datagram)
 
-    def forget(self, ids: set[bytes]) -> None:
+    def forget(self, ids: set[bytes], refused: bool) -> None:
         """Drops an ended connection from the table."""
-        self.open_connections -= 1
+        self.open_connections -= not refused
         for identifier in ids:
             self.links.pop(identifier, None)
 
@@ -115,10 +116,10 @@
         for identifier in (header.destination_cid, quic.host_cid):
             entry.ids.add(identifier)
             self.links[identifier] = session.link
-        self.open_connections += 1
-        if self.open_connections > self._most:
+        if self.open_connections < self._most:
+            self.open_connections += 1
+        else:
+            entry.refused = True
             self.refused += 1
-            session.link.close(
-                _quic.CONNECTION_REFUSED, "busy; retry after 1000 ms"
-            )
+            session.link.refuse("busy; retry after 1000 ms")
         return session.link
--- a/standins/_processes.py
+++ b/standins/_processes.py
@@ -95,18 +95,18 @@
 
     def __init__(self, folder: pathlib.Path):
         self._folder = folder
-        self._started: list[Process] = []
+        self.all: list[Process] = []
 
     def start(self, name: str, *arguments: str) -> Process:
         """Starts `python -m ARGUMENTS`."""
         process = Process(name, list(arguments), self._folder)
-        self._started.append(process)
+        self.all.append(process)
         return process
 
     @property
     def running(self) -> list[Process]:
         """Those that have not ended."""
-        return [each for each in self._started if each.exit_code is None]
+        return [each for each in self.all if each.exit_code is None]
 
     async def stop(self) -> None:
         """Ends all, the slow ones with SIGKILL."""
--- a/standins/_quic.py
+++ b/standins/_quic.py
@@ -5,7 +5,7 @@
 import socket
 import ssl
 
-from aioquic.quic import configuration, connection, events
+from aioquic.quic import configuration, connection, events, packet
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes
 from cryptography.hazmat.primitives.asymmetric import ec
@@ -38,6 +38,7 @@
     ):
         self.quic = quic
         self.ended = False
+        self.closing = False
         self._reactor = reactor
         self._sock = sock
         self._peer = peer
@@ -60,21 +61,47 @@
 
     def close(self, code: int = 0, reason: str = "") -> None:
         """Closes the connection."""
+        self.closing = True
         self.quic.close(error_code=code, reason_phrase=reason)
         self.touch()
 
+    def refuse(self, reason: str) -> None:
+        """Refuses the connection.
+
+        A transport error: one of the application's own would reach a caller
+        in the middle of its handshake without its code and reason.
+        """
+        self.closing = True
+        self.quic.close(
+            error_code=CONNECTION_REFUSED,
+            frame_type=packet.QuicFrameType.PADDING,
+            reason_phrase=reason,
+        )
+        self.touch()
+
     def _pump(self) -> None:
         self._dirty = False
         event = self.quic.next_event()
-        while event is not None:
-            if isinstance(event, events.ConnectionTerminated):
-                self.ended = True
+        while event is not None and not self.ended:
+            self.ended = isinstance(event, events.ConnectionTerminated)
             self._peer.on_event(event)
             event = self.quic.next_event()
+        if self._closed_by_peer():
+            self.ended = True
+            self._peer.on_event(self.quic._close_event)
+        if self.ended:
+            return
         for data, to in self.quic.datagrams_to_send(self._reactor.now):
             _reactor.send(self._sock, data, to)
         self._arm()
 
+    def _closed_by_peer(self) -> bool:
+        # The library tells of a close only when its draining period is over,
+        # 0.6 s after a refusal that came at once. Callers would then seem to
+        # have waited for what they were told long before.
+        known = self.quic._close_event is not None
+        return known and not self.closing and not self.ended
+
     def _arm(self) -> None:
         timer = self.quic.get_timer()
         if timer is None or self.ended:
--- a/standins/_session.py
+++ b/standins/_session.py
@@ -86,7 +86,8 @@
         refused = ending.fate is _records.Fate.REFUSED
         for stream, record in list(self._asked.items()):
             if refused:
-                self._told_not_run(record)
+                self._shared.told_not_run(record)
+                self._again.append(record)
             elif self._answers[stream].begun:
                 record.end(_records.Outcome.CUT, self._shared.reactor.now)
             else:
@@ -96,14 +97,6 @@
         if ending.fate is not _records.Fate.CLOSED:
             self._later(ending.retry_after_s or REOPEN_S, self.open)
 
-    def _told_not_run(self, record: _records.RequestRecord) -> None:
-        record.refused_attempts.append(record.attempt)
-        record.attempt += 1
-        if self._shared.finishing:
-            record.end(_records.Outcome.REFUSED, self._shared.reactor.now)
-        else:
-            self._again.append(record)
-
     def _open_feed(self) -> None:
         plan = self._shared.plan
         request = {
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -45,9 +45,11 @@
         """Asks nothing more, waits for what is open, and closes."""
         shared = self._shared
         shared.finishing = True
+        shared.give_up_returning()
         until = anyio.current_time() + shared.plan.deadline_s
         while self._waiting() and anyio.current_time() < until:
             await anyio.sleep(CHECK_EVERY_S)
+        shared.give_up_returning()
         for session in self._sessions:
             session.close()
         with anyio.move_on_after(SETTLE_S):
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -28,6 +28,8 @@
 GRACE_S = 15.0
 IN_FORCE_WITHIN_S = 5.0
 PROGRESS_EVERY_S = 2.0
+LAST_WORDS = 3
+"""Lines of error output shown of each process when the demo fails."""
 
 
 class DemoError(Exception):
@@ -68,6 +70,13 @@
         elapsed_s = time.monotonic() - self._began
         print(f"{elapsed_s:5.1f} s  {text}", flush=True)
 
+    def say_what_failed(self) -> None:
+        """Prints the last words of processes that had any."""
+        for process in self._processes.all:
+            words = process.err.read_text().strip().splitlines()
+            for line in words[-LAST_WORDS:]:
+                self.say(f"{process.name} ({process.exit_code}): {line}")
+
     async def _start(self) -> None:
         self.say("starting platform, fabric and 10 upstreams")
         # The registry's last endpoint comes with a later manifest.
@@ -266,6 +275,7 @@
                 summary = await demo.run()
         except (DemoError, TimeoutError) as error:
             summary = {"error": str(error) or "out of time"}
+            demo.say_what_failed()
         finally:
             await demo.processes.stop()
     if demo.processes.running:
