Relay: provoke loss, stop, join, cut and freeze; measure the packet path

Cause: the relay's handover and recovery were written but not yet shown. The new tests run several relay cores over in-memory fakes with the clock in the test's hand. They first failed in four places: a released flow was not handed its time (cut and heal, freeze), the repair of silent flows took the flow's own last answer for evidence that its endpoint answers others, and two tests expected more of the retry budget and of unreplicated flows than is promised.

Ruled out for the silent flows: a longer silence; the evidence itself was wrong, an endpoint must have answered another flow since.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,89 @@
+"""`python -m bench list`; `python -m bench run NAME --json FILE`.
+
+A measurement is a module of this package with NAME, DESCRIPTION and run().
+"""
+
+import importlib
+import json
+import pathlib
+import pkgutil
+import types
+
+import typer
+
+import bench
+
+app = typer.Typer(add_completion=False, no_args_is_help=True)
+_ALL = "all"
+
+
+def measurements() -> dict[str, types.ModuleType]:
+    """Returns every measurement by its name."""
+    found = {}
+    for info in pkgutil.iter_modules(bench.__path__):
+        if info.name.startswith("_"):
+            continue
+        module = importlib.import_module(f"bench.{info.name}")
+        if hasattr(module, "NAME"):
+            found[module.NAME] = module
+    return dict(sorted(found.items()))
+
+
+def print_table(result: dict) -> None:
+    """Prints a result: each list of rows as a table, the rest line by line."""
+    for key, value in result.items():
+        if isinstance(value, list) and value and isinstance(value[0], dict):
+            print(f"{key}:")
+            _print_rows(value)
+        elif isinstance(value, dict):
+            print(f"{key}:")
+            print_table(value)
+        else:
+            print(f"  {key}: {_cell(value)}")
+
+
+def _print_rows(rows: list[dict]) -> None:
+    columns = list(dict.fromkeys(key for row in rows for key in row))
+    cells = [[_cell(row.get(column, "")) for column in columns] for row in rows]
+    widths = [
+        max(len(text) for text in column)
+        for column in zip(columns, *cells, strict=True)
+    ]
+    for line in (columns, *cells):
+        padded = [
+            text.rjust(width) for text, width in zip(line, widths, strict=True)
+        ]
+        print("  " + "  ".join(padded))
+
+
+def _cell(value: object) -> str:
+    return f"{value:.4g}" if isinstance(value, float) else str(value)
+
+
+@app.command("list")
+def list_measurements() -> None:
+    """Lists the measurements."""
+    for name, module in measurements().items():
+        print(f"{name:18}{module.DESCRIPTION}")
+
+
+@app.command()
+def run(
+    name: str,
+    json_file: pathlib.Path = typer.Option(None, "--json"),  # noqa: B008
+) -> None:
+    """Runs one measurement, or `all`, and prints its table."""
+    found = measurements()
+    chosen = found if name == _ALL else {name: found[name]}
+    results = {}
+    for each, module in chosen.items():
+        print(f"== {each}: {module.DESCRIPTION}")
+        results[each] = module.run()
+        print_table(results[each])
+    if json_file is not None:
+        json_file.parent.mkdir(parents=True, exist_ok=True)
+        json_file.write_text(json.dumps(results, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/src/pollenmast/agent/_link_loop.py
@@ -0,0 +1,166 @@
+"""Tells the relay all that it needs, and hears what it does."""
+
+import itertools
+
+import anyio
+
+from pollenmast import events
+from pollenmast.agent._gossip_loop import GossipLoop
+from pollenmast.agent._node import Node
+from pollenmast.decisions._acceptance import ManifestKey
+from pollenmast.peers._link_agent import AgentLink
+from pollenmast.peers._messages import (
+    DrainOrder,
+    ExplainAnswer,
+    ExplainQuery,
+    FleetView,
+    RelayReport,
+)
+
+VIEW_S = 1.0
+"""Longest time between two views; the relay's lease on them is longer."""
+
+SPACING_S = 0.1
+"""Shortest time between two views. Each costs the agent about a fifth of a
+millisecond, and load reports change faster than any decision should."""
+
+MANIFEST_AGAIN_S = 1.0
+"""A manifest that the relay has not reported in force after so long is sent
+again, in seconds: two reports are due in this time."""
+
+EXPLAIN_S = 2.0
+"""Longest wait for the relay's explanation, in seconds."""
+
+MOST_QUERIES = 16
+"""Explanations awaited at the same time."""
+
+WATCH_RELAY_S = 0.25
+"""Between two looks at whether the relay still reports, in seconds."""
+
+
+class LinkLoop:
+    """Views to the relay, reports from it."""
+
+    def __init__(self, node: Node, link: AgentLink, gossip: GossipLoop):
+        """Wires the loop.
+
+        Args:
+            node: The VM.
+            link: The way to the relay.
+            gossip: Tells peers when this VM's own state has changed.
+        """
+        self._node = node
+        self._link = link
+        self._gossip = gossip
+        self._sequences = itertools.count(1)
+        self._sent = (ManifestKey(), 0.0)
+        self._answers: dict[int, ExplainAnswer | None] = {}
+        self._answered = anyio.Event()
+        self._relay_up = False
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._send_views)
+            tasks.start_soon(self._receive)
+            tasks.start_soon(self._watch_relay)
+
+    async def order_drain(self, grace_s: float) -> None:
+        """Tells the relay to hand over its flows and stop."""
+        await self._link.send(DrainOrder(grace_s))
+
+    async def explain(self, subject: str) -> tuple[str, ...] | None:
+        """Returns the relay's explanation, or None without one."""
+        if len(self._answers) >= MOST_QUERIES:
+            return None
+        identifier = next(self._sequences)
+        self._answers[identifier] = None
+        try:
+            with anyio.move_on_after(EXPLAIN_S):
+                await self._link.send(ExplainQuery(identifier, subject))
+                while self._answers[identifier] is None:
+                    await self._answered.wait()
+            answer = self._answers[identifier]
+        finally:
+            del self._answers[identifier]
+        return answer.lines if answer else None
+
+    async def _send_views(self) -> None:
+        while True:
+            now = anyio.current_time()
+            self._gossip.send(self._node.membership.look(now))
+            await self._link.send(self._view(now))
+            await anyio.sleep(SPACING_S)
+            with anyio.move_on_after(VIEW_S - SPACING_S):
+                await self._node.changed()
+
+    def _view(self, now: float) -> FleetView:
+        node = self._node
+        key = node.acceptance.key
+        report = node.relay.report
+        return FleetView(
+            sequence=next(self._sequences),
+            manifest=self._manifest(now),
+            version=key.version,
+            digest=key.digest,
+            vms=node.membership.vms(),
+            reports=node.reports.view(now),
+            fresh=node.membership.fresh,
+            wake_seen=report.wake if report else 0,
+        )
+
+    def _manifest(self, now: float) -> bytes | None:
+        in_force = self._node.acceptance.in_force
+        report = self._node.relay.report
+        if in_force is None or report is None:
+            return None
+        if ManifestKey(report.version, report.digest) == in_force.key:
+            return None
+        sent_key, sent_s = self._sent
+        if sent_key == in_force.key and now - sent_s < MANIFEST_AGAIN_S:
+            return None
+        self._sent = (in_force.key, now)
+        return in_force.text
+
+    async def _receive(self) -> None:
+        while True:
+            message = await self._link.receive()
+            if isinstance(message, RelayReport):
+                await self._take(message)
+            elif isinstance(message, ExplainAnswer):
+                if message.identifier in self._answers:
+                    self._answers[message.identifier] = message
+                answered, self._answered = self._answered, anyio.Event()
+                answered.set()
+
+    async def _take(self, report: RelayReport) -> None:
+        node = self._node
+        first = node.relay.report is None
+        node.relay.hear(report, anyio.current_time())
+        if first:
+            node.notify()
+        if not node.stopping:
+            if report.draining:
+                node.membership.leave()
+            else:
+                node.membership.stay()
+        await self._check_relay()
+
+    async def _watch_relay(self) -> None:
+        while True:
+            await anyio.sleep(WATCH_RELAY_S)
+            await self._check_relay()
+
+    async def _check_relay(self) -> None:
+        node = self._node
+        up = node.relay.up(anyio.current_time())
+        if up != self._relay_up:
+            self._relay_up = up
+            node.log.write(events.RELAY_HEARD if up else events.RELAY_SILENT)
+            if not up:
+                # The next relay starts without a manifest.
+                self._sent = (ManifestKey(), 0.0)
+        node.membership.set_relay_up(up)
+        if node.membership.has_urgent:
+            now = anyio.current_time()
+            self._gossip.send(node.membership.tick(now))
--- a/src/pollenmast/peers/_messages.py
+++ b/src/pollenmast/peers/_messages.py
@@ -84,6 +84,8 @@
         digest: The manifest's digest.
         vms: Every VM not dead, the own one included.
         reports: The newest report of each endpoint that has one.
+        fresh: Whether the agent has heard from the fleet since it last had
+            reason to doubt its beliefs (a start, a freeze, a cut).
         wake_seen: The `wake` of the newest report that the agent got before
             it made this view, while itself sure of the fleet.
     """
@@ -94,6 +96,7 @@
     digest: str
     vms: tuple[Vm, ...]
     reports: tuple[EndpointReport, ...]
+    fresh: bool = True
     wake_seen: int = 0
 
 
--- a/src/pollenmast/relay/_core.py
+++ b/src/pollenmast/relay/_core.py
@@ -341,7 +341,7 @@
         self._dispatcher.set_fleet(max(1, len(self._fleet.owners)))
         for report in view.reports:
             self._dispatcher.on_report(report, now)
-        if view.wake_seen == self._wake:
+        if view.fresh and view.wake_seen == self._wake:
             self._last_view = now
         return failed
 
--- a/src/pollenmast/relay/_custody.py
+++ b/src/pollenmast/relay/_custody.py
@@ -132,7 +132,7 @@
         if record.flags == RecordFlag.FORGET:
             self._replicas.forget(record, sender)
         elif record.flags == RecordFlag.RELEASE:
-            self._release(flow, record, sender)
+            self._release(flow, record, sender, now)
         elif record.flags == RecordFlag.CARRIED:
             self._carrier.table.end_moved(record, now)
         elif flow is not None:
--- a/src/pollenmast/relay/_upkeep.py
+++ b/src/pollenmast/relay/_upkeep.py
@@ -10,6 +10,7 @@
 from pollenmast.decisions._replication import is_due
 from pollenmast.decisions._silence import (
     NEXT_TRY_S,
+    SILENT_S,
     RepathBudget,
     is_silent,
 )
@@ -125,17 +126,23 @@
         if backup != flow.backup:
             self._custody.replicate(flow, backup)
 
+    def _answers_others(self, flow: Flow, tick: int) -> bool:
+        """Whether the endpoint has answered others since it answered this."""
+        last = flow.target.answered
+        fresh = tick - last < ENDPOINT_ALIVE_S * TICKS_PER_S
+        return fresh and last > flow.answered
+
     def _repair(self, flow: Flow, now: float, tick: int) -> None:
         silent = is_silent(
             flow.unanswered,
             (tick - flow.answered) / TICKS_PER_S,
             (tick - flow.heard) / TICKS_PER_S,
-            tick - flow.target.answered < ENDPOINT_ALIVE_S * TICKS_PER_S,
+            self._answers_others(flow, tick),
         )
         if not silent or not self._repaths.take(now):
             return
-        # Dated ahead, so that the flow is next found silent only after
-        # NEXT_TRY_S more.
-        until = tick + int(NEXT_TRY_S * TICKS_PER_S)
+        # Dated ahead, so that the flow is found silent again only after the
+        # time of the next try.
+        until = tick + int((NEXT_TRY_S - SILENT_S) * TICKS_PER_S)
         if self._table.move(flow, flow.target, until, now):
             self._counters.add(c.REPATHS, c.RepathReason.SILENT)
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,373 @@
+"""Small fakes at the relay's interfaces: wires, upstreams, callers.
+
+Everything is in memory and in order unless a test says otherwise; time is a
+number that the test advances.
+"""
+
+import json
+import random
+
+import attrs
+
+from pollenmast.peers import _messages as messages
+from pollenmast.relay._core import RelayCore
+from pollenmast.relay._flows import FlowState, Listener
+from pollenmast.relay._table import Wire
+from pollenmast.settings import (
+    FleetSettings,
+    PlatformSettings,
+    RelaySettings,
+    Settings,
+    VmSettings,
+)
+from pollenmast.upstreams._paths import Path
+
+KEY = bytes(range(32))
+ZONES = ("zone-a", "zone-b", "zone-c")
+REGISTRY = 1
+BARCODES = 2
+TICK_S = 0.02
+_INITIAL_BYTES = 1200
+_MARK = b"caller:"
+
+
+def initial(tag: str, early: bytes = b"") -> bytes:
+    """Returns the Initial of a caller, with 0-RTT behind it if given."""
+    payload = _MARK + tag.encode() + b";"
+    head = b"\xc0\x00\x00\x00\x01\x08" + tag.encode().ljust(8, b"-")[:8]
+    head += b"\x04abcd\x00"
+    length = _INITIAL_BYTES - len(head) - 2 - len(early)
+    packet = head + (0x4000 | length).to_bytes(2, "big")
+    return packet + payload.ljust(length, b"\0") + early
+
+
+def early_data(tag: str) -> bytes:
+    """Returns a 0-RTT packet that carries a request."""
+    payload = (_MARK + tag.encode() + b";run").ljust(60, b"\1")
+    head = b"\xd0\x00\x00\x00\x01\x08" + b"12345678" + b"\x04abcd"
+    return head + (0x4000 | len(payload)).to_bytes(2, "big") + payload
+
+
+def short(tag: str, text: str = "") -> bytes:
+    """Returns a packet of a session in progress."""
+    return b"\x41" + _MARK + f"{tag};{text}".encode().ljust(40, b"\0")
+
+
+def tag_of(data: bytes) -> str | None:
+    """Returns whose packet it is."""
+    start = data.find(_MARK)
+    if start < 0:
+        return None
+    return data[start + len(_MARK) : data.index(b";", start)].decode()
+
+
+def manifest(
+    version: int = 1,
+    draining: tuple[str, ...] = (),
+    gone: tuple[str, ...] = (),
+    endpoints: int = 3,
+) -> bytes:
+    """Returns the text of a manifest with a registry and barcodes."""
+    services = []
+    for number, name, kind in (
+        (REGISTRY, "registry", "session"),
+        (BARCODES, "barcodes", "request"),
+    ):
+        names = [f"{name}-{n}" for n in range(endpoints)]
+        services.append(
+            {
+                "name": name,
+                "number": number,
+                "port": 4000 + number,
+                "kind": kind,
+                "idempotent": number == BARCODES,
+                "endpoints": [
+                    {
+                        "name": each,
+                        "address": f"127.0.2.{10 * number + n}",
+                        "port": 5001,
+                        "load_port": 6001,
+                        "zone": ZONES[n % len(ZONES)],
+                        "state": "draining" if each in draining else "serving",
+                    }
+                    for n, each in enumerate(names)
+                    if each not in gone
+                ],
+            }
+        )
+    return json.dumps({"version": version, "services": services}).encode()
+
+
+def vm(number: int, **changes) -> messages.Vm:
+    """Returns the VM with this number."""
+    made = messages.Vm(
+        name=f"vm-{number}",
+        zone=ZONES[number % len(ZONES)],
+        address=f"127.0.1.{number}",
+        relay_port=7001,
+        gossip_port=7003,
+        fetch_port=7004,
+    )
+    return attrs.evolve(made, **changes)
+
+
+def settings(number: int, **relay) -> Settings:
+    """Returns the settings of the VM with this number."""
+    place = vm(number)
+    return Settings(
+        vm=VmSettings(place.name, place.zone, place.address),
+        fleet=FleetSettings(key=KEY),
+        platform=PlatformSettings("127.0.3.1", 8001),
+        relay=RelaySettings(**relay),
+    )
+
+
+class FakeListener(Listener):
+    """A service's port whose answers the network keeps."""
+
+    def __init__(self, service, net):
+        super().__init__(service)
+        self._net = net
+
+    def send(self, data, caller):
+        """Keeps an answer to a caller."""
+        self._net.answers.append((caller, data))
+
+    def close(self):
+        """Does nothing."""
+
+
+class FakePath(Path):
+    """A local port; packets go to the network's upstreams."""
+
+    def __init__(self, net, number):
+        super().__init__()
+        self._net = net
+        self.number = number
+
+    def send(self, data, upstream):
+        """Passes a packet to the upstream."""
+        self._net.at_upstream(self, data, upstream)
+
+    def close(self):
+        """Does nothing."""
+
+
+class FakeWire(Wire):
+    """The sockets of one fake VM."""
+
+    def __init__(self, net, number: int):
+        self._net = net
+        self.number = number
+
+    def open_listener(self, service):
+        """Opens a fake port."""
+        return FakeListener(service, self._net)
+
+    def open_path(self):
+        """Opens a fake path."""
+        return FakePath(self._net, self.number)
+
+    def send_peer(self, data, address):
+        """Passes an envelope to another fake VM."""
+        self._net.peer(self.number, data, address)
+
+
+@attrs.define
+class Session:
+    """What an upstream knows of one caller's session.
+
+    Attributes:
+        upstream: The endpoint's address.
+        path: The path that its answers take: where it last heard from.
+        ran: Texts of the packets that it ran, in order.
+    """
+
+    upstream: tuple[str, int]
+    path: FakePath
+    ran: list[str] = attrs.field(factory=list)
+
+
+class Net:
+    """Some relays, the upstreams and the callers, in memory.
+
+    Attributes:
+        now: The clock.
+        relays: Each running relay by its VM's number.
+        answers: What callers were sent, as (caller, data).
+        sessions: Each caller's session by its tag.
+        strangers: Packets that reached an upstream without their session.
+        silent_paths: Paths that something between the ends has lost.
+        silent_upstreams: Addresses that answer nothing.
+        cut: Whether a message between two VMs is lost, by their numbers.
+    """
+
+    def __init__(self, vms: int = 3, seed: int = 1, **relay):
+        self.now = 1000.0
+        self.relays: dict[int, RelayCore] = {}
+        self.answers: list[tuple[tuple[str, int], bytes]] = []
+        self.sessions: dict[str, Session] = {}
+        self.strangers: list[tuple[str, tuple[str, int]]] = []
+        self.silent_paths: set[FakePath] = set()
+        self.silent_upstreams: set[tuple[str, int]] = set()
+        self.cut = lambda source, target: False
+        self.manifest = manifest()
+        self.vms = {number: vm(number) for number in range(1, vms + 1)}
+        self._settings = relay
+        self._queue: list[tuple[int, bytes]] = []
+        self._random = random.Random(seed)
+        for number in self.vms:
+            self.start(number)
+
+    def start(self, number: int) -> None:
+        """Starts a VM's relay; the others hear of it by `publish`."""
+        self.vms.setdefault(number, vm(number))
+        self.relays[number] = RelayCore(
+            settings(number, **self._settings),
+            FakeWire(self, number),
+            random.Random(number),
+            self.now,
+        )
+        self.publish()
+
+    def kill(self, number: int) -> None:
+        """Ends a VM at once; the others still believe in it."""
+        del self.relays[number]
+
+    def publish(self, only: tuple[int, ...] | None = None) -> None:
+        """Gives the running relays the manifest and the VMs."""
+        for number, core in self.relays.items():
+            if only is not None and number not in only:
+                continue
+            core.on_view(self.view(core), self.now)
+
+    def view(self, core: RelayCore) -> messages.FleetView:
+        """Returns the view that a relay's agent would send now."""
+        return messages.FleetView(
+            sequence=1,
+            manifest=self.manifest,
+            version=1,
+            digest="",
+            vms=tuple(self.vms.values()),
+            reports=(),
+            wake_seen=core.report(self.now).wake,
+        )
+
+    def declare_dead(self, number: int) -> None:
+        """Takes a VM off everybody's list."""
+        self.vms.pop(number, None)
+        self.publish()
+
+    def declare_leaving(self, number: int) -> None:
+        """Marks a VM as leaving and has its relay drain."""
+        self.vms[number] = vm(number, state=messages.VmState.LEAVING)
+        self.publish()
+        self.relays[number].drain()
+
+    def advance(self, seconds: float, renew: bool = True) -> None:
+        """Lets time go by in ticks; agents renew their views meanwhile."""
+        for step in range(round(seconds / TICK_S)):
+            self.now += TICK_S
+            if renew and step % 25 == 0:
+                self.publish()
+            for core in list(self.relays.values()):
+                core.tick(self.now)
+            self.deliver()
+
+    def send(
+        self,
+        tag: str,
+        data: bytes,
+        to: int | None = None,
+        service: int = REGISTRY,
+        caller: tuple[str, int] | None = None,
+    ) -> None:
+        """Sends a caller's datagram to a VM, by default to one at random."""
+        number = to or self._random.choice(sorted(self.relays))
+        core = self.relays.get(number)
+        if core is None:
+            return
+        listener = core.table.listener(service)
+        core.on_caller(listener, data, caller or address_of(tag), self.now)
+        self.deliver()
+
+    def open(self, tag: str, to: int | None = None, service=REGISTRY) -> None:
+        """Opens a caller's session."""
+        self.send(tag, initial(tag), to, service)
+
+    def say(self, tag: str, text: str, to: int | None = None) -> None:
+        """Sends a packet of a session in progress."""
+        self.send(tag, short(tag, text), to)
+
+    def deliver(self) -> None:
+        """Delivers envelopes until none is left."""
+        while self._queue:
+            number, data = self._queue.pop(0)
+            core = self.relays.get(number)
+            if core is not None:
+                core.on_peer(data, self.now)
+
+    def peer(self, source: int, data: bytes, address) -> None:
+        """Takes an envelope on its way to another VM."""
+        target = int(address[0].rsplit(".", 1)[1])
+        if not self.cut(source, target):
+            self._queue.append((target, data))
+
+    def at_upstream(self, path: FakePath, data: bytes, upstream) -> None:
+        """A packet reaches an upstream, which answers by the same path."""
+        tag = tag_of(data)
+        if path in self.silent_paths or upstream in self.silent_upstreams:
+            return
+        if data[0] & 0x80:
+            self.sessions.setdefault(tag, Session(upstream, path))
+        session = self.sessions.get(tag)
+        if session is None or session.upstream != upstream:
+            self.strangers.append((tag, upstream))
+            return
+        session.path = path
+        if not data[0] & 0x80:
+            text = data[data.index(b";") + 1 :].rstrip(b"\0").decode()
+            session.ran.append(text)
+        self.answer(tag)
+
+    def answer(self, tag: str, text: str = "ok") -> None:
+        """The upstream sends something on a caller's session."""
+        session = self.sessions[tag]
+        core = self.relays.get(session.path.number)
+        flow = session.path.flows.get(session.upstream)
+        if core is None or flow is None:
+            return
+        if flow.state is not FlowState.CARRIED:
+            core.on_first_answer(flow, self.now)
+        flow.answered = core.tick_now
+        flow.unanswered = 0
+        flow.target.answered = core.tick_now
+        flow.listener.send(short(tag, text), flow.caller)
+
+    def answers_to(self, tag: str) -> list[bytes]:
+        """Returns what a caller was sent."""
+        return [
+            data for caller, data in self.answers if caller == address_of(tag)
+        ]
+
+    def holders(self, tag: str) -> list[int]:
+        """Returns the VMs that take a caller's packets as their own."""
+        caller = address_of(tag)
+        return [
+            number
+            for number, core in self.relays.items()
+            if any(caller in each.flows for each in core.table.listeners)
+        ]
+
+    def dropped(self, definition, reason) -> int:
+        """Returns a counter's sum over the running relays."""
+        return sum(
+            core.counters.value(definition, reason)
+            for core in self.relays.values()
+        )
+
+
+def address_of(tag: str) -> tuple[str, int]:
+    """Returns the address of a caller."""
+    number = int("".join(filter(str.isdigit, tag)) or 0)
+    return (f"10.0.{number // 250}.{number % 250 + 1}", 30000 + number)
--- /dev/null
+++ b/tests/relay_core_test.py
@@ -0,0 +1,238 @@
+"""Tests of relay._core: what callers and upstreams meet through relays."""
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast import counters as c
+from pollenmast.callers import PacketType, read_packet
+from tests.fakes import (
+    BARCODES,
+    Net,
+    early_data,
+    initial,
+    manifest,
+    short,
+)
+
+_CALLERS = [f"c{n}" for n in range(40)]
+
+
+class CarryTest(TestCase):
+    """A flow's packets find its endpoint from any VM."""
+
+    def test_any_vm(self):
+        """Packets sprayed over all VMs run at one endpoint, in order."""
+        net = Net(vms=3)
+        for tag in _CALLERS:
+            net.open(tag)
+            for text in ("1", "2", "3", "4"):
+                net.say(tag, text)
+        ran = [net.sessions[tag].ran for tag in _CALLERS]
+        self.assertEqual([["1", "2", "3", "4"]] * len(_CALLERS), ran)
+        self.assertEqual([], net.strangers)
+
+    def test_one_holder(self):
+        """Each flow stands in the table of exactly one VM."""
+        net = Net(vms=5)
+        for tag in _CALLERS:
+            net.open(tag)
+        self.assertEqual({1}, {len(net.holders(tag)) for tag in _CALLERS})
+
+    def test_services_apart(self):
+        """One caller's flows to two services go to their own endpoints."""
+        net = Net(vms=3)
+        net.open("c1")
+        net.send("c1b", initial("c1b"), service=BARCODES)
+        self.assertNotEqual(
+            net.sessions["c1"].upstream, net.sessions["c1b"].upstream
+        )
+        self.assertEqual("127.0.2.1", net.sessions["c1"].upstream[0][:9])
+
+    @parameterized.expand(
+        [
+            ("empty", b"", c.DropReason.EMPTY),
+            (
+                "short_initial",
+                initial("x")[:900],
+                c.DropReason.TRUNCATED_HEADER,
+            ),
+            (
+                "other_version",
+                b"\xc0" + b"\xff" * 1250,
+                c.DropReason.UNSUPPORTED_VERSION,
+            ),
+            (
+                "cut_header",
+                b"\xc0\x00\x00\x00\x01\x08ab",
+                c.DropReason.TRUNCATED_HEADER,
+            ),
+            ("tiny", b"\x40" * 12, c.DropReason.TRUNCATED_HEADER),
+            ("early_data_first", early_data("x"), c.DropReason.EARLY_DATA),
+        ]
+    )
+    def test_malformed(self, _, data, reason):
+        """Someone sends what is no packet of a flow.
+
+        It reaches no upstream and costs no memory; the counter of its reason
+        shows it.
+        """
+        net = Net(vms=1)
+        net.send("x", data)
+        self.assertEqual(1, net.dropped(c.DROPS, reason))
+        self.assertEqual(0, net.relays[1].table.flows)
+
+    def test_early_data_not_passed(self):
+        """A caller resumes and sends a submission as 0-RTT.
+
+        It could be replayed, and a number would be burnt twice. The Initial
+        goes on at full length, the submission waits for the handshake.
+        """
+        net = Net(vms=1)
+        net.send("c1", initial("c1", early=early_data("c1")))
+        self.assertEqual(1, net.dropped(c.DROPS, c.DropReason.EARLY_DATA))
+        self.assertIn("c1", net.sessions)
+
+    def test_early_data_idempotent(self):
+        """For an idempotent service 0-RTT is passed on."""
+        net = Net(vms=1)
+        data = initial("c1", early=early_data("c1"))
+        net.send("c1", data, service=BARCODES)
+        self.assertEqual(0, net.dropped(c.DROPS, c.DropReason.EARLY_DATA))
+
+
+class OpenTest(TestCase):
+    """New flows are placed, tried again or refused at once."""
+
+    def test_retry(self):
+        """An endpoint is dead though its report is still good.
+
+        Callers would wait for their handshake timeout. After the retry time
+        the Initial goes to another endpoint, which has not seen it; beyond
+        the retry budget the caller is refused, and nobody is left waiting.
+        """
+        net = Net(vms=1)
+        net.silent_upstreams.add(("127.0.2.10", 5001))
+        for tag in _CALLERS:
+            net.open(tag)
+        net.advance(1.0)
+        told = {tag for tag in _CALLERS if net.answers_to(tag)}
+        spent = net.dropped(c.REFUSALS, c.RefusalReason.RETRY_SPENT)
+        self.assertEqual(set(_CALLERS), told)
+        self.assertEqual(len(_CALLERS), len(net.sessions) + spent)
+        self.assertGreater(net.dropped(c.RETRIES, c.RetryReason.UNANSWERED), 0)
+
+    def test_refused_never_ran(self):
+        """All endpoints are dead, so every new flow is refused in the end.
+
+        The refusal is an Initial to the caller, smaller than its own, and no
+        upstream holds a session of a refused caller.
+        """
+        net = Net(vms=1)
+        net.silent_upstreams.update(
+            (f"127.0.2.{10 + n}", 5001) for n in range(3)
+        )
+        net.open("c1")
+        net.advance(6.0)
+        (answer,) = net.answers_to("c1")
+        self.assertEqual(PacketType.INITIAL, read_packet(answer).unwrap().type)
+        self.assertLess(len(answer), 1200)
+        self.assertEqual({}, net.sessions)
+
+    def test_not_ready(self):
+        """A relay loses its agent and so its knowledge of the fleet.
+
+        Opened on old knowledge, a flow could go to an endpoint long gone.
+        Known flows go on; new ones are left to the other VMs.
+        """
+        net = Net(vms=1)
+        net.open("c1")
+        net.advance(5.0, renew=False)
+        net.open("c2")
+        net.say("c1", "1")
+        self.assertNotIn("c2", net.sessions)
+        self.assertEqual(["1"], net.sessions["c1"].ran)
+        self.assertEqual(1, net.dropped(c.DROPS, c.DropReason.NOT_READY))
+
+    def test_draining_endpoint(self):
+        """An endpoint that drains gets no new flow and keeps its open ones."""
+        net = Net(vms=3)
+        for tag in _CALLERS:
+            net.open(tag)
+        kept = [
+            tag
+            for tag in _CALLERS
+            if net.sessions[tag].upstream[0] == "127.0.2.10"
+        ]
+        net.manifest = manifest(version=2, draining=("registry-0",))
+        net.publish()
+        later = [f"d{n}" for n in range(100, 140)]
+        for tag in later:
+            net.open(tag)
+        for tag in kept:
+            net.say(tag, "after")
+        self.assertNotIn(
+            "127.0.2.10", {net.sessions[tag].upstream[0] for tag in later}
+        )
+        self.assertEqual(
+            [["after"]] * len(kept), [net.sessions[tag].ran for tag in kept]
+        )
+
+
+class SilenceTest(TestCase):
+    """A flow whose path is lost gets another."""
+
+    def test_new_path(self):
+        """A firewall forgets one flow; the endpoint answers all others.
+
+        The caller's session would hang for good. After some unanswered
+        packets it goes on by a new local port.
+        """
+        net = Net(vms=1)
+        for tag in ("c1", "c2"):
+            net.open(tag)
+        net.sessions["c2"].upstream = net.sessions["c1"].upstream
+        net.silent_paths.add(net.sessions["c1"].path)
+        other = next(
+            tag
+            for tag in (f"o{n}" for n in range(50, 99))
+            if net.open(tag) is None
+            and net.sessions[tag].upstream == net.sessions["c1"].upstream
+        )
+        for step in range(8):
+            net.say("c1", str(step))
+            net.say(other, "alive")
+            net.advance(0.5)
+        self.assertEqual("7", net.sessions["c1"].ran[-1])
+        self.assertEqual(1, net.dropped(c.REPATHS, c.RepathReason.SILENT))
+
+    def test_dead_endpoint_not_repathed(self):
+        """An endpoint that answers nobody is not helped by new paths.
+
+        Thousands of moves would only add to its failure.
+        """
+        net = Net(vms=1)
+        net.open("c1")
+        net.silent_upstreams.add(net.sessions["c1"].upstream)
+        for step in range(8):
+            net.say("c1", str(step))
+            net.advance(0.5)
+        self.assertEqual(0, net.dropped(c.REPATHS, c.RepathReason.SILENT))
+
+
+class FloodTest(TestCase):
+    """Floods take bounded memory and leave flows in progress alone."""
+
+    def test_unknown_flows(self):
+        """A flood of forged packets of sessions that never were.
+
+        The table would fill and real callers be refused. Guessed flows that
+        no upstream answers are forgotten within seconds.
+        """
+        net = Net(vms=1)
+        net.open("c1")
+        for n in range(300):
+            net.send(f"f{n + 100}", short(f"f{n + 100}", "x"))
+        net.advance(8.0)
+        net.say("c1", "1")
+        self.assertEqual(1, net.relays[1].table.flows)
+        self.assertEqual(["1"], net.sessions["c1"].ran)
--- /dev/null
+++ b/tests/relay_custody_test.py
@@ -0,0 +1,339 @@
+"""Tests of relay._custody and relay._routing: flows outlive their relay."""
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast import counters as c
+from pollenmast.peers._envelope import Sealer
+from pollenmast.peers._kinds import Kind
+from pollenmast.peers._messages import VmState
+from pollenmast.peers._records import FlowRecord, RecordFlag, pack_records
+from pollenmast.relay._carrier import Arrival
+from tests.fakes import KEY, REGISTRY, Net, address_of, manifest, short, vm
+
+_CALLERS = [f"c{n}" for n in range(60)]
+_REPLICATED_S = 4.0
+
+
+def _opened(vms: int = 3, **settings) -> Net:
+    net = Net(vms=vms, **settings)
+    for tag in _CALLERS:
+        net.open(tag)
+        net.say(tag, "before")
+    return net
+
+
+def _say_all(net: Net, text: str) -> None:
+    for tag in _CALLERS:
+        net.say(tag, text)
+
+
+def _unlike(net: Net, *expected: str) -> dict[str, list[str]]:
+    """Returns the callers whose session ran anything else, and what."""
+    ran = {tag: net.sessions[tag].ran for tag in _CALLERS}
+    return {tag: texts for tag, texts in ran.items() if texts != [*expected]}
+
+
+def _not_last(net: Net, expected: str) -> list[str]:
+    """Returns the callers whose session ran something else last."""
+    return [t for t in _CALLERS if net.sessions[t].ran[-1] != expected]
+
+
+class PlannedStopTest(TestCase):
+    """A VM that leaves breaks no flow and cuts no answer."""
+
+    def test_handover(self):
+        """Every flow goes on by another VM, and the leaving one drains."""
+        net = _opened()
+        net.advance(_REPLICATED_S)
+        net.declare_leaving(1)
+        net.advance(2.0)
+        _say_all(net, "after")
+        net.advance(2.0)
+        self.assertEqual({}, _unlike(net, "before", "after"))
+        self.assertEqual([], net.strangers)
+        self.assertTrue(net.relays[1].drained())
+
+    def test_young_flows(self):
+        """Flows opened a moment before the stop are handed over as well."""
+        net = _opened()
+        net.declare_leaving(2)
+        net.advance(1.0)
+        net.kill(2)
+        net.declare_dead(2)
+        _say_all(net, "after")
+        self.assertEqual({}, _unlike(net, "before", "after"))
+
+    def test_answers_meanwhile(self):
+        """An upstream that still answers by the old path is not cut off.
+
+        It learns the new path only from its caller's next packet; until then
+        its alerts arrive at the leaving relay, which passes them on.
+        """
+        net = _opened()
+        net.declare_leaving(1)
+        net.advance(1.0)
+        moved = [t for t in _CALLERS if net.sessions[t].path.number == 1]
+        before = {tag: len(net.answers_to(tag)) for tag in moved}
+        for tag in moved:
+            net.answer(tag, "alert")
+        told = [len(net.answers_to(tag)) - before[tag] for tag in moved]
+        self.assertGreater(len(moved), 0)
+        self.assertEqual([1] * len(moved), told)
+        self.assertFalse(net.relays[1].drained())
+
+    def test_rolling_replacement(self):
+        """All VMs are replaced one after the other; no flow breaks."""
+        net = _opened()
+        for old, new in ((1, 4), (2, 5), (3, 6)):
+            net.start(new)
+            net.advance(1.0)
+            net.declare_leaving(old)
+            net.advance(1.0)
+            _say_all(net, f"without {old}")
+            net.advance(1.0)
+            net.kill(old)
+            net.declare_dead(old)
+        self.assertEqual(
+            {}, _unlike(net, *["before", "without 1", "without 2", "without 3"])
+        )
+
+    def test_new_flow_without_other_vm(self):
+        """The only VM leaves; a new caller is refused and told to come back."""
+        net = Net(vms=1)
+        net.declare_leaving(1)
+        net.open("c1")
+        reason = c.RefusalReason.DRAINING
+        self.assertEqual(1, net.dropped(c.REFUSALS, reason))
+        self.assertNotIn("c1", net.sessions)
+
+
+class LossTest(TestCase):
+    """Flows outlive a VM that dies without a word."""
+
+    @parameterized.expand([("small", 2), ("usual", 3), ("large", 9)])
+    def test_killed(self, _, vms):
+        """A VM is killed; its flows go on by the VM that has their records.
+
+        Between the kill and its discovery packets are lost; afterwards each
+        flow reaches the endpoint that knows it.
+        """
+        net = _opened(vms)
+        net.advance(_REPLICATED_S)
+        net.kill(1)
+        net.declare_dead(1)
+        _say_all(net, "after")
+        self.assertEqual({}, _unlike(net, "before", "after"))
+        self.assertEqual([], net.strangers)
+
+    def test_without_records(self):
+        """A VM dies before its flows were replicated.
+
+        Flows at their default endpoint are found by computation; this is why
+        short flows need no record. The others have theirs at once.
+        """
+        net = _opened(replicate_after_s=1e9)
+        net.advance(0.5)
+        net.kill(1)
+        net.declare_dead(1)
+        _say_all(net, "after")
+        self.assertEqual({}, _unlike(net, "before", "after"))
+
+    def test_zone_lost(self):
+        """Two VMs of one availability zone die at once.
+
+        Records are kept in another zone, so no flow loses both its holder
+        and its record.
+        """
+        net = _opened(vms=6)
+        net.manifest = manifest(version=2, endpoints=4)
+        net.publish()
+        net.advance(_REPLICATED_S)
+        for number in (3, 6):
+            net.kill(number)
+        for number in (3, 6):
+            net.declare_dead(number)
+        _say_all(net, "after")
+        self.assertEqual({}, _unlike(net, "before", "after"))
+
+    def test_joined_then_killed(self):
+        """A VM joins, so flows are held off their owner; then a holder dies.
+
+        The owner keeps the record of such a flow, as it is the one that will
+        be asked for it.
+        """
+        net = _opened()
+        net.advance(_REPLICATED_S)
+        net.start(4)
+        net.advance(_REPLICATED_S)
+        _say_all(net, "joined")
+        net.kill(1)
+        net.declare_dead(1)
+        _say_all(net, "after")
+        self.assertEqual({}, _unlike(net, *["before", "joined", "after"]))
+
+
+class ChangeTest(TestCase):
+    """Flows open while the fleet changes are neither lost nor opened twice."""
+
+    def test_join(self):
+        """Flows that open while a VM joins stay where they are."""
+        net = _opened()
+        net.start(4)
+        _say_all(net, "after")
+        self.assertEqual({}, _unlike(net, "before", "after"))
+        self.assertEqual([], net.strangers)
+
+    def test_second_flight(self):
+        """A VM joins between the two flights of a handshake.
+
+        The second flight is an Initial as well. Opened anew at another
+        endpoint it would be a stranger there, and the handshake would hang.
+        """
+        net = Net(vms=3)
+        for tag in _CALLERS:
+            net.open(tag)
+        net.manifest = manifest(version=2, endpoints=5)
+        net.start(4)
+        for tag in _CALLERS:
+            net.open(tag)
+        self.assertEqual([], net.strangers)
+
+    def test_partial_knowledge(self):
+        """Only some VMs have heard of a join; packets still find their flow."""
+        net = _opened()
+        net.vms[4] = vm(4)
+        net.start(4)
+        net.publish(only=(1, 4))
+        _say_all(net, "after")
+        self.assertEqual({}, _unlike(net, "before", "after"))
+
+
+class SplitTest(TestCase):
+    """Both sides of a cut serve; one owner is left when it heals."""
+
+    def test_cut_and_heal(self):
+        """An availability zone is cut off for a while.
+
+        Each side declares the other dead and carries the flows whose packets
+        reach it. When the cut heals, each flow is left with one relay, and
+        none of them breaks.
+        """
+        net = _opened()
+        net.advance(_REPLICATED_S)
+        everybody = dict(net.vms)
+        net.cut = lambda source, target: (source == 1) != (target == 1)
+        for number, core in net.relays.items():
+            net.vms = {
+                each: place
+                for each, place in everybody.items()
+                if (each == 1) == (number == 1)
+            }
+            core.on_view(net.view(core), net.now)
+        for number in (1, 2, 1, 3):
+            for tag in _CALLERS:
+                net.say(tag, f"by {number}", to=number)
+        net.cut = lambda source, target: False
+        net.vms = everybody
+        net.publish()
+        net.advance(6.0)
+        _say_all(net, "after")
+        self.assertEqual([], net.strangers)
+        self.assertEqual([], _not_last(net, "after"))
+        self.assertEqual({1}, {len(net.holders(tag)) for tag in _CALLERS})
+
+
+class FreezeTest(TestCase):
+    """A relay that was frozen wakes with old beliefs."""
+
+    def test_wakes(self):
+        """A relay stands still for ten seconds while others take over.
+
+        It opens nothing until its agent has answered it anew, and goes on
+        passing what it knows; no flow breaks.
+        """
+        net = _opened()
+        net.advance(_REPLICATED_S)
+        frozen = net.relays.pop(1)
+        net.declare_dead(1)
+        _say_all(net, "meanwhile")
+        net.advance(10.0)
+        net.relays[1] = frozen
+        frozen.tick(net.now)
+        self.assertFalse(frozen.ready(net.now))
+        for tag in _CALLERS:
+            net.say(tag, "woken", to=1)
+        net.vms[1] = vm(1)
+        net.publish()
+        net.advance(6.0)
+        _say_all(net, "after")
+        self.assertEqual([], net.strangers)
+        self.assertEqual([], _not_last(net, "after"))
+
+    def test_old_view_after_waking(self):
+        """A view that was sent before the freeze is no fresh one.
+
+        It may lie in the link's buffer; taken for fresh, the relay would open
+        flows at endpoints that have long gone.
+        """
+        net = Net(vms=2)
+        core = net.relays[1]
+        old = net.view(core)
+        net.now += 30.0
+        core.tick(net.now)
+        core.on_view(old, net.now)
+        self.assertFalse(core.ready(net.now))
+        core.on_view(net.view(core), net.now)
+        self.assertTrue(core.ready(net.now))
+
+
+class TrustTest(TestCase):
+    """Only the fleet can plant or take flows."""
+
+    def test_forged_record(self):
+        """A stranger sends a record that would lead a caller elsewhere."""
+        net = Net(vms=2)
+        record = FlowRecord(REGISTRY, *address_of("c1"), 7, RecordFlag.KEEP)
+        body = b"\0\0\0\1" + pack_records([record])
+        data = Sealer("vm-2", bytes(32)).seal(Kind.RECORDS, body)
+        net.relays[1].on_peer(data, net.now)
+        self.assertEqual(0, len(net.relays[1].custody.replicas))
+        faults = c.EnvelopeFault
+        self.assertEqual(1, net.dropped(c.ENVELOPE_FAULTS, faults.UNKNOWN_KEY))
+
+    def test_hops_bounded(self):
+        """Two VMs each believe that the other owns a flow.
+
+        Their packets must not circle and fill the network; after the hops
+        allowed they are dropped and counted.
+        """
+        net = Net(vms=3)
+        core = net.relays[1]
+        listener = core.table.listener(REGISTRY)
+        far = next(
+            f"c{n}"
+            for n in range(99)
+            if not core.fleet.owns(
+                Arrival(listener, address_of(f"c{n}"), None, b"").key
+            )
+        )
+        arrival = core.read(
+            listener, address_of(far), short(far), hops=3, via=99
+        )
+        core.on_datagram(arrival, net.now)
+        reason = c.DropReason.TOO_MANY_HOPS
+        self.assertEqual(1, net.dropped(c.DROPS, reason))
+
+    @parameterized.expand(
+        [("leaving", VmState.LEAVING), ("alive", VmState.ALIVE)]
+    )
+    def test_garbage_body(self, _, state):
+        """A genuine envelope with a body of nonsense changes nothing."""
+        net = Net(vms=2)
+        net.vms[2] = vm(2, state=state)
+        net.publish()
+        sealer = Sealer("vm-2", KEY)
+        for kind in Kind:
+            net.relays[1].on_peer(sealer.seal(kind, b"\xff" * 50), net.now)
+        self.assertEqual(0, net.relays[1].table.flows)
+        self.assertEqual(0, len(net.relays[1].custody.replicas))
