Agent: heartbeats, manifests, probes, the link and the operators' endpoint

Cause: the thin path needs an agent. Decisions (membership, freshness, acceptance, readers, probing, dissemination) are pure modules that are told the time; the agent joins them to UDP, pynng and HTTP.

Ruled out: heartbeats over pynng (a connection to each of the fleet); anyio's UDP objects for gossip (they refuse a second sender, and the loops send independently), so a non-blocking socket after `anyio.wait_readable`.

--- /dev/null
+++ b/bench/_control_fleet.py
@@ -0,0 +1,262 @@
+"""A fleet of real agents, with stubs for everything else."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import urllib.request
+
+import attrs
+
+from bench import _control_stubs as stubs
+
+ZONES = ("hall-bor", "hall-fres", "hall-sag")
+UPSTREAMS = "127.0.22.1"
+PLATFORM = "127.0.23.1"
+PLATFORM_PORT, ADMIN_PORT = 8501, 8502
+LINK_PORT, OPERATORS_PORT = 7502, 7505
+LOAD_PORTS = tuple(range(6501, 6512))
+"""Eleven endpoints: cellvakt has seven and profilarkiv four."""
+
+_SETTINGS = """[vm]
+name = {name}
+availability_zone = {zone}
+address = {address}
+[fleet]
+key_file = {key_file}
+[platform]
+address = {platform}
+port = {platform_port}
+[relay]
+peer_port = 7501
+link_port = {link_port}
+grace_s = 5
+[agent]
+gossip_port = 7503
+fetch_port = 7504
+operators_port = {operators_port}
+"""
+
+
+@attrs.frozen
+class Usage:
+    """What a process has used so far."""
+
+    cpu_s: float
+    rss_mb: float
+    sent_bytes: dict[str, int]
+
+
+@attrs.define
+class AgentProcess:
+    """One agent and where it is reached."""
+
+    name: str
+    zone: str
+    address: str
+    settings: pathlib.Path
+    process: subprocess.Popen | None = None
+
+    def usage(self) -> Usage:
+        """Returns what the process has used so far."""
+        proc = pathlib.Path(f"/proc/{self.process.pid}")
+        fields = (proc / "stat").read_text().rsplit(")", 1)[1].split()
+        ticks = int(fields[11]) + int(fields[12])
+        pages = int((proc / "statm").read_text().split()[1])
+        sent = {
+            counter["reason"]: counter["value"]
+            for counter in self.status()["counters"]
+            if counter["name"] == "control_bytes"
+            and counter["program"] == "agent"
+        }
+        return Usage(
+            ticks / os.sysconf("SC_CLK_TCK"),
+            pages * os.sysconf("SC_PAGE_SIZE") / 2**20,
+            sent,
+        )
+
+    def status(self) -> dict:
+        """Returns what the agent tells operators."""
+        url = f"http://{self.address}:{OPERATORS_PORT}/status"
+        with urllib.request.urlopen(url, timeout=5) as answer:
+            return json.load(answer)
+
+    def send_signal(self, number: int) -> None:
+        """Sends a signal to the process."""
+        self.process.send_signal(number)
+
+
+def manifest(version: int, padding: int = 0) -> bytes:
+    """Returns a manifest's text; `padding` adds endpoints that drain."""
+    endpoints = [
+        {
+            "name": f"cellvakt-{n}",
+            "address": UPSTREAMS,
+            "port": 5500 + n,
+            "load_port": port,
+            "zone": ZONES[n % len(ZONES)],
+            "slots": 2,
+            "connections": 2000,
+            "state": "serving",
+        }
+        for n, port in enumerate(LOAD_PORTS)
+    ]
+    services = [
+        {
+            "name": name,
+            "number": number,
+            "port": 4500 + number,
+            "kind": kind,
+            "idempotent": kind == "request",
+            "endpoints": chosen,
+        }
+        for name, number, kind, chosen in (
+            ("cellvakt", 1, "session", endpoints[:7]),
+            ("profilarkiv", 2, "request", endpoints[7:]),
+        )
+    ]
+    text = json.dumps({"version": version, "services": services})
+    return (text + " " * padding).encode()
+
+
+class Fleet:
+    """Starts and ends the processes; a context manager."""
+
+    def __init__(self, size: int):
+        self._folder = tempfile.TemporaryDirectory()
+        root = pathlib.Path(self._folder.name)
+        key_file = root / "key"
+        key_file.write_text(stubs.KEY.hex())
+        key_file.chmod(0o600)
+        self.events: list[dict] = []
+        self._others: list[subprocess.Popen] = []
+        self.agents = [self._agent(n, root, key_file) for n in range(size)]
+
+    def __enter__(self) -> "Fleet":
+        self._start_others()
+        self.publish(manifest(1))
+        self.list_vms()
+        for agent in self.agents:
+            self.start(agent)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        running = [agent.process for agent in self.agents if agent.process]
+        for process in (*running, *self._others):
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        self._folder.cleanup()
+
+    def start(self, agent: AgentProcess) -> None:
+        """Starts an agent, also after its end."""
+        agent.process = self._run(
+            "pollenmast", "agent", "--settings", str(agent.settings)
+        )
+
+    def publish(self, text: bytes) -> None:
+        """Publishes a manifest on the platform."""
+        self.admin("/publish", text)
+
+    def list_vms(self) -> None:
+        """Has the platform list every VM."""
+        vms = [
+            {
+                "name": agent.name,
+                "zone": agent.zone,
+                "address": agent.address,
+                "relay_port": 7501,
+                "gossip_port": 7503,
+                "fetch_port": 7504,
+                "state": "live",
+            }
+            for agent in self.agents
+        ]
+        body = json.dumps({"vms": vms, "at_once": True}).encode()
+        self.admin("/vms", body)
+
+    def admin(self, path: str, body: bytes | None = None) -> dict:
+        """Turns the platform stand-in, or asks it."""
+        url = f"http://{PLATFORM}:{ADMIN_PORT}{path}"
+        method = "GET" if body is None else "POST"
+        request = urllib.request.Request(url, body, method=method)
+        with urllib.request.urlopen(request, timeout=5) as answer:
+            return json.load(answer)
+
+    def wait(self, met, timeout_s: float = 20.0) -> bool:
+        """Waits until `met()`; returns whether it came true in time."""
+        until = time.monotonic() + timeout_s
+        while time.monotonic() < until:
+            if met():
+                return True
+            time.sleep(0.02)
+        return False
+
+    def seen(self, **fields: object) -> dict[str, float]:
+        """Returns when each VM's relay first saw such an event."""
+        times: dict[str, float] = {}
+        for event in list(self.events):
+            if fields.items() <= event.items():
+                times.setdefault(event["vm"], event["at"])
+        return times
+
+    def _agent(
+        self, n: int, root: pathlib.Path, key_file: pathlib.Path
+    ) -> AgentProcess:
+        name, address = f"vm-{n + 1}", f"127.0.21.{n + 1}"
+        zone = ZONES[n % len(ZONES)]
+        path = root / f"{name}.ini"
+        path.write_text(
+            _SETTINGS.format(
+                name=name,
+                zone=zone,
+                address=address,
+                key_file=key_file,
+                platform=PLATFORM,
+                platform_port=PLATFORM_PORT,
+                link_port=LINK_PORT,
+                operators_port=OPERATORS_PORT,
+            )
+        )
+        return AgentProcess(name, zone, address, path)
+
+    def _start_others(self) -> None:
+        platform = self._run(
+            "standins.platform",
+            *("--address", PLATFORM, "--port", str(PLATFORM_PORT)),
+            *("--admin-port", str(ADMIN_PORT)),
+        )
+        vms = [f"{agent.name}={agent.address}" for agent in self.agents]
+        stub = self._run(
+            "bench._control_stubs",
+            *("--upstreams", UPSTREAMS, "--link-port", str(LINK_PORT)),
+            *("--load-ports", *map(str, LOAD_PORTS), "--vms", *vms),
+            stdout=subprocess.PIPE,
+        )
+        self._others = [platform, stub]
+        threading.Thread(
+            target=self._collect, args=(stub,), daemon=True
+        ).start()
+        platform.stdout.readline()
+
+    def _collect(self, stub: subprocess.Popen) -> None:
+        for line in stub.stdout:
+            self.events.append(json.loads(line))
+
+    def _run(
+        self, module: str, *options: str, stdout: int | None = None
+    ) -> subprocess.Popen:
+        pipe = module == "standins.platform"
+        log = None if os.environ.get("BENCH_LOGS") else subprocess.DEVNULL
+        out = subprocess.PIPE if pipe else stdout or subprocess.DEVNULL
+        return subprocess.Popen(
+            [sys.executable, "-m", module, *options], stdout=out, stderr=log
+        )
+
+
+KILL = signal.SIGKILL
--- /dev/null
+++ b/bench/_control_stubs.py
@@ -0,0 +1,152 @@
+"""Stands in for the relays and upstreams of a fleet of agents.
+
+One process, so that the agents alone show what control costs. Prints a JSON
+line when a relay first sees a manifest's version in a view.
+"""
+
+import argparse
+import itertools
+import json
+import random
+
+import anyio
+import pynng
+
+from pollenmast import counters, http1
+from pollenmast.peers import _codec
+from pollenmast.peers._envelope import Opener, Sealer
+from pollenmast.peers._kinds import Kind
+from pollenmast.peers._messages import (
+    CounterValue,
+    DrainOrder,
+    EndpointLoad,
+    FleetView,
+    RelayReport,
+)
+
+REPORT_S = 0.5
+KEY = bytes(range(32))
+
+
+class RelayStub:
+    """Reports like a relay that carries flows, and takes views."""
+
+    def __init__(self, name: str, address: str, port: int, endpoints: int):
+        self._name = name
+        self._sealer = Sealer(name, KEY)
+        self._opener = Opener(KEY)
+        self._socket = pynng.Pair0(recv_max_size=8 << 20)
+        self._socket.listen(f"tcp://{address}:{port}")
+        self._view: FleetView | None = None
+        self._draining = False
+        self._endpoints = endpoints
+
+    async def report(self) -> None:
+        """Reports until cancelled."""
+        while True:
+            report = _codec.encode(self._report())
+            with anyio.move_on_after(REPORT_S):
+                await self._socket.asend(self._sealer.seal(Kind.LINK, report))
+            await anyio.sleep(REPORT_S)
+
+    async def take(self) -> None:
+        """Takes views until cancelled."""
+        while True:
+            data = await self._socket.arecv()
+            opened = self._opener.open(data, anyio.current_time())
+            message = _codec.decode(opened.unwrap().body).unwrap()
+            if isinstance(message, FleetView):
+                self._see(message)
+            elif isinstance(message, DrainOrder):
+                self._draining = True
+
+    def _see(self, view: FleetView) -> None:
+        before = self._view.digest if self._view else ""
+        has = view.manifest is not None
+        if view.digest != before and (has or not view.digest):
+            self._view = view
+            self._print(version=view.version)
+        elif self._view is not None and view.digest == before:
+            dead = {vm.name for vm in self._view.vms}
+            dead -= {vm.name for vm in view.vms}
+            self._view = view
+            for name in dead:
+                self._print(gone=name)
+
+    def _print(self, **fields: object) -> None:
+        at = anyio.current_time()
+        line = json.dumps({"vm": self._name, "at": at, **fields})
+        print(line, flush=True)
+
+    def _report(self) -> RelayReport:
+        view = self._view
+        values = tuple(
+            CounterValue(name, reason, value + 12345)
+            for name, reason, value in counters.Counters().items()
+        )
+        loads = tuple(
+            EndpointLoad(1, f"registry-{n}", 100, 0.14, "its default share")
+            for n in range(self._endpoints)
+        )
+        return RelayReport(
+            version=view.version if view else 0,
+            digest=view.digest if view else "",
+            ready=view is not None,
+            draining=self._draining,
+            drained=self._draining,
+            flows=1000,
+            held=0,
+            replicas=1000,
+            counters=values,
+            endpoints=loads,
+        )
+
+
+async def serve_load(address: str, port: int, rng: random.Random) -> None:
+    """Serves a load report that changes with each probe, like a busy one."""
+    finished = itertools.count(1000)
+
+    async def handle(_: http1.Request) -> http1.Answer:
+        load = {
+            "accepting": True,
+            "running": rng.randint(0, 2),
+            "queued": rng.randint(0, 2),
+            "connections": 1000 + rng.randint(-20, 20),
+            "finished": next(finished),
+            "uptime_s": anyio.current_time(),
+        }
+        return http1.Answer(200, json.dumps(load).encode())
+
+    listener = await anyio.create_tcp_listener(
+        local_host=address, local_port=port
+    )
+    await http1.serve(listener, handle)
+
+
+async def serve(options: argparse.Namespace) -> None:
+    """Runs every stub until cancelled."""
+    rng = random.Random(1)
+    async with anyio.create_task_group() as tasks:
+        for port in options.load_ports:
+            tasks.start_soon(serve_load, options.upstreams, port, rng)
+        for vm in options.vms:
+            name, address = vm.split("=")
+            stub = RelayStub(
+                name, address, options.link_port, len(options.load_ports)
+            )
+            tasks.start_soon(stub.report)
+            tasks.start_soon(stub.take)
+
+
+def main() -> None:
+    """Runs the program."""
+    parser = argparse.ArgumentParser(prog="bench._control_stubs")
+    parser.add_argument("--upstreams", required=True)
+    parser.add_argument("--load-ports", type=int, nargs="+", required=True)
+    parser.add_argument("--vms", nargs="+", required=True)
+    parser.add_argument("--link-port", type=int, required=True)
+    anyio.run(serve, parser.parse_args())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,181 @@
+"""What control costs a VM, and how fast the fleet learns of changes."""
+
+import statistics
+import sys
+import time
+
+from bench import _control_fleet as fleets
+
+NAME = "control"
+DESCRIPTION = "Agents: processor, memory, bytes; deaths and manifests in time."
+
+SIZES = (3, 9, 18)
+WINDOW_S = 15.0
+KILLS = 3
+PUBLICATIONS = 5
+LARGE_BYTES = 900_000
+
+
+def run() -> dict:
+    """Returns the figures of fleets of several sizes."""
+    return {
+        "cost": {str(size): _cost(size) for size in SIZES},
+        "nine": _changes(9),
+    }
+
+
+def _joined(fleet: fleets.Fleet) -> bool:
+    size = len(fleet.agents)
+    started = [agent for agent in fleet.agents if agent.process]
+
+    def met() -> bool:
+        try:
+            statuses = [agent.status() for agent in started]
+        except OSError:
+            return False
+        return all(
+            status["vm"]["ready"] and len(status["members"]) >= size
+            for status in statuses
+        )
+
+    return fleet.wait(met)
+
+
+def _cost(size: int) -> dict:
+    with fleets.Fleet(size) as fleet:
+        joined = _joined(fleet)
+        time.sleep(3.0)
+        calls = fleet.admin("/calls")["calls"]
+        before = [agent.usage() for agent in fleet.agents]
+        began = time.monotonic()
+        time.sleep(WINDOW_S)
+        after = [agent.usage() for agent in fleet.agents]
+        spent = time.monotonic() - began
+        calls = fleet.admin("/calls")["calls"] - calls
+        cpu = [
+            (b.cpu_s - a.cpu_s) / spent * 100
+            for a, b in zip(before, after, strict=True)
+        ]
+        sent = [
+            {
+                kind: (value - a.sent_bytes.get(kind, 0)) / spent
+                for kind, value in b.sent_bytes.items()
+            }
+            for a, b in zip(before, after, strict=True)
+        ]
+        totals = [sum(each.values()) for each in sent]
+        return {
+            "joined": joined,
+            "cpu_percent_mean": round(statistics.mean(cpu), 2),
+            "cpu_percent_greatest": round(max(cpu), 2),
+            "rss_mb_greatest": round(max(u.rss_mb for u in after), 1),
+            "bytes_per_s_mean": round(statistics.mean(totals)),
+            "bytes_per_s_greatest": round(max(totals)),
+            "bytes_per_s_by_kind": {
+                kind: round(statistics.mean(each.get(kind, 0) for each in sent))
+                for kind in sent[0]
+            },
+            "platform_calls_per_s": round(calls / spent, 2),
+        }
+
+
+def _changes(size: int) -> dict:
+    with fleets.Fleet(size) as fleet:
+        figures = {"joined": _joined(fleet)}
+        time.sleep(2.0)
+        version = 2
+        times = []
+        for _ in range(PUBLICATIONS):
+            times.append(_publish(fleet, version, 0))
+            version += 1
+            time.sleep(0.7)
+        figures["manifest_s"] = times
+        figures["manifest_large_s"] = _publish(fleet, version, LARGE_BYTES)
+        figures["restart_platform_down_s"] = _restart(fleet, version)
+        figures["single_peer_s"] = _single_peer(fleet, version)
+        figures["killed_s"] = [_kill(fleet, n) for n in range(KILLS)]
+        return figures
+
+
+def _publish(fleet: fleets.Fleet, version: int, padding: int) -> float | None:
+    """Returns the time until the last relay has the manifest."""
+    began = time.monotonic()
+    fleet.publish(fleets.manifest(version, padding))
+    size = len(fleet.agents)
+    if not fleet.wait(lambda: len(fleet.seen(version=version)) == size):
+        return None
+    return round(max(fleet.seen(version=version).values()) - began, 3)
+
+
+def _restart(fleet: fleets.Fleet, version: int) -> float | None:
+    """Returns how long a restarted VM is without the fleet's manifest."""
+    fleet.admin("/fault", b'{"mode": "down"}')
+    agent = fleet.agents[-1]
+    agent.send_signal(fleets.KILL)
+    agent.process.wait()
+    time.sleep(3.0)
+    began = time.monotonic()
+    fleet.start(agent)
+
+    def met() -> bool:
+        try:
+            return agent.status()["manifest"]["version"] == version
+        except OSError:
+            return False
+
+    return round(time.monotonic() - began, 3) if fleet.wait(met) else None
+
+
+def _single_peer(fleet: fleets.Fleet, version: int) -> dict:
+    """All but one restart with the platform down."""
+    for agent in fleet.agents[1:]:
+        agent.send_signal(fleets.KILL)
+        agent.process.wait()
+    time.sleep(0.5)
+    began = time.monotonic()
+    for agent in fleet.agents[1:]:
+        fleet.start(agent)
+
+    def met() -> bool:
+        try:
+            return all(
+                agent.status()["manifest"]["version"] == version
+                for agent in fleet.agents
+            )
+        except OSError:
+            return False
+
+    met_in_time = fleet.wait(met)
+    spent = round(time.monotonic() - began, 3)
+    fleet.admin("/fault", b'{"mode": "ok"}')
+    return {"s": spent if met_in_time else None, "joined": _joined(fleet)}
+
+
+def _kill(fleet: fleets.Fleet, n: int) -> dict | None:
+    """Returns how long the others believe in a killed VM."""
+    time.sleep(2.0)
+    agent = fleet.agents[n + 1]
+    fleet.events.clear()
+    began = time.monotonic()
+    agent.send_signal(fleets.KILL)
+    others = len(fleet.agents) - 1
+
+    def told() -> dict[str, float]:
+        times = fleet.seen(gone=agent.name)
+        times.pop(agent.name, None)
+        return times
+
+    met = fleet.wait(lambda: len(told()) >= others)
+    agent.process.wait()
+    times = [at - began for at in told().values()]
+    fleet.start(agent)
+    _joined(fleet)
+    if not met:
+        return None
+    return {"first": round(min(times), 2), "last": round(max(times), 2)}
+
+
+if __name__ == "__main__":
+    import json
+
+    json.dump(run(), sys.stdout, indent=1)
--- /dev/null
+++ b/src/pollenmast/agent/_gossip_loop.py
@@ -0,0 +1,173 @@
+"""Runs membership over the gossip socket and spreads news on its messages."""
+
+from collections.abc import Callable
+
+import anyio
+
+from pollenmast import events
+from pollenmast.agent._node import Node
+from pollenmast.decisions._acceptance import ManifestKey
+from pollenmast.decisions._dissemination import ByteBudget, Dissemination
+from pollenmast.decisions._members import Change, Why
+from pollenmast.decisions._membership import Send
+from pollenmast.peers import _gossip
+from pollenmast.peers._gossip import Act, Gossip, ProbeNews
+from pollenmast.peers._gossip_socket import GossipSocket
+from pollenmast.peers._messages import Vm, VmState
+
+BYTES_PER_S = 2_600
+"""Gossip of one VM, in bytes a second. A VM's control may cost 4 KB/s; this
+leaves a third for probes, reads of the platform and replication's share."""
+
+BURST_BYTES = 12_000
+"""What a burst of news may take at once. A death in a fleet of nine takes a
+tenth of it."""
+
+MEMBER_BYTES = 500
+"""News of VMs in one message, at the most."""
+
+PROBE_BYTES = 640
+"""News of endpoints in one message, at the most."""
+
+PROBE_SENDS_PER_LOG = 1
+"""Sends of one endpoint's report, times log2 of the fleet. A lost report is
+replaced by the next one within two seconds, so once is enough."""
+
+LONGEST_SLEEP_S = 0.1
+"""A message may bring a deadline nearer than the one slept for."""
+
+_STATE_EVENTS = {
+    VmState.SUSPECT: events.VM_SUSPECT,
+    VmState.DEAD: events.VM_DEAD,
+    VmState.LEAVING: events.VM_LEAVING,
+    VmState.ALIVE: events.VM_UPDATED,
+}
+_WHY_EVENTS = {
+    Why.JOINED: events.VM_JOINED,
+    Why.RETURNED: events.VM_RETURNED,
+}
+
+Wanted = Callable[[ManifestKey, Vm], None]
+
+
+class GossipLoop:
+    """Sends what membership decides, with news, and takes what comes."""
+
+    def __init__(self, node: Node, socket: GossipSocket, wanted: Wanted):
+        """Wires the loop.
+
+        Args:
+            node: The VM.
+            socket: Where messages go and come.
+            wanted: Told of a manifest that a peer has and this VM lacks.
+        """
+        self._node = node
+        self._socket = socket
+        self._wanted = wanted
+        self._members: Dissemination[Vm] = Dissemination()
+        self._probes: Dissemination[ProbeNews] = Dissemination(
+            PROBE_SENDS_PER_LOG
+        )
+        now = anyio.current_time()
+        self._budget = ByteBudget(BYTES_PER_S, BURST_BYTES, now)
+        self._fresh = False
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._receive)
+            tasks.start_soon(self._tick)
+
+    def send(self, sends: list[Send]) -> None:
+        """Sends messages, each with as much news as it may carry."""
+        self._collect()
+        for send in sends:
+            self._send(send)
+
+    def tell(self, news: ProbeNews) -> None:
+        """Queues an endpoint's report for the peers."""
+        key = (news.report.service, news.report.endpoint, news.prober)
+        self._probes.add(key, news, _gossip.probe_size(news))
+
+    async def _tick(self) -> None:
+        membership = self._node.membership
+        while True:
+            now = anyio.current_time()
+            self.send(membership.tick(now))
+            wait = membership.due() - anyio.current_time()
+            await anyio.sleep(min(max(wait, 0.0), LONGEST_SLEEP_S))
+
+    async def _receive(self) -> None:
+        while True:
+            for message, source in await self._socket.receive():
+                now = anyio.current_time()
+                self._take_news(message, now)
+                sends = self._node.membership.receive(message, source, now)
+                self.send(sends)
+
+    def _take_news(self, message: Gossip, now: float) -> None:
+        for news in message.probes:
+            if self._node.reports.heard(news, now):
+                self.tell(news)
+                self._node.notify()
+        key = ManifestKey(message.version, message.digest.hex())
+        if self._node.acceptance.wants(key):
+            self._wanted(key, message.sender)
+
+    def _collect(self) -> None:
+        """Turns what membership changed into news and log lines."""
+        membership = self._node.membership
+        for change in membership.take_changes():
+            told = membership.told(change.vm.name)
+            self._members.add(told.name, told, _gossip.member_size(told))
+            self._write(change)
+            self._node.notify()
+        if membership.fresh != self._fresh:
+            self._fresh = membership.fresh
+            if self._fresh:
+                alone = membership.alone
+                self._node.log.write(events.REFRESH_ENDED, alone=alone)
+            else:
+                self._node.log.write(events.REFRESH_BEGAN)
+            self._node.notify()
+
+    def _write(self, change: Change) -> None:
+        event = _WHY_EVENTS.get(change.why, _STATE_EVENTS[change.vm.state])
+        self._node.log.write(
+            event,
+            member=change.vm.name,
+            zone=change.vm.zone,
+            state=change.vm.state.value,
+            why=change.why.value,
+            incarnation=change.vm.incarnation,
+            relay_up=change.vm.relay_up,
+        )
+
+    def _send(self, send: Send) -> None:
+        left = self._budget.left(anyio.current_time())
+        if send.act is Act.NEWS and not left:
+            # The same news rides on the next heartbeats; without this bound
+            # a cut of many VMs would cost each of the others a burst.
+            return
+        message = self._compose(send, left)
+        sent = self._socket.send(message, send.to)
+        self._budget.spend(sent)
+
+    def _compose(self, send: Send, left: int) -> Gossip:
+        node = self._node
+        fleet = len(node.membership.vms())
+        members, probes = send.members, ()
+        if send.act in (Act.PING, Act.ACK):
+            members += self._members.pick(min(left, MEMBER_BYTES), fleet)
+            probes = self._probes.pick(min(left, PROBE_BYTES), fleet)
+        key = node.acceptance.key
+        return Gossip(
+            act=send.act,
+            sequence=send.sequence,
+            sender=node.membership.own,
+            target=send.target,
+            version=key.version,
+            digest=bytes.fromhex(key.digest),
+            members=members,
+            probes=probes,
+        )
--- /dev/null
+++ b/src/pollenmast/agent/_list_loop.py
@@ -0,0 +1,50 @@
+"""Reads the platform's list of VMs: whom to greet, whom to forget."""
+
+import anyio
+from result import Err
+
+from pollenmast.agent._gossip_loop import GossipLoop
+from pollenmast.agent._node import Node
+from pollenmast.decisions import _readers
+from pollenmast.platform import Platform
+
+ALONE_S = 2.0
+"""Between two reads while no other VM is known, in seconds."""
+
+START_WAIT_S = 2.0
+"""A starting VM asks its peers before it follows the platform; it waits so
+long for the list that names them, in seconds."""
+
+
+class ListLoop:
+    """Introduces listed VMs to membership."""
+
+    def __init__(self, node: Node, platform: Platform, gossip: GossipLoop):
+        self._node = node
+        self._platform = platform
+        self._gossip = gossip
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        while True:
+            await self._read()
+            await anyio.sleep(self._interval())
+
+    async def start(self) -> None:
+        """Reads the list first, so that the first refresh can ask peers."""
+        with anyio.move_on_after(START_WAIT_S):
+            await self._read()
+
+    async def _read(self) -> None:
+        answer = await self._platform.vms()
+        if isinstance(answer, Err):
+            return
+        now = anyio.current_time()
+        membership = self._node.membership
+        self._gossip.send(membership.introduce(answer.ok_value, now))
+
+    def _interval(self) -> float:
+        fleet = len(self._node.membership.vms())
+        if fleet == 1:
+            return ALONE_S
+        return _readers.fallback_interval(fleet, self._node.rng)
--- /dev/null
+++ b/src/pollenmast/agent/_probe_loop.py
@@ -0,0 +1,126 @@
+"""Probes the endpoints that fall to this VM, and tells the fleet."""
+
+import anyio
+import anyio.abc
+from result import Err
+
+from pollenmast import events
+from pollenmast.agent._gossip_loop import GossipLoop
+from pollenmast.agent._node import Node
+from pollenmast.decisions import _probing
+from pollenmast.manifest import Endpoint
+from pollenmast.peers._messages import EndpointReport
+from pollenmast.upstreams._probe import Probe
+
+ASSIGN_S = 0.5
+"""How soon a VM notices that an endpoint's probes fall to it, in seconds."""
+
+_Key = tuple[int, str, str, int]
+
+
+class ProbeLoop:
+    """One task for each endpoint that falls to this VM."""
+
+    def __init__(self, node: Node, gossip: GossipLoop):
+        self._node = node
+        self._gossip = gossip
+        self._running: dict[_Key, anyio.CancelScope] = {}
+        self._healthy: dict[tuple[int, str], bool] = {}
+        self._assigned_for: object = None
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                self._assign(tasks)
+                await anyio.sleep(ASSIGN_S)
+
+    def _assign(self, tasks: anyio.abc.TaskGroup) -> None:
+        vms = self._node.membership.vms()
+        in_force = self._node.acceptance.in_force
+        basis = (vms, in_force.key if in_force else None)
+        if basis == self._assigned_for:
+            return
+        self._assigned_for = basis
+        due = self._due(vms)
+        for key in [key for key in self._running if key not in due]:
+            self._running.pop(key).cancel()
+            self._node.reports.forget_own(key[0], key[1])
+        for key, (number, endpoint) in due.items():
+            if key not in self._running:
+                scope = self._running[key] = anyio.CancelScope()
+                tasks.start_soon(self._probe, scope, number, endpoint)
+
+    def _due(self, vms) -> dict[_Key, tuple[int, Endpoint]]:
+        in_force = self._node.acceptance.in_force
+        services = in_force.manifest.services if in_force else ()
+        named = {
+            (service.number, endpoint.name): endpoint
+            for service in services
+            for endpoint in service.endpoints
+        }
+        self._node.reports.keep_only(set(named))
+        return {
+            (number, name, endpoint.address, endpoint.load_port): (
+                number,
+                endpoint,
+            )
+            for (number, name), endpoint in named.items()
+            if self._node.name in _probing.probers(number, endpoint, vms)
+        }
+
+    async def _probe(
+        self, scope: anyio.CancelScope, number: int, endpoint: Endpoint
+    ) -> None:
+        interval = self._node.settings.agent.probe_s
+        probe = Probe(endpoint.address, endpoint.load_port, self._node.counters)
+        with scope:
+            # Two VMs that learn of a manifest together would otherwise probe
+            # together for good, and one of the two probes would say nothing.
+            await anyio.sleep(self._node.rng.uniform(0, interval))
+            try:
+                while True:
+                    began = anyio.current_time()
+                    await self._probe_once(probe, number, endpoint, interval)
+                    spent = anyio.current_time() - began
+                    await anyio.sleep(max(interval - spent, interval / 10))
+            finally:
+                await probe.aclose()
+
+    async def _probe_once(
+        self, probe: Probe, number: int, endpoint: Endpoint, timeout_s: float
+    ) -> None:
+        load = await probe.load(timeout_s)
+        reports = self._node.reports
+        sequence = reports.next_sequence(number, endpoint.name)
+        if isinstance(load, Err):
+            report = EndpointReport(number, endpoint.name, sequence, False)
+        else:
+            report = EndpointReport(
+                service=number,
+                endpoint=endpoint.name,
+                sequence=sequence,
+                healthy=load.ok_value.accepting,
+                running=load.ok_value.running,
+                queued=load.ok_value.queued,
+                connections=load.ok_value.connections,
+                finished=load.ok_value.finished,
+                uptime_s=round(load.ok_value.uptime_s, 1),
+            )
+        news = reports.own(report, anyio.current_time())
+        if news is not None:
+            self._gossip.tell(news)
+            self._note(report)
+        self._node.notify()
+
+    def _note(self, report: EndpointReport) -> None:
+        key = (report.service, report.endpoint)
+        before = self._healthy.get(key, True)
+        self._healthy[key] = report.healthy
+        if before == report.healthy:
+            return
+        well = report.healthy
+        event = events.UPSTREAM_HEALTHY if well else events.UPSTREAM_UNHEALTHY
+        self._node.log.write(
+            event, service=report.service, endpoint=report.endpoint
+        )
--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -88,6 +88,9 @@
     OLDER = "older"
     KNOWN = "known"
     CONFLICT_LOST = "conflict_lost"
+    CONFLICT = "conflict"
+    """One version came with two contents; counted besides the outcome."""
+
     INVALID = "invalid"
 
 
--- /dev/null
+++ b/src/pollenmast/decisions/_probing.py
@@ -0,0 +1,182 @@
+"""Who probes an endpoint, and what the fleet's probes say of it.
+
+The pattern: each VM needs every endpoint's load, while the endpoints' health
+ports stay bounded in reads. If every VM probed, an endpoint of a large fleet
+would be probed thousands of times a second; if one VM did, a frozen prober
+would freeze the report. Two probe each endpoint and tell the others.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+import xxhash
+
+from pollenmast.manifest import Endpoint
+from pollenmast.peers._gossip import ProbeNews
+from pollenmast.peers._messages import EndpointReport, Vm, VmState
+
+PROBERS = 2
+"""Probers of an endpoint: one may freeze or die without a gap."""
+
+FAILURES = 2
+"""Probes in a row that must fail before an endpoint is told unhealthy. One
+lost answer is no outage; two at the usual interval are a second."""
+
+REPORT_LEASE_S = 5.0
+"""A prober unheard for so long no longer counts, in seconds: it is cut off,
+and what it said is old. More than two refresh times."""
+
+REFRESH_S = 2.0
+"""An unchanged report is told again after so long, in seconds."""
+
+_UPTIME_MATTERS_S = 60.0
+"""Slow start looks at the first minute only."""
+
+_Key = tuple[int, str]
+
+
+def probers(number: int, endpoint: Endpoint, vms: Iterable[Vm]) -> list[str]:
+    """Returns the names of the VMs that probe an endpoint.
+
+    VMs of the endpoint's own availability zone come first: their probes
+    outlast a cut between zones, and so does what they tell.
+    """
+    ranked = sorted(
+        (
+            vm.zone != endpoint.zone,
+            _rank(f"{number}/{endpoint.name}/{vm.name}"),
+            vm.name,
+        )
+        for vm in vms
+        if vm.state in (VmState.ALIVE, VmState.SUSPECT)
+    )
+    return [name for _, _, name in ranked[:PROBERS]]
+
+
+def _rank(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode())
+
+
+def matters(old: EndpointReport | None, new: EndpointReport) -> bool:
+    """Returns whether a report is worth its bytes before its refresh."""
+    if old is None or old.healthy != new.healthy:
+        return True
+    if (old.running, old.queued) != (new.running, new.queued):
+        return True
+    if new.uptime_s < old.uptime_s:
+        return True
+    # One part in twenty of the connections moves no decision.
+    moved = abs(old.connections - new.connections)
+    return moved * 20 > max(20, old.connections)
+
+
+@attrs.define
+class _Kept:
+    news: ProbeNews
+    heard_s: float
+
+
+class Reports:
+    """The newest report of each endpoint by each of its probers."""
+
+    def __init__(self, own_prober: int, floor: int):
+        """Starts empty.
+
+        Args:
+            own_prober: Number of this VM as a prober.
+            floor: Sequences start above it. Seconds of the wall clock, so
+                that a fleet restarted as a whole goes on upwards.
+        """
+        self._own = own_prober
+        self._floor = floor
+        self._kept: dict[_Key, dict[int, _Kept]] = {}
+        self._told: dict[_Key, tuple[EndpointReport, float]] = {}
+        self._failures: dict[_Key, int] = {}
+
+    def next_sequence(self, service: int, endpoint: str) -> int:
+        """Returns a sequence above all that were heard of this endpoint."""
+        kept = self._kept.get((service, endpoint), {})
+        heard = (each.news.report.sequence for each in kept.values())
+        return max(heard, default=self._floor) + 1
+
+    def own(self, report: EndpointReport, now: float) -> ProbeNews | None:
+        """Takes a probe of this VM; returns it where peers should hear it."""
+        key = (report.service, report.endpoint)
+        report = self._damped(key, report)
+        if report is None:
+            return None
+        news = ProbeNews(self._own, report)
+        self._kept.setdefault(key, {})[self._own] = _Kept(news, now)
+        told, told_s = self._told.get(key, (None, now))
+        if not matters(told, report) and now - told_s < REFRESH_S:
+            return None
+        self._told[key] = (report, now)
+        return news
+
+    def heard(self, news: ProbeNews, now: float) -> bool:
+        """Takes a peer's news; returns whether it is new here."""
+        key = (news.report.service, news.report.endpoint)
+        by_prober = self._kept.setdefault(key, {})
+        known = by_prober.get(news.prober)
+        if news.prober == self._own:
+            return False
+        if known and known.news.report.sequence >= news.report.sequence:
+            return False
+        by_prober[news.prober] = _Kept(news, now)
+        return True
+
+    def view(self, now: float) -> tuple[EndpointReport, ...]:
+        """Returns one report an endpoint, those expired left out."""
+        merged = []
+        for key in list(self._kept):
+            self._expire(key, now)
+            report = self._merge(key)
+            if report is not None:
+                merged.append(report)
+        return tuple(merged)
+
+    def keep_only(self, keys: set[_Key]) -> None:
+        """Forgets endpoints that the manifest no longer names."""
+        for table in (self._kept, self._told, self._failures):
+            for key in [key for key in table if key not in keys]:
+                del table[key]
+
+    def forget_own(self, service: int, endpoint: str) -> None:
+        """Drops own probes of an endpoint that others probe now."""
+        key = (service, endpoint)
+        self._kept.get(key, {}).pop(self._own, None)
+        self._told.pop(key, None)
+        self._failures.pop(key, None)
+
+    def _damped(
+        self, key: _Key, report: EndpointReport
+    ) -> EndpointReport | None:
+        if report.healthy:
+            self._failures.pop(key, None)
+            return report
+        failures = self._failures.get(key, 0) + 1
+        self._failures[key] = failures
+        kept = self._kept.get(key, {}).get(self._own)
+        if failures < FAILURES and kept is not None:
+            return None
+        return report
+
+    def _expire(self, key: _Key, now: float) -> None:
+        by_prober = self._kept[key]
+        for prober, kept in list(by_prober.items()):
+            if now - kept.heard_s > REPORT_LEASE_S:
+                del by_prober[prober]
+        if not by_prober:
+            del self._kept[key]
+
+    def _merge(self, key: _Key) -> EndpointReport | None:
+        """One prober may be cut off from the endpoint while it is well.
+
+        So a healthy report wins over an unhealthy one. An endpoint that is
+        down, or takes no work, is told so by both within a probe's time.
+        """
+        kept = self._kept.get(key, {}).values()
+        reports = [each.news.report for each in kept]
+        if not reports:
+            return None
+        return max(reports, key=lambda each: (each.healthy, each.sequence))
--- /dev/null
+++ b/src/pollenmast/http1/__init__.py
@@ -0,0 +1,14 @@
+"""HTTP/1.1 by h11 over anyio's TCP streams: a small client and server."""
+
+from pollenmast.http1._client import Connection, HttpFault, Response
+from pollenmast.http1._server import Answer, Handler, Request, serve
+
+__all__ = [
+    "Answer",
+    "Connection",
+    "Handler",
+    "HttpFault",
+    "Request",
+    "Response",
+    "serve",
+]
--- /dev/null
+++ b/src/pollenmast/operators/_site.py
@@ -0,0 +1,83 @@
+"""The operators' endpoint: which path answers what."""
+
+import abc
+import urllib.parse
+
+import attrs
+
+from pollenmast.http1 import Answer, Request
+from pollenmast.operators import _metrics
+from pollenmast.operators._status import Status, to_json
+
+_JSON = "application/json"
+
+
+class Knowledge(abc.ABC):
+    """What the site asks of the program that it speaks for."""
+
+    @abc.abstractmethod
+    def status(self) -> Status:
+        """Returns the status now."""
+
+    @abc.abstractmethod
+    def health(self) -> str | None:
+        """Returns what is wrong with this process, or None."""
+
+    @abc.abstractmethod
+    def readiness(self) -> str | None:
+        """Returns why this VM takes no new flows, or None."""
+
+    @abc.abstractmethod
+    async def explain(self, subject: str) -> tuple[str, ...] | None:
+        """Returns why something was decided, or None without an answer."""
+
+
+@attrs.frozen
+class _Explanation:
+    subject: str
+    lines: tuple[str, ...]
+
+
+class Site:
+    """Answers operators' requests."""
+
+    def __init__(self, knowledge: Knowledge, metrics: _metrics.Metrics):
+        self._knowledge = knowledge
+        self._metrics = metrics
+
+    async def handle(self, request: Request) -> Answer:
+        """Answers one request."""
+        if request.method != "GET":
+            return Answer(405, b"only GET is answered here\n")
+        path, _, query = request.target.partition("?")
+        match path:
+            case "/status":
+                body = to_json(self._knowledge.status())
+                return Answer(200, body, _JSON)
+            case "/metrics":
+                text = self._metrics.text()
+                return Answer(200, text, _metrics.CONTENT_TYPE)
+            case "/health":
+                return _verdict(self._knowledge.health())
+            case "/ready":
+                return _verdict(self._knowledge.readiness())
+            case "/explain":
+                return await self._explain(query)
+        return Answer(404, b"known: /status /metrics /health /ready /explain\n")
+
+    async def _explain(self, query: str) -> Answer:
+        try:
+            fields = urllib.parse.parse_qs(query, max_num_fields=4)
+        except ValueError:
+            return Answer(400, b"too many fields\n")
+        subject = fields.get("subject", [""])[0]
+        lines = await self._knowledge.explain(subject)
+        if lines is None:
+            return Answer(503, b"the relay of this VM does not answer\n")
+        return Answer(200, to_json(_Explanation(subject, lines)), _JSON)
+
+
+def _verdict(fault: str | None) -> Answer:
+    if fault is None:
+        return Answer(200, b"ok\n")
+    return Answer(503, f"{fault}\n".encode())
--- /dev/null
+++ b/src/pollenmast/peers/_gossip.py
@@ -0,0 +1,158 @@
+"""Gossip between agents: its messages, their bytes and their bounds."""
+
+import enum
+
+import attrs
+from cattrs import UnstructureStrategy
+from cattrs.preconf.msgpack import make_converter
+from result import Err, Ok, Result
+
+from pollenmast.counters import EnvelopeFault
+from pollenmast.peers._messages import EndpointReport, Vm
+
+MOST_BODY_BYTES = 1200
+"""A gossip body fits one unfragmented datagram on any path: 1,280 bytes is
+the least that IPv6 carries, and it stays below that with its envelope."""
+
+MOST_NAME = 64
+"""Longest name of a VM, availability zone or endpoint on the wire."""
+
+MOST_NUMBER = 1 << 62
+"""Counters above this are no counters; an incarnation that large could never
+be outgrown by the VM that it speaks of."""
+
+DIGEST_BYTES = 16
+
+
+class Act(enum.IntEnum):
+    """What a gossip message asks for."""
+
+    PING = 0
+    """Answer with ACK."""
+
+    ACK = 1
+    """Answers the PING of the same sequence."""
+
+    PING_REQUEST = 2
+    """Ping the target for the sender, which did not hear from it."""
+
+    NEWS = 3
+    """Asks for nothing; carries news."""
+
+    SYNC_REQUEST = 4
+    """Answer with the members whose names come after the target."""
+
+    SYNC = 5
+    """A page of members; the target is the last name, empty at the end."""
+
+
+@attrs.frozen
+class ProbeNews:
+    """An endpoint's report and which agent probed it.
+
+    Attributes:
+        prober: Hash of the probing VM's name.
+        report: What the endpoint said.
+    """
+
+    prober: int
+    report: EndpointReport
+
+
+@attrs.frozen
+class Gossip:
+    """One message between two agents.
+
+    Attributes:
+        act: What it asks for.
+        sequence: Ties an answer to what it answers.
+        sender: The sending VM as it sees itself.
+        target: The VM that is spoken of or to; see `Act`.
+        version: Version of the manifest in force at the sender.
+        digest: Digest of that manifest, empty without one.
+        members: News of VMs.
+        probes: News of endpoints.
+    """
+
+    act: Act
+    sequence: int
+    sender: Vm
+    target: str = ""
+    version: int = 0
+    digest: bytes = b""
+    members: tuple[Vm, ...] = ()
+    probes: tuple[ProbeNews, ...] = ()
+
+
+# Fields travel by position: names of fields would be two thirds of a message.
+_CONVERTER = make_converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
+
+
+def member_size(vm: Vm) -> int:
+    """Returns at most how many bytes a VM takes in a message."""
+    return 40 + len(vm.name) + len(vm.zone) + len(vm.address)
+
+
+def probe_size(news: ProbeNews) -> int:
+    """Returns at most how many bytes an endpoint's news takes."""
+    return 44 + len(news.report.endpoint)
+
+
+def encode(message: Gossip) -> bytes:
+    """Returns the message as bytes."""
+    return _CONVERTER.dumps(message)
+
+
+def decode(data: bytes) -> Result[Gossip, EnvelopeFault]:
+    """Returns the message that the bytes hold, or why they hold none."""
+    if len(data) > MOST_BODY_BYTES:
+        return Err(EnvelopeFault.OVERSIZED)
+    try:
+        message = _CONVERTER.loads(data, Gossip)
+    # The library raises an open set of types on hostile bytes; all of them
+    # mean the same here, and an escape would stop the process.
+    except Exception:  # noqa: BLE001
+        return Err(EnvelopeFault.MALFORMED)
+    if not _possible(message):
+        return Err(EnvelopeFault.MALFORMED)
+    return Ok(message)
+
+
+def _possible(message: Gossip) -> bool:
+    numbers = (message.sequence, message.version)
+    return (
+        all(0 <= number < MOST_NUMBER for number in numbers)
+        and len(message.digest) in (0, DIGEST_BYTES)
+        and len(message.target) <= MOST_NAME
+        and _possible_vm(message.sender)
+        and all(_possible_vm(vm) for vm in message.members)
+        and all(_possible_probe(news) for news in message.probes)
+    )
+
+
+def _possible_vm(vm: Vm) -> bool:
+    ports = (vm.relay_port, vm.gossip_port, vm.fetch_port)
+    texts = (vm.name, vm.zone, vm.address)
+    return (
+        all(0 < port < 65_536 for port in ports)
+        and all(0 < len(text) <= MOST_NAME for text in texts)
+        and 0 <= vm.incarnation < MOST_NUMBER
+    )
+
+
+def _possible_probe(news: ProbeNews) -> bool:
+    report = news.report
+    numbers = (
+        report.service,
+        report.sequence,
+        report.running,
+        report.queued,
+        report.connections,
+        report.finished,
+        report.uptime_s,
+    )
+    return (
+        all(0 <= number < MOST_NUMBER for number in numbers)
+        and 0 < len(report.endpoint) <= MOST_NAME
+        and 0 <= news.prober < 1 << 32
+    )
