Lead callers back whose address changes in mid-session

Cause: the flow key is the caller's address; a router that forgets a caller gives it another one, whose owner and default endpoint are others. Its session hung until it timed out.

Change: the connection id that the endpoint chose is read from its first answer and kept by two VMs found by hashing it; a packet of an unknown flow is looked up there before the default endpoint is tried. A second flow is opened to the same endpoint, the first stays, so that a forged packet takes nothing. Questions between VMs have a budget (a flood of unknown packets became three times its size inside the fleet). Token buckets are one module now.

Ruled out: an index of ids at each holder (136 bytes more a flow, and unknown to other VMs); moving the first flow to the new address (a recorded id would let a stranger take a caller's answers).

Shown: with the search taken out the three tests of a moved caller fail, with it all 60 sessions go on, also after a keeper is killed or replaced.

--- a/src/pollenmast/decisions/_ownership.py
+++ b/src/pollenmast/decisions/_ownership.py
@@ -29,6 +29,11 @@
     return xxhash.xxh3_64_intdigest(f"{service}|{ip}|{port}".encode())
 
 
+def connection_id_hash(service: int, cid: int) -> int:
+    """Returns the 64-bit hash of a connection id, the same on every VM."""
+    return xxhash.xxh3_64_intdigest(f"{service}#{cid}".encode())
+
+
 @attrs.frozen
 class Member:
     """A VM on the ring.
--- a/src/pollenmast/decisions/_replication.py
+++ b/src/pollenmast/decisions/_replication.py
@@ -11,36 +11,10 @@
 `python -m bench run replication` prints.
 """
 
-import attrs
-
-
-@attrs.define
-class ByteBudget:
-    """A token bucket in bytes.
-
-    Without it a burst of new flows, or a change of members, would take the
-    control bytes of minutes at once, and the network with it.
-    """
-
-    rate: float
-    burst: float
-    _tokens: float = attrs.field(init=False)
-    _filled: float | None = attrs.field(default=None, init=False)
-
-    def __attrs_post_init__(self):
-        self._tokens = self.burst
-
-    def available(self, now: float) -> int:
-        """Returns the bytes that may be sent now."""
-        if self._filled is not None:
-            grown = self._tokens + (now - self._filled) * self.rate
-            self._tokens = min(self.burst, grown)
-        self._filled = now
-        return int(self._tokens)
-
-    def spend(self, count: int) -> None:
-        """Takes bytes that were sent; may go below zero for one message."""
-        self._tokens -= count
+BURST_S = 2.0
+"""Seconds of budget that may be sent at once. Without a budget a burst of new
+flows, or a change of members, would take the control bytes of minutes in one
+go, and the network with them."""
 
 
 def is_due(age_s: float, off_default: bool, replicate_after_s: float) -> bool:
--- a/src/pollenmast/decisions/_silence.py
+++ b/src/pollenmast/decisions/_silence.py
@@ -11,8 +11,6 @@
 failure worse. Hence the evidence from other flows, and the budget.
 """
 
-import attrs
-
 UNANSWERED_DATAGRAMS = 3
 """Datagrams without an answer; fewer may be loss or an idle upstream."""
 
@@ -31,25 +29,6 @@
 first 200 move at once."""
 
 
-@attrs.define
-class RepathBudget:
-    """The moves that one relay may make."""
-
-    _tokens: float = attrs.field(default=BURST, init=False)
-    _filled: float | None = attrs.field(default=None, init=False)
-
-    def take(self, now: float) -> bool:
-        """Returns whether one flow may be moved now, and spends it."""
-        if self._filled is not None:
-            grown = self._tokens + (now - self._filled) * PER_SECOND
-            self._tokens = min(BURST, grown)
-        self._filled = now
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
-
-
 def is_silent(
     unanswered: int,
     since_answer_s: float,
--- a/src/pollenmast/peers/_kinds.py
+++ b/src/pollenmast/peers/_kinds.py
@@ -33,3 +33,15 @@
 
     RECORDS_TAKEN = 14
     """Relay to relay: flow records that were taken over."""
+
+    FOUND = 15
+    """Relay to relay: a datagram comes back with the endpoint of its flow."""
+
+    CONNECTION_IDS = 16
+    """Relay to relay: connection ids and their endpoints, to keep."""
+
+    FIND = 17
+    """Relay to relay: to which endpoint does this connection id belong?"""
+
+    NOT_FOUND = 18
+    """Relay to relay: a datagram comes back, its connection id unknown."""
--- a/src/pollenmast/peers/_records.py
+++ b/src/pollenmast/peers/_records.py
@@ -16,6 +16,8 @@
 _RECORD = struct.Struct("!HIBB")
 _PORT = struct.Struct("!H")
 _FORWARD = struct.Struct("!HBII")
+_FOUND = struct.Struct("!IB")
+_CONNECTION_ID = struct.Struct("!HQI")
 
 
 def endpoint_id(name: str) -> int:
@@ -174,3 +176,67 @@
         return Err(EnvelopeFault.MALFORMED)
     data = body[offset + _PORT.size :]
     return Ok(Forwarded(service, ip, port, hops, data, asker, next_asked))
+
+
+@attrs.frozen
+class Found:
+    """A datagram that comes back with the endpoint of its flow.
+
+    Attributes:
+        endpoint: `endpoint_id` of the endpoint.
+        caller_moved: Whether its connection id told, and not its address.
+        forwarded: The datagram.
+    """
+
+    endpoint: int
+    caller_moved: bool
+    forwarded: Forwarded
+
+
+def pack_found(found: Found) -> bytes:
+    """Returns the body of a FOUND envelope."""
+    fixed = _FOUND.pack(found.endpoint, found.caller_moved)
+    return fixed + pack_forwarded(found.forwarded)
+
+
+def unpack_found(body: bytes) -> Result[Found, EnvelopeFault]:
+    """Returns what a FOUND body holds, or why it is dropped."""
+    if len(body) < _FOUND.size:
+        return Err(EnvelopeFault.MALFORMED)
+    endpoint, caller_moved = _FOUND.unpack_from(body)
+    forwarded = unpack_forwarded(body[_FOUND.size :])
+    return forwarded.map(lambda each: Found(endpoint, bool(caller_moved), each))
+
+
+@attrs.frozen
+class ConnectionId:
+    """Which endpoint chose a connection id.
+
+    Attributes:
+        service: The service's number.
+        cid: The first eight bytes of the connection id, as a number.
+        endpoint: `endpoint_id` of the endpoint.
+    """
+
+    service: int
+    cid: int
+    endpoint: int
+
+
+def pack_connection_ids(entries: list[ConnectionId]) -> bytes:
+    """Returns the body of a CONNECTION_IDS envelope."""
+    return b"".join(
+        _CONNECTION_ID.pack(entry.service, entry.cid, entry.endpoint)
+        for entry in entries
+    )
+
+
+def unpack_connection_ids(
+    body: bytes,
+) -> Result[list[ConnectionId], EnvelopeFault]:
+    """Returns the entries of a body, or the fault for which it is dropped."""
+    if len(body) % _CONNECTION_ID.size:
+        return Err(EnvelopeFault.MALFORMED)
+    return Ok(
+        [ConnectionId(*fields) for fields in _CONNECTION_ID.iter_unpack(body)]
+    )
--- a/src/pollenmast/relay/_core.py
+++ b/src/pollenmast/relay/_core.py
@@ -20,6 +20,7 @@
 from pollenmast.peers._records import endpoint_id
 from pollenmast.relay._carrier import Arrival, Carrier
 from pollenmast.relay._custody import Custody
+from pollenmast.relay._directory import Directory
 from pollenmast.relay._fleet import Fleet
 from pollenmast.relay._flows import TICKS_PER_S, Flow, FlowState, Listener
 from pollenmast.relay._history import Decision, History
@@ -75,14 +76,21 @@
         )
         budget = settings.relay.replication_bytes_per_s
         self._custody = Custody(self._fleet, self, post, budget, self.counters)
+        self._directory = Directory(self._fleet, self, post, self.counters)
         self._routing = Routing(
-            self._fleet, self, self._custody, post, self.counters
+            self._fleet,
+            self,
+            self._custody,
+            self._directory,
+            post,
+            self.counters,
         )
         self._upkeep = Upkeep(
             settings.relay,
             self._table,
             self._fleet,
             self._custody,
+            self._directory,
             self._dispatcher,
             self.counters,
         )
@@ -95,6 +103,10 @@
             Kind.FORWARD: self._routing.on_forward,
             Kind.ASK: self._routing.on_ask,
             Kind.UNKNOWN: self._routing.on_unknown,
+            Kind.FIND: self._routing.on_find,
+            Kind.FOUND: self._routing.on_found,
+            Kind.NOT_FOUND: self._routing.on_not_found,
+            Kind.CONNECTION_IDS: self._directory.on_entries,
             Kind.RECORDS: self._custody.on_records,
             Kind.RECORDS_TAKEN: self._custody.on_taken,
         }
@@ -216,10 +228,11 @@
 
     # What upstreams send.
 
-    def on_first_answer(self, flow: Flow, now: float) -> None:
+    def on_first_answer(self, flow: Flow, data: bytes, now: float) -> None:
         """Notes that the upstream answers by this path."""
         if flow.state is FlowState.OPENING:
             self._openings.answered(flow, now)
+            self._directory.learn(flow, data)
         elif flow.state in (FlowState.ADOPTED, FlowState.GUESSED):
             self._custody.answered_anew(flow)
         if flow.state is not FlowState.MOVED:
@@ -327,6 +340,7 @@
     def let_go(self, flow: Flow, now: float) -> None:
         """Leaves a flow to another relay; late answers still pass here."""
         target = flow.target
+        self._directory.publish(flow)
         self._dispatcher.on_flow_ended(target.service, target.name, now)
         self._table.let_go(flow)
 
@@ -368,6 +382,7 @@
         if not self._draining:
             self._draining = True
             self._upkeep.drain()
+            self._directory.hand_over()
 
     def tick(self, now: float) -> None:
         """Does what time brings about; called every 20 ms."""
@@ -382,6 +397,7 @@
         self._openings.tick(now)
         self._upkeep.tick(now, self.tick_now)
         self._custody.tick(now, urgent=self._draining)
+        self._directory.tick()
 
     def report(self, now: float) -> messages.RelayReport:
         """Returns what the agent wants to know, twice a second."""
--- a/src/pollenmast/relay/_custody.py
+++ b/src/pollenmast/relay/_custody.py
@@ -6,7 +6,6 @@
 from pollenmast.peers._kinds import Kind
 from pollenmast.peers._records import (
     FlowRecord,
-    Forwarded,
     RecordFlag,
     unpack_records,
 )
@@ -15,7 +14,7 @@
 from pollenmast.relay._flows import Flow, FlowState
 from pollenmast.relay._outbox import Outbox, split_batch
 from pollenmast.relay._post import Post
-from pollenmast.relay._replicas import Replica, Replicas
+from pollenmast.relay._replicas import Replicas
 
 MOST_FORMERS = 300_000
 """Flows taken over whose former relay still waits to hear that it may go; a
@@ -93,20 +92,6 @@
             if flow is not None and record.flags == RecordFlag.KEEP:
                 flow.backup = 0
 
-    def hand_out(
-        self, replica: Replica, forwarded: Forwarded, now: float
-    ) -> None:
-        """Gives a dead holder's record to the owner that asked for it."""
-        record = FlowRecord(
-            forwarded.service,
-            forwarded.ip,
-            forwarded.port,
-            replica.endpoint,
-            RecordFlag.TAKE,
-        )
-        self._outbox.add(forwarded.asker, record)
-        self._outbox.flush(now, urgent=True)
-
     def answered_anew(self, flow: Flow) -> None:
         """Lets the former relay of a flow go: its upstream answers here."""
         former = self._formers.pop(flow, None)
--- /dev/null
+++ b/src/pollenmast/relay/_directory.py
@@ -0,0 +1,219 @@
+"""Which endpoint chose a connection id: leads callers back that have moved.
+
+A caller's router may forget it and give it another address in the middle of a
+session. The flow's key is then another, its owner is another VM, and nothing
+that is computed from the new address names the old endpoint; the caller's
+session would hang until it times out. What stays is the connection id that
+the endpoint chose, which every packet of the caller carries.
+
+So two VMs, found by hashing that id, keep its endpoint. Whoever meets a packet
+of an unknown flow asks them, and opens a second flow to the same endpoint. The
+first one is left alone: a forged packet with a recorded connection id can so
+take nothing from the caller, for QUIC itself validates the new path (RFC 9000
+section 9.3).
+
+It does not help where the caller has taken a new connection id (a deliberate
+migration: the id was told under encryption), where an endpoint uses ids of
+fewer than eight bytes, in a session younger than the age of replication, or
+where both keepers died. Then the default endpoint is tried.
+"""
+
+import struct
+
+from pollenmast import counters as c
+from pollenmast.callers import PacketType, read_packet
+from pollenmast.decisions._ownership import connection_id_hash
+from pollenmast.manifest import ServiceKind
+from pollenmast.peers._envelope import Opened
+from pollenmast.peers._kinds import Kind
+from pollenmast.peers._records import (
+    MOST_RECORDS,
+    ConnectionId,
+    Forwarded,
+    Found,
+    pack_connection_ids,
+    pack_forwarded,
+    pack_found,
+    unpack_connection_ids,
+)
+from pollenmast.relay._carrier import Arrival, Carrier
+from pollenmast.relay._fleet import Fleet
+from pollenmast.relay._flows import Flow
+from pollenmast.relay._post import Post
+
+CID_BYTES = 8
+"""Bytes of a connection id that are read: the length that common libraries
+choose; of longer ones the first eight tell them apart as well."""
+
+MOST_ENTRIES = 200_000
+"""Ids kept; the oldest fall out. Twice a VM's sessions at the size of two
+years' time, at two keepers each; about 30 MB when full."""
+
+_CID = struct.Struct("!Q")
+
+
+class Directory:
+    """The connection ids kept here, and the search for others."""
+
+    def __init__(
+        self, fleet: Fleet, carrier: Carrier, post: Post, counters: c.Counters
+    ):
+        self._fleet = fleet
+        self._carrier = carrier
+        self._post = post
+        self._counters = counters
+        self._entries: dict[tuple[int, int], int] = {}
+        self._learnt: dict[Flow, int] = {}
+        self._leaving: dict[int, list[ConnectionId]] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def learn(self, flow: Flow, data: bytes) -> None:
+        """Reads the connection id that an endpoint's first answer names."""
+        if flow.listener.service.kind is not ServiceKind.SESSION:
+            return
+        packet = read_packet(data)
+        if packet.is_err() or packet.unwrap().type is PacketType.SHORT:
+            return
+        cid = packet.unwrap().source_cid
+        if len(cid) >= CID_BYTES:
+            self._learnt[flow] = _CID.unpack_from(cid)[0]
+
+    def publish(self, flow: Flow) -> None:
+        """Has the keepers keep the flow's connection id."""
+        cid = self._learnt.pop(flow, None)
+        if cid is not None:
+            target = flow.target
+            self._keep(ConnectionId(target.service, cid, target.number))
+
+    def forget(self, flow: Flow) -> None:
+        """Drops what was learnt of a flow that ended young."""
+        self._learnt.pop(flow, None)
+
+    def hand_over(self) -> None:
+        """Gives every entry to its new keepers, for a planned stop."""
+        for (service, cid), endpoint in self._entries.items():
+            self._keep(ConnectionId(service, cid, endpoint))
+
+    def tick(self) -> None:
+        """Sends what waits."""
+        for vm, entries in self._leaving.items():
+            for start in range(0, len(entries), MOST_RECORDS):
+                body = pack_connection_ids(
+                    entries[start : start + MOST_RECORDS]
+                )
+                self._counters.add(c.CONTROL_BYTES, "replication", len(body))
+                self._post.send(vm, Kind.CONNECTION_IDS, body)
+        self._leaving = {}
+
+    def search(self, arrival: Arrival, now: float) -> bool:
+        """Looks for the endpoint of a packet's connection id.
+
+        Returns:
+            Whether the datagram is dealt with: passed on, or sent along with
+            the question to another VM.
+        """
+        cid = _cid_of(arrival)
+        if cid is None:
+            return False
+        service = arrival.listener.service.number
+        endpoint = self._entries.get((service, cid))
+        if endpoint is not None:
+            return self._lead_back(arrival, endpoint, now)
+        asked = self._others(service, cid)
+        if not asked:
+            return False
+        ip, port = arrival.caller
+        forwarded = Forwarded(
+            service,
+            ip,
+            port,
+            1,
+            arrival.data,
+            self._fleet.me.number,
+            asked[1] if len(asked) > 1 else 0,
+        )
+        self._counters.add(c.FORWARDS, c.ForwardReason.ASK)
+        self._post.send(asked[0], Kind.FIND, pack_forwarded(forwarded))
+        return True
+
+    def on_entries(self, opened: Opened, now: float) -> None:
+        """Keeps what another relay has learnt."""
+        del now
+        entries = unpack_connection_ids(opened.body)
+        if entries.is_err():
+            self._counters.add(c.ENVELOPE_FAULTS, entries.unwrap_err())
+            return
+        for entry in entries.unwrap():
+            self._store(entry)
+
+    def answer(self, forwarded: Forwarded) -> None:
+        """Answers a question for a connection id, or asks on."""
+        cid = _read_cid(forwarded.data)
+        endpoint = self._entries.get((forwarded.service, cid))
+        following = forwarded.next_asked
+        if endpoint is not None:
+            found = pack_found(Found(endpoint, True, forwarded))
+            self._post.send(forwarded.asker, Kind.FOUND, found)
+        elif following and self._fleet.carries(following):
+            body = pack_forwarded(
+                Forwarded(
+                    forwarded.service,
+                    forwarded.ip,
+                    forwarded.port,
+                    forwarded.hops,
+                    forwarded.data,
+                    forwarded.asker,
+                )
+            )
+            self._post.send(following, Kind.FIND, body)
+        else:
+            body = pack_forwarded(forwarded)
+            self._post.send(forwarded.asker, Kind.NOT_FOUND, body)
+
+    def _lead_back(self, arrival: Arrival, endpoint: int, now: float) -> bool:
+        flow = self._carrier.adopt(
+            arrival.listener,
+            arrival.caller,
+            endpoint,
+            c.RepathReason.CALLER_MOVED,
+            now,
+        )
+        if flow is None:
+            return False
+        self._carrier.carry(flow, arrival.data, now)
+        return True
+
+    def _keep(self, entry: ConnectionId) -> None:
+        key = connection_id_hash(entry.service, entry.cid)
+        for keeper in self._fleet.keepers(key):
+            if keeper == self._fleet.me.number:
+                self._store(entry)
+            else:
+                self._leaving.setdefault(keeper, []).append(entry)
+
+    def _store(self, entry: ConnectionId) -> None:
+        key = (entry.service, entry.cid)
+        if len(self._entries) >= MOST_ENTRIES and key not in self._entries:
+            del self._entries[next(iter(self._entries))]
+        self._entries[key] = entry.endpoint
+
+    def _others(self, service: int, cid: int) -> list[int]:
+        keepers = self._fleet.keepers(connection_id_hash(service, cid))
+        return [number for number in keepers if number != self._fleet.me.number]
+
+
+def _cid_of(arrival: Arrival) -> int | None:
+    if arrival.packet.type is not PacketType.SHORT:
+        return None
+    if arrival.listener.service.kind is not ServiceKind.SESSION:
+        return None
+    return _read_cid(arrival.data)
+
+
+def _read_cid(data: bytes) -> int | None:
+    """Returns the connection id of a short header, behind its first byte."""
+    if len(data) < 1 + CID_BYTES:
+        return None
+    return _CID.unpack_from(data, 1)[0]
--- a/src/pollenmast/relay/_fleet.py
+++ b/src/pollenmast/relay/_fleet.py
@@ -8,6 +8,9 @@
 """VMs asked about a flow that nobody here knows: the one that owned it before
 the last change, and the one that would keep its record."""
 
+KEEPERS = 2
+"""VMs that keep a connection id, so that the loss of one loses none."""
+
 _OWNS = (VmState.ALIVE, VmState.SUSPECT)
 
 
@@ -72,6 +75,11 @@
         member = self._owners.backup(key, self._me)
         return member.number if member else 0
 
+    def keepers(self, key: int) -> list[int]:
+        """Returns the VMs that keep the connection id with this hash."""
+        ranks = self._owners.ranks(key, KEEPERS)
+        return [member.number for member in ranks]
+
     def asked(self, key: int) -> list[int]:
         """Returns the VMs to ask about a flow, the likeliest first."""
         candidates = [*self._holders.ranks(key, ASKED + 1)]
--- a/src/pollenmast/relay/_outbox.py
+++ b/src/pollenmast/relay/_outbox.py
@@ -11,7 +11,8 @@
 import attrs
 
 from pollenmast.counters import CONTROL_BYTES, REPLICAS_SENT, Counters
-from pollenmast.decisions._replication import ByteBudget
+from pollenmast.decisions._replication import BURST_S
+from pollenmast.decisions._token_bucket import TokenBucket
 from pollenmast.peers._envelope import HEADER_BYTES, MAC_BYTES
 from pollenmast.peers._records import MOST_RECORDS, FlowRecord, pack_records
 
@@ -48,7 +49,7 @@
     def __init__(self, send, bytes_per_s: float, counters: Counters):
         self._send = send
         self._counters = counters
-        self._budget = ByteBudget(bytes_per_s, burst=bytes_per_s * 2)
+        self._budget = TokenBucket(bytes_per_s, bytes_per_s * BURST_S)
         self._queues: dict[int, list[FlowRecord]] = {}
         self._batches: dict[int, _Batch] = {}
         self._number = 0
--- a/src/pollenmast/relay/_routing.py
+++ b/src/pollenmast/relay/_routing.py
@@ -10,15 +10,20 @@
 import attrs
 
 from pollenmast import counters as c
+from pollenmast.decisions._token_bucket import TokenBucket
 from pollenmast.peers._envelope import Opened
 from pollenmast.peers._kinds import Kind
 from pollenmast.peers._records import (
     Forwarded,
+    Found,
     pack_forwarded,
+    pack_found,
     unpack_forwarded,
+    unpack_found,
 )
 from pollenmast.relay._carrier import Arrival, Carrier
 from pollenmast.relay._custody import Custody
+from pollenmast.relay._directory import Directory
 from pollenmast.relay._fleet import Fleet
 from pollenmast.relay._post import Post
 from pollenmast.relay._replicas import Replica
@@ -34,6 +39,12 @@
 its handshake times out. Handshakes last some round trips, heartbeats spread a
 change within about 2 s."""
 
+QUESTIONS_PER_S = 1000.0
+"""Questions a second to other VMs. A flood of packets of sessions that never
+were would otherwise become three times its size between the VMs. A change of
+owners brings a VM at most some hundred unknown flows at the size of two years'
+time, for the others have their records here."""
+
 
 class Routing:
     """Passes datagrams between relays."""
@@ -43,12 +54,15 @@
         fleet: Fleet,
         carrier: Carrier,
         custody: Custody,
+        directory: Directory,
         post: Post,
         counters: c.Counters,
     ):
         self._fleet = fleet
         self._carrier = carrier
         self._custody = custody
+        self._directory = directory
+        self._questions = TokenBucket(QUESTIONS_PER_S, QUESTIONS_PER_S)
         self._post = post
         self._counters = counters
 
@@ -99,6 +113,9 @@
             self._carrier.open(arrival, now)
             return
         asked = self._fleet.asked(arrival.key)
+        if asked and not self._questions.take(now):
+            self._counters.add(c.DROPS, c.DropReason.UNKNOWN_FLOW)
+            return
         if not asked:
             self._decide_unknown(arrival, now)
             return
@@ -115,7 +132,7 @@
         """No VM knows the flow: it is new, or its only holder has died."""
         if arrival.opens:
             self._carrier.open(arrival, now)
-        else:
+        elif not self._directory.search(arrival, now):
             self._carrier.guess(arrival, now)
 
     def _forward(
@@ -148,22 +165,22 @@
             return
         replica = self._custody.replicas.find(forwarded.service, caller)
         if replica is not None and replica.holder != forwarded.asker:
-            self._answer_from_replica(replica, forwarded, now)
+            self._answer_from_replica(replica, forwarded)
             return
         self._ask_next(forwarded)
 
     def _answer_from_replica(
-        self, replica: Replica, forwarded: Forwarded, now: float
+        self, replica: Replica, forwarded: Forwarded
     ) -> None:
-        passed = attrs.evolve(forwarded, asker=0, next_asked=0, hops=2)
-        body = pack_forwarded(passed)
         if self._fleet.carries(replica.holder):
+            passed = attrs.evolve(forwarded, asker=0, next_asked=0, hops=2)
             self._counters.add(c.FORWARDS, c.ForwardReason.HOLDER)
+            body = pack_forwarded(passed)
             self._post.send(replica.holder, Kind.FORWARD, body)
             return
-        self._custody.hand_out(replica, forwarded, now)
         self._counters.add(c.FORWARDS, c.ForwardReason.RETURNED)
-        self._post.send(forwarded.asker, Kind.FORWARD, body)
+        found = pack_found(Found(replica.endpoint, False, forwarded))
+        self._post.send(forwarded.asker, Kind.FOUND, found)
 
     def _ask_next(self, forwarded: Forwarded) -> None:
         following = forwarded.next_asked
@@ -176,6 +193,48 @@
         body = pack_forwarded(forwarded)
         self._post.send(forwarded.asker, Kind.UNKNOWN, body)
 
+    def on_find(self, opened: Opened, now: float) -> None:
+        """Answers whose connection id a datagram carries."""
+        del now
+        forwarded = self._unpack(opened)
+        if forwarded is not None:
+            self._directory.answer(forwarded)
+
+    def on_found(self, opened: Opened, now: float) -> None:
+        """Carries a datagram whose flow another VM could name."""
+        unpacked = unpack_found(opened.body)
+        if unpacked.is_err():
+            self._counters.add(c.ENVELOPE_FAULTS, unpacked.unwrap_err())
+            return
+        found = unpacked.unwrap()
+        arrival = self._read(found.forwarded, opened.sender)
+        if arrival is None:
+            return
+        flow = arrival.listener.flows.get(arrival.caller)
+        if flow is None:
+            moved = found.caller_moved
+            reasons = c.RepathReason
+            flow = self._carrier.adopt(
+                arrival.listener,
+                arrival.caller,
+                found.endpoint,
+                reasons.CALLER_MOVED if moved else reasons.ADOPTED,
+                now,
+            )
+        if flow is not None:
+            self._carrier.carry(flow, arrival.data, now)
+
+    def on_not_found(self, opened: Opened, now: float) -> None:
+        """Tries the default endpoint for a datagram that nobody knows."""
+        arrival = self._read(self._unpack(opened), opened.sender)
+        if arrival is None:
+            return
+        flow = arrival.listener.flows.get(arrival.caller)
+        if flow is None:
+            self._carrier.guess(arrival, now)
+        else:
+            self._carrier.carry(flow, arrival.data, now)
+
     def on_unknown(self, opened: Opened, now: float) -> None:
         """Takes back a datagram whose flow none of the asked knows."""
         forwarded = self._unpack(opened)
--- a/src/pollenmast/relay/_sockets.py
+++ b/src/pollenmast/relay/_sockets.py
@@ -209,7 +209,7 @@
             core.counters.add(c.DROPS, c.DropReason.STRANGER)
             continue
         if flow.state is not FlowState.CARRIED:
-            core.on_first_answer(flow, now)
+            core.on_first_answer(flow, data, now)
         flow.answered = tick
         flow.unanswered = 0
         flow.target.answered = tick
--- a/src/pollenmast/relay/_upkeep.py
+++ b/src/pollenmast/relay/_upkeep.py
@@ -9,12 +9,15 @@
 from pollenmast.decisions._ownership import flow_hash
 from pollenmast.decisions._replication import is_due
 from pollenmast.decisions._silence import (
+    BURST,
     NEXT_TRY_S,
+    PER_SECOND,
     SILENT_S,
-    RepathBudget,
     is_silent,
 )
+from pollenmast.decisions._token_bucket import TokenBucket
 from pollenmast.relay._custody import Custody
+from pollenmast.relay._directory import Directory
 from pollenmast.relay._fleet import Fleet
 from pollenmast.relay._flows import TICKS_PER_S, Flow, FlowState
 from pollenmast.relay._table import FlowTable
@@ -41,6 +44,7 @@
         table: FlowTable,
         fleet: Fleet,
         custody: Custody,
+        directory: Directory,
         dispatcher: Dispatcher,
         counters: c.Counters,
     ):
@@ -48,9 +52,10 @@
         self._table = table
         self._fleet = fleet
         self._custody = custody
+        self._directory = directory
         self._dispatcher = dispatcher
         self._counters = counters
-        self._repaths = RepathBudget()
+        self._repaths = TokenBucket(PER_SECOND, BURST)
         self._pending: list[Flow] = []
         self._owners_at = 0.0
         self._check_backups = False
@@ -96,6 +101,7 @@
     def _end(self, flow: Flow, now: float) -> None:
         if flow.state is not FlowState.MOVED:
             self._custody.ended(flow)
+            self._directory.forget(flow)
             self._dispatcher.on_flow_ended(
                 flow.target.service, flow.target.name, now
             )
@@ -122,6 +128,7 @@
         if not is_due(age_s, flow.off_default, replicate_after_s):
             return
         key = flow_hash(flow.target.service, *flow.caller)
+        self._directory.publish(flow)
         backup = self._fleet.backup(key)
         if backup != flow.backup:
             self._custody.replicate(flow, backup)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,6 +4,7 @@
 number that the test advances.
 """
 
+import hashlib
 import json
 import random
 
@@ -50,7 +51,20 @@
 
 def short(tag: str, text: str = "") -> bytes:
     """Returns a packet of a session in progress."""
-    return b"\x41" + _MARK + f"{tag};{text}".encode().ljust(40, b"\0")
+    body = _MARK + f"{tag};{text}".encode().ljust(40, b"\0")
+    return b"\x41" + cid_of(tag) + body
+
+
+def cid_of(tag: str) -> bytes:
+    """Returns the connection id that the upstream chose for a caller."""
+    return hashlib.blake2b(tag.encode(), digest_size=8).digest()
+
+
+def server_initial(tag: str) -> bytes:
+    """Returns the upstream's first answer, which names its connection id."""
+    head = b"\xc0\x00\x00\x00\x01\x04abcd\x08" + cid_of(tag) + b"\x00"
+    payload = (_MARK + tag.encode() + b";").ljust(100, b"\0")
+    return head + (0x4000 | len(payload)).to_bytes(2, "big") + payload
 
 
 def tag_of(data: bytes) -> str | None:
@@ -61,6 +75,12 @@
     return data[start + len(_MARK) : data.index(b";", start)].decode()
 
 
+def text_of(data: bytes) -> str:
+    """Returns what a session's packet says."""
+    start = data.index(b";", data.index(_MARK))
+    return data[start + 1 :].rstrip(b"\0").decode()
+
+
 def manifest(
     version: int = 1,
     draining: tuple[str, ...] = (),
@@ -325,24 +345,28 @@
             self.strangers.append((tag, upstream))
             return
         session.path = path
-        if not data[0] & 0x80:
-            text = data[data.index(b";") + 1 :].rstrip(b"\0").decode()
-            session.ran.append(text)
+        if data[0] & 0x80:
+            self._answer(tag, server_initial(tag))
+            return
+        session.ran.append(text_of(data))
         self.answer(tag)
 
     def answer(self, tag: str, text: str = "ok") -> None:
         """The upstream sends something on a caller's session."""
+        self._answer(tag, short(tag, text))
+
+    def _answer(self, tag: str, data: bytes) -> None:
         session = self.sessions[tag]
         core = self.relays.get(session.path.number)
         flow = session.path.flows.get(session.upstream)
         if core is None or flow is None:
             return
         if flow.state is not FlowState.CARRIED:
-            core.on_first_answer(flow, self.now)
+            core.on_first_answer(flow, data, self.now)
         flow.answered = core.tick_now
         flow.unanswered = 0
         flow.target.answered = core.tick_now
-        flow.listener.send(short(tag, text), flow.caller)
+        flow.listener.send(data, flow.caller)
 
     def answers_to(self, tag: str) -> list[bytes]:
         """Returns what a caller was sent."""
--- a/tests/relay_custody_test.py
+++ b/tests/relay_custody_test.py
@@ -337,3 +337,50 @@
             net.relays[1].on_peer(sealer.seal(kind, b"\xff" * 50), net.now)
         self.assertEqual(0, net.relays[1].table.flows)
         self.assertEqual(0, len(net.relays[1].custody.replicas))
+
+
+class MovedCallerTest(TestCase):
+    """A caller whose address changes in mid-session finds its endpoint."""
+
+    def _moved(self, net: Net) -> list[str]:
+        for tag in _CALLERS:
+            new = ("10.9.9.9", address_of(tag)[1])
+            net.send(tag, short(tag, "moved"), caller=new)
+        return _not_last(net, "moved")
+
+    def test_router_forgot(self):
+        """Every caller's router forgets it and gives it another address.
+
+        The new address belongs to another owner and computes to another
+        endpoint; without the connection id the session would hang until its
+        timeout.
+        """
+        net = _opened(vms=5)
+        net.advance(_REPLICATED_S)
+        self.assertEqual([], self._moved(net))
+        self.assertEqual([], net.strangers)
+
+    @parameterized.expand([("killed", False), ("replaced", True)])
+    def test_after_loss(self, _, planned):
+        """A VM goes before the callers move; the second keeper remembers."""
+        net = _opened(vms=5)
+        net.advance(_REPLICATED_S)
+        if planned:
+            net.declare_leaving(2)
+            net.advance(2.0)
+        net.kill(2)
+        net.declare_dead(2)
+        _say_all(net, "still here")
+        self.assertEqual([], self._moved(net))
+
+    def test_unknown_id(self):
+        """A stranger's connection id leads to the default endpoint at most.
+
+        No session is there, so nothing runs, and the guess is forgotten.
+        """
+        net = _opened()
+        net.advance(_REPLICATED_S)
+        net.send("x900", short("x900", "?"), caller=("10.9.9.9", 7))
+        net.advance(8.0)
+        self.assertEqual([], net.holders("x900"))
+        self.assertEqual({}, _unlike(net, "before"))
