--- a/bench/_load_model.py
+++ b/bench/_load_model.py
@@ -212,6 +212,7 @@
         refusal_delays: Seconds from sending to the refusal, each refusal.
         asked: Times of every attempt, repeats included.
         off_default: Flows placed off their default.
+        favourite: Part of the flows that reach the first VM beforehand.
     """
 
     def __init__(
@@ -231,6 +232,7 @@
         self.refusal_delays: list[float] = []
         self.asked: list[float] = []
         self.off_default = 0
+        self.favourite = 0.0
         self.retries = 0
         self._sessions = sessions
         self._held: list[dict[int, Job]] = [{} for _ in dispatchers]
@@ -273,6 +275,8 @@
         job.tried = ()
         self.asked.append(self.loop.now)
         vm = self.rng.randrange(len(self.dispatchers))
+        if self.rng.random() < self.favourite:
+            vm = 0
         self.loop.after(WAY_S, self._arrive, vm, job)
 
     def _manifest(self, dispatcher, manifest: Manifest) -> None:
--- a/bench/_load_patterns.py
+++ b/bench/_load_patterns.py
@@ -142,6 +142,21 @@
         steady(fleet, 400.0, 10.0, 10.25, "burst")
 
 
+def _uneven_setup(fleet: Fleet) -> None:
+    fleet.favourite = 0.5
+    steady(fleet, 0.5 * CAPACITY, 0.0, 60.0)
+
+
+def _uneven_overload_setup(fleet: Fleet) -> None:
+    fleet.favourite = 0.5
+    steady(fleet, 3.0 * CAPACITY, 0.0, 60.0)
+
+
+def _onset_setup(fleet: Fleet) -> None:
+    steady(fleet, 0.3 * CAPACITY, 0.0, 10.0)
+    steady(fleet, 5.0 * CAPACITY, 10.0, 20.0, "rush")
+
+
 def _hot_caller_setup(fleet: Fleet) -> None:
     steady(fleet, 0.6 * CAPACITY, 0.0, 25.0)
     steady(fleet, 3.0 * CAPACITY, 5.0, 25.0, "hot", one_caller)
@@ -268,6 +283,29 @@
 PATTERNS: tuple[Pattern, ...] = (
     Pattern("steady", "70% load", 5.0, 40.0, _steady_setup),
     Pattern("burst", "30% load, 300 more in 0.25 s", 9.9, 11.5, _burst_setup),
+    Pattern(
+        "uneven",
+        "50% load, half of it reaches one VM of nine",
+        5.0,
+        60.0,
+        _uneven_setup,
+    ),
+    Pattern(
+        "uneven overload",
+        "three times the capacity, half of it reaches one VM of nine",
+        5.0,
+        60.0,
+        _uneven_overload_setup,
+        capacity=CAPACITY,
+    ),
+    Pattern(
+        "onset",
+        "30% load, then at once five times the capacity",
+        10.0,
+        20.0,
+        _onset_setup,
+        capacity=CAPACITY,
+    ),
     Pattern(
         "hot caller",
         "60% load, one caller sends 300% more; the others judged",
--- a/src/pollenmast/decisions/_capacity.py
+++ b/src/pollenmast/decisions/_capacity.py
@@ -8,6 +8,7 @@
 
 import abc
 
+from pollenmast.decisions._fleet_part import FleetPart
 from pollenmast.manifest import Endpoint
 from pollenmast.peers._messages import EndpointReport
 
@@ -26,13 +27,11 @@
         """A flow was placed here by this VM."""
 
     @abc.abstractmethod
-    def on_report(
-        self, report: EndpointReport, now: float, relays: int
-    ) -> None:
+    def on_report(self, report: EndpointReport, now: float) -> None:
         """Takes in a newer report."""
 
     @abc.abstractmethod
-    def has_room(self, now: float, share: float, relays: int) -> bool:
+    def has_room(self, now: float, share: float) -> bool:
         """Whether this VM may place one more, given the endpoint's share."""
 
     @abc.abstractmethod
@@ -40,7 +39,7 @@
         """Returns how full the endpoint is for comparison, in flows."""
 
     @abc.abstractmethod
-    def rate(self, share: float, relays: int) -> float:
+    def rate(self, share: float) -> float:
         """Returns flows a second that this VM may place here when full."""
 
     @abc.abstractmethod
@@ -51,28 +50,25 @@
 class SessionCapacity(Capacity):
     """Fullness by connections: long sessions."""
 
-    def __init__(self, endpoint: Endpoint):
+    def __init__(self, endpoint: Endpoint, part: FleetPart):
+        self._part = part
         self._connections = endpoint.connections
         self._reported = 0
         self._since = 0.0
-        self._relays = 1
 
     def on_placed(self, now: float) -> None:
         """Counts a flow that the reports do not show yet."""
         self._since += 1.0
 
-    def on_report(
-        self, report: EndpointReport, now: float, relays: int
-    ) -> None:
+    def on_report(self, report: EndpointReport, now: float) -> None:
         """Takes the reported count."""
         self._reported = report.connections
         self._since *= SHOWN
-        self._relays = relays
 
-    def has_room(self, now: float, share: float, relays: int) -> bool:
+    def has_room(self, now: float, share: float) -> bool:
         """Whether this VM's part of the free connections is not used up."""
-        self._relays = relays
-        return self._since < (self._connections - self._reported) / relays
+        free = self._connections - self._reported
+        return self._since < free * self._part.value
 
     def load(self, now: float) -> float:
         """Returns the connections in use.
@@ -80,9 +76,9 @@
         What this VM placed since the report stands for what each VM placed:
         otherwise every VM would mend the whole of a reported difference.
         """
-        return self._reported + self._since * self._relays
+        return self._reported + self._since / self._part.value
 
-    def rate(self, share: float, relays: int) -> float:
+    def rate(self, share: float) -> float:
         """Returns a low rate: connections free slowly, a hold rarely helps."""
         return 1.0
 
--- a/src/pollenmast/decisions/_endpoint.py
+++ b/src/pollenmast/decisions/_endpoint.py
@@ -84,7 +84,7 @@
         self.open_flows += 1
 
     def on_report(
-        self, report: EndpointReport, now: float, relays: int
+        self, report: EndpointReport, now: float, part: float
     ) -> None:
         """Takes in a report unless it is old or repeated.
 
@@ -97,9 +97,9 @@
         self.report, self.reported_at = report, now
         if not report.healthy:
             return
-        self.trust.on_report(report, now, relays)
+        self.trust.on_report(report, now, part)
         if self.trust.verdict(now) in (Verdict.BELIEVED, Verdict.HIDES):
-            self.capacity.on_report(report, now, relays)
+            self.capacity.on_report(report, now)
 
     def set_speed(self, median_s: float) -> None:
         """Compares its service time with the service's median."""
--- a/src/pollenmast/decisions/_service.py
+++ b/src/pollenmast/decisions/_service.py
@@ -9,6 +9,7 @@
 from pollenmast.decisions._capacity import Capacity, SessionCapacity
 from pollenmast.decisions._endpoint import EndpointRecord
 from pollenmast.decisions._fairness import FairQueue, HeldFlow
+from pollenmast.decisions._fleet_part import FleetPart
 from pollenmast.decisions._outcomes import (
     FlowRequest,
     Held,
@@ -39,10 +40,10 @@
         self._placement: Placement = RequestPlacement(zone, rng)
         self._backoff = Backoff(rng)
         self._budget = RetryBudget()
+        self._part = FleetPart()
         self._queue = FairQueue()
         self._given_up: list[Released] = []
         self._records: dict[str, EndpointRecord] = {}
-        self._relays = 1
         self._service: Service | None = None
         self._rendezvous: Rendezvous | None = None
 
@@ -67,10 +68,11 @@
                 )
             record.endpoint = endpoint
             self._records[endpoint.name] = record
+        self._part.retain(set(self._records))
 
     def set_fleet(self, relays: int) -> None:
         """Sets how many live relays share the load."""
-        self._relays = max(relays, 1)
+        self._part.set_relays(relays)
 
     def record(self, endpoint: str) -> EndpointRecord | None:
         """Returns an endpoint's state."""
@@ -81,7 +83,7 @@
         record = self._records.get(report.endpoint)
         if record is None:
             return
-        record.on_report(report, now, self._relays)
+        record.on_report(report, now, self._part.value)
         serving = [r for r in self._records.values() if r.serving]
         if serving:
             paces = [r.capacity.pace() for r in serving]
@@ -154,9 +156,9 @@
 
     def _capacity(self, endpoint: Endpoint) -> Capacity:
         if self._service.kind is ServiceKind.SESSION:
-            return SessionCapacity(endpoint)
+            return SessionCapacity(endpoint, self._part)
         queue = self._service.limits.queue_per_slot
-        return RequestCapacity(endpoint, queue, self._rng)
+        return RequestCapacity(endpoint, queue, self._part, self._rng)
 
     def _usable(self, now: float) -> list[Candidate]:
         """Returns the endpoints that may get new flows.
@@ -171,9 +173,7 @@
         return good or [Candidate(r, 1.0) for r in serving]
 
     def _has_room(self, candidate: Candidate, now: float) -> bool:
-        return candidate.record.capacity.has_room(
-            now, candidate.share, self._relays
-        )
+        return candidate.record.capacity.has_room(now, candidate.share)
 
     def _roomy(self, now: float) -> list[Candidate]:
         return [c for c in self._usable(now) if self._has_room(c, now)]
@@ -188,6 +188,7 @@
         default = self.default_endpoint(request.flow_hash)
         chosen = self._placement.choose(default, roomy, now).record
         chosen.on_placed(now)
+        self._part.on_placed()
         if chosen.name == default:
             return Placed(default, False, "its default endpoint")
         why = f"less loaded than its default {default}"
@@ -202,10 +203,7 @@
             return self._refused(RefusalReason.CALLER_LIMIT, now)
         flow = HeldFlow(request, now + limits.hold_ms / 1000.0)
         self._queue.push(flow)
-        rate = sum(
-            c.record.capacity.rate(c.share, self._relays)
-            for c in self._usable(now)
-        )
+        rate = sum(c.record.capacity.rate(c.share) for c in self._usable(now))
         if len(self._queue) > holding.most_held(limits, rate):
             refused = self._shed_one(flow, now)
             if refused is not None:
--- a/src/pollenmast/decisions/_trust.py
+++ b/src/pollenmast/decisions/_trust.py
@@ -83,7 +83,7 @@
         self._placed += 1
 
     def on_report(
-        self, report: EndpointReport, now: float, relays: int
+        self, report: EndpointReport, now: float, part: float
     ) -> None:
         """Compares a newer report with the one some seconds before."""
         if self._seen and report.finished < self._seen[-1].finished:
@@ -98,7 +98,7 @@
         self._seen.append(newest)
         while len(self._seen) > 2 and now - self._seen[1].at >= WINDOW_S:
             self._seen.popleft()
-        self._judge(self._seen[0], newest, relays)
+        self._judge(self._seen[0], newest, part)
 
     def verdict(self, now: float) -> Verdict:
         """Returns what the newest report is worth now."""
@@ -106,10 +106,10 @@
             return Verdict.STALE
         return self._verdict
 
-    def _judge(self, oldest: _Seen, newest: _Seen, relays: int) -> None:
+    def _judge(self, oldest: _Seen, newest: _Seen, part: float) -> None:
         self._verdict = Verdict.BELIEVED
         self._accounted = 1.0
-        expected = float((newest.placed - oldest.placed) * relays)
+        expected = (newest.placed - oldest.placed) / part
         if newest.at - oldest.at < WINDOW_S or expected < LEAST_EXPECTED:
             return
         done = newest.finished - oldest.finished
