--- /dev/null
+++ b/standins/_addresses.py
@@ -0,0 +1,73 @@
+"""Loopback addresses of one stand-in fleet, so that several can run at once."""
+
+import errno
+import socket
+
+import attrs
+
+LOCK_PORT = 8999
+MOST_BLOCKS = 200
+"""Blocks tried; 127.1.0.0 is the second. More fleets than a machine bears."""
+
+
+@attrs.frozen
+class Addresses:
+    """The addresses of one fleet, all within 127.BLOCK.0.0."""
+
+    block: int = 0
+
+    @property
+    def platform(self) -> str:
+        """The platform's IP number."""
+        return f"127.{self.block}.3.1"
+
+    @property
+    def fabric(self) -> str:
+        """The IP number that callers send to."""
+        return f"127.{self.block}.4.1"
+
+    def vm(self, number: int) -> str:
+        """The IP number of a VM, numbered from 1."""
+        return f"127.{self.block}.1.{number}"
+
+    def upstream(self, number: int) -> str:
+        """The IP number of an upstream, numbered from 1."""
+        return f"127.{self.block}.2.{number}"
+
+    def caller(self, number: int) -> str:
+        """The IP number of a group of callers, numbered from 1."""
+        return f"127.{self.block}.5.{number}"
+
+
+FIRST_BLOCK = Addresses()
+
+
+class Reservation:
+    """A block that no other stand-in fleet on this machine uses.
+
+    Two demos at once would otherwise fight for the same ports, and each
+    would count the other's requests. The lock is a bound socket, so it ends
+    with the process, however that ends.
+    """
+
+    def __init__(self):
+        self._lock, self.addresses = _first_free()
+
+    def release(self) -> None:
+        """Gives the block back."""
+        self._lock.close()
+
+
+def _first_free() -> tuple[socket.socket, Addresses]:
+    for block in range(MOST_BLOCKS):
+        addresses = Addresses(block)
+        lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            lock.bind((addresses.platform, LOCK_PORT))
+        except OSError as error:
+            lock.close()
+            if error.errno != errno.EADDRINUSE:
+                raise
+            continue
+        return lock, addresses
+    raise RuntimeError(f"all {MOST_BLOCKS} blocks of addresses are in use")
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -42,10 +42,12 @@
 
     def __init__(self, folder: pathlib.Path):
         self._processes = _processes.Processes(folder)
-        self._around = fleet.Surroundings(self._processes)
+        self._reservation = fleet.Reservation()
+        self._addresses = self._reservation.addresses
+        self._around = fleet.Surroundings(self._processes, self._addresses)
         self._folder = folder
         self._began = time.monotonic()
-        self._places = fleet.upstreams()
+        self._places = fleet.upstreams(addresses=self._addresses)
         self._vms: dict[int, fleet.Vm] = {}
         self._callers: list[_processes.Process] = []
         self._notes: dict[str, object] = {}
@@ -110,12 +112,17 @@
         return [each for each in self._places if each.name != "registry-7"]
 
     def _start_vm(self, number: int) -> None:
-        place = fleet.vm_place(number)
-        seeds = [fleet.vm_place(each) for each in (1, 2, 3)]
-        settings = fleet.write_settings(place, self._folder, seeds)
+        place = self._vm_place(number)
+        seeds = [self._vm_place(each) for each in (1, 2, 3)]
+        settings = fleet.write_settings(
+            place, self._folder, seeds, addresses=self._addresses
+        )
         self._vms[number] = fleet.Vm(place, self._processes, settings)
         self._vms[number].start()
 
+    def _vm_place(self, number: int) -> fleet.VmPlace:
+        return fleet.vm_place(number, addresses=self._addresses)
+
     async def _until_ready(self, number: int) -> None:
         vm = self._vms[number]
         with anyio.move_on_after(fleet.READY_WITHIN_S):
@@ -131,7 +138,7 @@
                 f"publishers-{number}",
                 "session",
                 fleet.REGISTRY,
-                local=f"127.0.5.{number}",
+                local=self._addresses.caller(number),
                 count=SESSIONS // 2,
                 rate=SUBMISSIONS_A_SECOND,
                 ramp_s=PAUSE_S,
@@ -142,7 +149,7 @@
             "images",
             "image",
             fleet.BARCODES,
-            local="127.0.5.3",
+            local=self._addresses.caller(3),
             rate=IMAGES_A_SECOND,
         )
         self._callers.append(images)
@@ -223,7 +230,7 @@
 
     async def _list(self, numbers, leaving: int = 0, at_once=False) -> None:
         entries = [
-            fleet.vm_place(each).entry("leaving" if each == leaving else "live")
+            self._vm_place(each).entry("leaving" if each == leaving else "live")
             for each in numbers
         ]
         await self._around.list_vms(entries, at_once)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -14,12 +14,11 @@
 import attrs
 
 from standins import _processes, http
+from standins._addresses import FIRST_BLOCK, Addresses, Reservation
 
 ZONES = ("pos-frederick", "pos-woodbrook", "pos-laventille")
-PLATFORM = "127.0.3.1"
 PLATFORM_PORT = 8001
 PLATFORM_ADMIN_PORT = 8101
-FABRIC = "127.0.4.1"
 FABRIC_ADMIN_PORT = 8102
 QUIC_PORT = 5001
 LOAD_PORT = 6001
@@ -30,6 +29,25 @@
 OPERATORS_PORT = 7005
 READY_WITHIN_S = 10.0
 
+__all__ = [
+    "Addresses",
+    "BARCODES",
+    "FIRST_BLOCK",
+    "REGISTRY",
+    "Reservation",
+    "SERVICES",
+    "ServiceSize",
+    "Surroundings",
+    "Upstream",
+    "Vm",
+    "VmPlace",
+    "ZONES",
+    "manifest",
+    "upstreams",
+    "vm_place",
+    "write_settings",
+]
+
 
 @attrs.frozen
 class Upstream:
@@ -83,6 +101,7 @@
 def upstreams(
     services: tuple[ServiceSize, ...] = SERVICES,
     zones: tuple[str, ...] = ZONES,
+    addresses: Addresses = FIRST_BLOCK,
 ) -> list[Upstream]:
     """Returns all endpoints, spread over the zones."""
     places = []
@@ -92,7 +111,7 @@
                 Upstream(
                     f"{service.name}-{number + 1}",
                     service.name,
-                    f"127.0.2.{len(places) + 1}",
+                    addresses.upstream(len(places) + 1),
                     zones[number % len(zones)],
                 )
             )
@@ -151,10 +170,14 @@
         }
 
 
-def vm_place(number: int, zones: tuple[str, ...] = ZONES) -> VmPlace:
+def vm_place(
+    number: int,
+    zones: tuple[str, ...] = ZONES,
+    addresses: Addresses = FIRST_BLOCK,
+) -> VmPlace:
     """Returns the place of the VM with this number, from 1."""
     zone = zones[(number - 1) % len(zones)]
-    return VmPlace(f"vm-{number}", zone, f"127.0.1.{number}")
+    return VmPlace(f"vm-{number}", zone, addresses.vm(number))
 
 
 def write_settings(
@@ -162,6 +185,7 @@
     folder: pathlib.Path,
     seeds: list[VmPlace],
     overrides: dict[str, dict[str, str]] | None = None,
+    addresses: Addresses = FIRST_BLOCK,
 ) -> pathlib.Path:
     """Writes a VM's settings file, and the fleet's key beside it."""
     key = folder / "fleet.key"
@@ -179,7 +203,10 @@
         settings["fleet"]["seeds"] = ", ".join(
             f"{seed.address}:{GOSSIP_PORT}" for seed in seeds
         )
-    settings["platform"] = {"address": PLATFORM, "port": str(PLATFORM_PORT)}
+    settings["platform"] = {
+        "address": addresses.platform,
+        "port": str(PLATFORM_PORT),
+    }
     for section, values in (overrides or {}).items():
         if not settings.has_section(section):
             settings.add_section(section)
@@ -255,17 +282,30 @@
 class Surroundings:
     """What stands around the VMs: platform, upstreams, fabric, callers."""
 
-    def __init__(self, processes: _processes.Processes):
+    def __init__(
+        self,
+        processes: _processes.Processes,
+        addresses: Addresses = FIRST_BLOCK,
+    ):
         self._processes = processes
+        self._addresses = addresses
         self.upstreams: dict[str, Upstream] = {}
 
     async def start(self, places: list[Upstream], lag_s: float = 1.0) -> bool:
         """Starts all but the callers; returns whether all became ready."""
         started = [
             self._processes.start(
-                "platform", "standins.platform", "--lag", str(lag_s)
+                "platform",
+                "standins.platform",
+                *("--address", self._addresses.platform),
+                *("--lag", str(lag_s)),
+            ),
+            self._processes.start(
+                "fabric",
+                "standins.fabric",
+                *("--address", self._addresses.fabric),
+                *("--platform-address", self._addresses.platform),
             ),
-            self._processes.start("fabric", "standins.fabric"),
             *[self.start_upstream(place) for place in places],
         ]
         ready = [await each.ready(READY_WITHIN_S) for each in started]
@@ -298,6 +338,8 @@
         return self._processes.start(
             name,
             "standins.callers",
+            "--remote",
+            self._addresses.fabric,
             "--kind",
             kind,
             "--name",
@@ -312,7 +354,7 @@
     async def publish(self, text: bytes) -> None:
         """Publishes a manifest."""
         await http.fetch(
-            PLATFORM,
+            self._addresses.platform,
             PLATFORM_ADMIN_PORT,
             "/publish",
             method="POST",
@@ -329,11 +371,11 @@
 
     async def fabric_fault(self, **faults: object) -> None:
         """Sets the fabric's faults; without any it is whole."""
-        await http.post(FABRIC, FABRIC_ADMIN_PORT, "/fault", faults)
+        await self._fabric("/fault", faults)
 
     async def forget_callers(self) -> None:
         """Has the fabric give every caller a new source port."""
-        await http.post(FABRIC, FABRIC_ADMIN_PORT, "/forget", {})
+        await self._fabric("/forget", {})
 
     async def upstream_fault(self, name: str, mode: str) -> None:
         """Brings a fault of one upstream, or ends it with `ok`."""
@@ -356,8 +398,17 @@
 
     async def calls(self) -> dict:
         """Returns how often the platform was read."""
-        answer = await http.fetch(PLATFORM, PLATFORM_ADMIN_PORT, "/calls")
+        answer = await http.fetch(
+            self._addresses.platform, PLATFORM_ADMIN_PORT, "/calls"
+        )
         return json.loads(answer.body)
 
     async def _platform(self, target: str, value: object) -> None:
-        await http.post(PLATFORM, PLATFORM_ADMIN_PORT, target, value)
+        await http.post(
+            self._addresses.platform, PLATFORM_ADMIN_PORT, target, value
+        )
+
+    async def _fabric(self, target: str, value: object) -> None:
+        await http.post(
+            self._addresses.fabric, FABRIC_ADMIN_PORT, target, value
+        )
--- a/tests/standins_path_test.py
+++ b/tests/standins_path_test.py
@@ -8,11 +8,13 @@
 import anyio
 from testtools import TestCase
 
-from standins import _ledger, _processes, _records, http
+from standins import _ledger, _processes, _records, fleet, http
 
-_PLATFORM = "127.0.13.1"
-_FABRIC = "127.0.14.1"
-_UPSTREAM = "127.0.12.1"
+_RESERVATION = fleet.Reservation()
+_ADDRESSES = _RESERVATION.addresses
+_PLATFORM = _ADDRESSES.platform
+_FABRIC = _ADDRESSES.fabric
+_UPSTREAM = _ADDRESSES.upstream(1)
 _LATEST_S = 30.0
 """Ends a hanging test; no verdict depends on it."""
 
@@ -47,7 +49,14 @@
         name,
         "standins.callers",
         *("--name", name, "--service", service, "--kind", kind),
-        *("--remote", _FABRIC, "--port", "4001", "--local", "127.0.15.1"),
+        *(
+            "--remote",
+            _FABRIC,
+            "--port",
+            "4001",
+            "--local",
+            _ADDRESSES.caller(1),
+        ),
         *("--count", str(count), "--rate", "10", "--ramp-s", "0"),
     )
 
