--- a/bench/_load_switches.py
+++ b/bench/_load_switches.py
@@ -120,13 +120,13 @@
     ),
     Switch(
         "trust",
-        ("lying report", "frozen idle", "frozen full"),
+        ("lying report", "frozen idle", "frozen full", "session lies"),
         ((_trust.ReportTrust, "verdict", lambda *_: _trust.Verdict.BELIEVED),),
     ),
     Switch(
         "speed",
         ("slow upstream", "long among short", "lying report"),
-        ((_endpoint.EndpointRecord, "set_speed", lambda *_: None),),
+        ((_endpoint, "SLOW", math.inf),),
     ),
     Switch(
         "slow start",
--- a/src/pollenmast/decisions/_capacity.py
+++ b/src/pollenmast/decisions/_capacity.py
@@ -9,6 +9,7 @@
 import abc
 
 from pollenmast.decisions._fleet_part import FleetPart
+from pollenmast.decisions._trust import Verdict
 from pollenmast.manifest import Endpoint
 from pollenmast.peers._messages import EndpointReport
 
@@ -27,8 +28,14 @@
         """A flow was placed here by this VM."""
 
     @abc.abstractmethod
-    def on_report(self, report: EndpointReport, now: float) -> None:
-        """Takes in a newer report."""
+    def on_open(self, change: int) -> None:
+        """Counts flows that this VM took over (1) or that ended (-1)."""
+
+    @abc.abstractmethod
+    def on_report(
+        self, report: EndpointReport, now: float, verdict: Verdict
+    ) -> None:
+        """Takes in a newer report, as far as it is believed."""
 
     @abc.abstractmethod
     def has_room(self, now: float, share: float) -> bool:
@@ -54,15 +61,29 @@
         self._part = part
         self._connections = endpoint.connections
         self._reported = 0
+        self._open = 0
         self._since = 0.0
 
     def on_placed(self, now: float) -> None:
         """Counts a flow that the reports do not show yet."""
         self._since += 1.0
+        self._open += 1
+
+    def on_open(self, change: int) -> None:
+        """Counts this VM's own flows."""
+        self._open += change
 
-    def on_report(self, report: EndpointReport, now: float) -> None:
-        """Takes the reported count."""
-        self._reported = report.connections
+    def on_report(
+        self, report: EndpointReport, now: float, verdict: Verdict
+    ) -> None:
+        """Takes the reported count, or one made of the VM's own flows.
+
+        An endpoint that always says empty would draw all new sessions.
+        """
+        if verdict is Verdict.BELIEVED:
+            self._reported = report.connections
+        else:
+            self._reported = int(self._open / self._part.value)
         self._since *= SHOWN
 
     def has_room(self, now: float, share: float) -> bool:
--- a/src/pollenmast/decisions/_dispatcher.py
+++ b/src/pollenmast/decisions/_dispatcher.py
@@ -81,7 +81,7 @@
         """A flow that this VM carried has ended or moved to another VM."""
         record = self._record(service, endpoint)
         if record is not None:
-            record.open_flows = max(record.open_flows - 1, 0)
+            record.on_ended()
 
     def on_answered(self, service: int, endpoint: str, now: float) -> None:
         """The endpoint gave a sign of life for a flow of this VM."""
@@ -108,7 +108,7 @@
         """Counts a flow that was taken over from another relay."""
         record = self._record(service, endpoint)
         if record is not None:
-            record.open_flows += 1
+            record.on_adopted()
 
     def default_endpoint(self, service: int, flow_hash: int) -> str | None:
         """Returns the endpoint that every VM computes alike for a flow."""
--- a/src/pollenmast/decisions/_endpoint.py
+++ b/src/pollenmast/decisions/_endpoint.py
@@ -83,6 +83,17 @@
         self.trust.on_placed()
         self.open_flows += 1
 
+    def on_adopted(self) -> None:
+        """This VM took over a flow to it from another VM."""
+        self.open_flows += 1
+        self.capacity.on_open(1)
+
+    def on_ended(self) -> None:
+        """A flow of this VM to it ended or moved to another VM."""
+        if self.open_flows > 0:
+            self.open_flows -= 1
+            self.capacity.on_open(-1)
+
     def on_report(
         self, report: EndpointReport, now: float, part: float
     ) -> None:
@@ -98,25 +109,22 @@
         if not report.healthy:
             return
         self.trust.on_report(report, now, part)
-        if self.trust.verdict(now) in (Verdict.BELIEVED, Verdict.HIDES):
-            self.capacity.on_report(report, now)
+        self.capacity.on_report(report, now, self.trust.verdict(now))
 
-    def set_speed(self, median_s: float) -> None:
-        """Compares its service time with the service's median."""
+    def compare(self, median_s: float, usual: float, now: float) -> None:
+        """Compares its service time and report with the service's medians."""
         pace = self.capacity.pace()
         slow = pace > SLOW * median_s > 0.0
         self.speed = max(median_s / pace, LEAST_SHARE) if slow else 1.0
+        self.trust.compare(usual, pace / median_s if median_s else 0.0, now)
 
     def share(self, now: float) -> float:
         """Returns its share of new flows, 0 to 1, before any floor."""
         if not self.serving or self.reported_down():
             return 0.0
         share = self.evidence.share(now) * self.warmth(now) * self.speed
-        verdict = self.trust.verdict(now)
-        if verdict is Verdict.STUCK:
+        if self.trust.verdict(now) is Verdict.STUCK:
             return share * LEAST_SHARE
-        if verdict is Verdict.HIDES:
-            return share * max(self.trust.accounted, LEAST_SHARE)
         return share
 
     def why(self, now: float) -> str:
--- a/src/pollenmast/decisions/_request_capacity.py
+++ b/src/pollenmast/decisions/_request_capacity.py
@@ -19,6 +19,7 @@
 from pollenmast.decisions._capacity import Capacity
 from pollenmast.decisions._fleet_part import FleetPart
 from pollenmast.decisions._service_time import ServiceTime
+from pollenmast.decisions._trust import Verdict
 from pollenmast.manifest import Endpoint
 from pollenmast.peers._messages import EndpointReport
 
@@ -46,9 +47,19 @@
 MOST_DEBT = 8.0
 """Bound of the debt, so that one wrong report cannot close an endpoint."""
 
-RECENT_S = 0.5
+RECENT_S = 1.0
 """Time constant of a VM's own recent flows, by which it spreads them."""
 
+DOUBTED = 0.8
+"""Flows sent for each one finished where a report hides work.
+
+What it finishes is all that is known of it. Sending less drains the queue
+that built up before the report was found out.
+"""
+
+TRIAL_RATE = 1.0
+"""Flows a second of the fleet that such an endpoint gets at the least."""
+
 
 class RequestCapacity(Capacity):
     """Fullness by slots."""
@@ -71,6 +82,7 @@
         self._floor = 0.0
         self._drained = 0.0
         self._recent = 0.0
+        self._doubted = False
         self._at = 0.0
         self._last: EndpointReport | None = None
         self._last_at = 0.0
@@ -82,20 +94,30 @@
         self._recent += 1.0
         self._offset = self._draw_offset()
 
-    def on_report(self, report: EndpointReport, now: float) -> None:
+    def on_open(self, change: int) -> None:
+        """Has no use for it: the end of a request shows too late."""
+
+    def on_report(
+        self, report: EndpointReport, now: float, verdict: Verdict
+    ) -> None:
         """Measures the service time and settles the debt."""
         self._advance(now)
         last, self._last = self._last, report
         length, self._last_at = now - self._last_at, now
+        drained, self._drained = self._drained, 0.0
         if last is None or report.finished < last.finished:
-            self._drained = 0.0
             return
-        running = min(report.running, self._slots)
         done = report.finished - last.finished
+        running = min(report.running, self._slots)
         self._time.add(running, done, length)
-        fill = (report.running + report.queued) / self._target
-        self._part.on_report(self._name, fill, done, now)
-        self._settle(report, done)
+        self._doubted = verdict is Verdict.HIDES
+        occupancy = report.running + report.queued
+        self._part.on_report(self._name, occupancy / self._target, done, now)
+        if self._doubted:
+            self._debt -= DOUBTED * done * self._part.value
+            self._debt = max(self._debt, self._floor)
+        elif verdict is Verdict.BELIEVED:
+            self._settle(drained - done * self._part.value, occupancy)
 
     def has_room(self, now: float, share: float) -> bool:
         """Whether the debt is below this VM's part of the target."""
@@ -121,12 +143,15 @@
         """Returns the measured service time."""
         return self._time.mean
 
-    def _settle(self, report: EndpointReport, done: int) -> None:
-        """Replaces what was expected to finish by what did."""
-        drained, self._drained = self._drained, 0.0
-        self._debt += drained - done * self._part.value
-        part = (report.running + report.queued) * self._part.value
-        self._debt += PULL * (part - self._debt)
+    def _settle(self, missing: float, occupancy: int) -> None:
+        """Replaces what was expected to finish by what did.
+
+        Args:
+            missing: What was expected beyond what finished, this VM's part.
+            occupancy: Requests reported as running and queued.
+        """
+        self._debt += missing
+        self._debt += PULL * (occupancy * self._part.value - self._debt)
         self._debt = min(self._debt, MOST_DEBT)
 
     def _draw_offset(self) -> float:
@@ -140,7 +165,8 @@
 
     def _drain_rate(self) -> float:
         """Returns this VM's part of the finish rate."""
-        return self._slots / self._time.mean * self._part.value
+        full = self._slots / self._time.mean
+        return (TRIAL_RATE if self._doubted else full) * self._part.value
 
     def _advance(self, now: float) -> None:
         passed = now - self._at
--- a/src/pollenmast/decisions/_service.py
+++ b/src/pollenmast/decisions/_service.py
@@ -84,11 +84,7 @@
         if record is None:
             return
         record.on_report(report, now, self._part.value)
-        serving = [r for r in self._records.values() if r.serving]
-        if serving:
-            paces = [r.capacity.pace() for r in serving]
-            median = statistics.median_low(paces)
-            record.set_speed(median)
+        self._compare(record, now)
 
     def on_new_flow(
         self, request: FlowRequest, now: float
@@ -160,6 +156,18 @@
         queue = self._service.limits.queue_per_slot
         return RequestCapacity(endpoint, queue, self._part, self._rng)
 
+    def _compare(self, record: EndpointRecord, now: float) -> None:
+        """Compares an endpoint with the service's medians."""
+        serving = [r for r in self._records.values() if r.serving] or [record]
+        paces = [r.capacity.pace() for r in serving]
+        parts = [r.trust.accounted for r in serving]
+        known = [part for part in parts if part is not None]
+        record.compare(
+            statistics.median_low(paces),
+            statistics.median_low(known) if len(known) > 1 else 0.0,
+            now,
+        )
+
     def _usable(self, now: float) -> list[Candidate]:
         """Returns the endpoints that may get new flows.
 
--- a/src/pollenmast/decisions/_trust.py
+++ b/src/pollenmast/decisions/_trust.py
@@ -5,9 +5,11 @@
 all VMs when reports steer placement; one frozen at full gets none.
 
 Every request that reaches an endpoint must show up as waiting, running or
-finished. A VM knows how many it placed there, and that the other VMs, which
-callers reach alike, placed about as many each. What the report fails to
-account for over some seconds, it hides.
+finished. A VM knows how many it placed there and about which part of the
+fleet's that is. What a report fails to account for over some seconds, it
+hides. An endpoint is compared with the others of its service: callers that
+send nothing after the handshake make all of them seem to hide work, and must
+not be able to close a service so.
 """
 
 import collections
@@ -24,10 +26,17 @@
 """Flows of the fleet expected in that time before a verdict is given."""
 
 HIDDEN = 0.5
-"""Part accounted for below which the report is not believed.
+"""Part accounted for, by the service's usual, below which work is hidden."""
 
-VMs get uneven numbers of flows, and callers may send nothing after the
-handshake; half is beyond both.
+IMPLAUSIBLE = 0.25
+"""Service time, by the service's median, below which the slots in use are
+not believed: an endpoint that says idle seems to finish work in no time."""
+
+SUSPECT_S = 10.0
+"""How long a report that hid work is not believed after the last sign.
+
+Once less work goes there the sign vanishes, whether the report is mended or
+not; without this time a lying endpoint would be flooded every few seconds.
 """
 
 STALE_S = 3.0
@@ -70,12 +79,13 @@
             maxlen=MOST_KEPT
         )
         self._placed = 0
-        self._verdict = Verdict.BELIEVED
-        self._accounted = 1.0
+        self._accounted: float | None = None
+        self._moved = True
+        self._suspect_until: float | None = None
 
     @property
-    def accounted(self) -> float:
-        """Returns the part of the work sent there that the report shows."""
+    def accounted(self) -> float | None:
+        """Part of the work sent there that shows, None when too little was."""
         return self._accounted
 
     def on_placed(self) -> None:
@@ -85,7 +95,13 @@
     def on_report(
         self, report: EndpointReport, now: float, part: float
     ) -> None:
-        """Compares a newer report with the one some seconds before."""
+        """Compares a newer report with the one some seconds before.
+
+        Args:
+            report: The report.
+            now: The runtime's clock.
+            part: This VM's part of the flows that go there.
+        """
         if self._seen and report.finished < self._seen[-1].finished:
             self._seen.clear()
         newest = _Seen(
@@ -98,32 +114,44 @@
         self._seen.append(newest)
         while len(self._seen) > 2 and now - self._seen[1].at >= WINDOW_S:
             self._seen.popleft()
-        self._judge(self._seen[0], newest, part)
+        self._account(self._seen[0], newest, part)
+
+    def compare(self, usual: float, pace: float, now: float) -> None:
+        """Compares with the other endpoints of the service.
+
+        Args:
+            usual: The median of what they account for.
+            pace: The service time by the median one, 0 when unknown.
+            now: The runtime's clock.
+        """
+        hides = self._accounted is not None and self._accounted < HIDDEN * min(
+            usual, 1.0
+        )
+        if hides or 0.0 < pace < IMPLAUSIBLE:
+            self._suspect_until = now + SUSPECT_S
 
     def verdict(self, now: float) -> Verdict:
         """Returns what the newest report is worth now."""
-        if self._seen and now - self._seen[-1].at > STALE_S:
+        if not self._seen:
+            return Verdict.BELIEVED
+        newest = self._seen[-1]
+        if now - newest.at > STALE_S:
             return Verdict.STALE
-        return self._verdict
+        if not self._moved:
+            full = newest.occupancy >= self._slots
+            return Verdict.STUCK if full else Verdict.FROZEN
+        if self._suspect_until is not None and now < self._suspect_until:
+            return Verdict.HIDES
+        return Verdict.BELIEVED
 
-    def _judge(self, oldest: _Seen, newest: _Seen, part: float) -> None:
-        self._verdict = Verdict.BELIEVED
-        self._accounted = 1.0
+    def _account(self, oldest: _Seen, newest: _Seen, part: float) -> None:
+        self._accounted, self._moved = None, True
         expected = (newest.placed - oldest.placed) / part
         if newest.at - oldest.at < WINDOW_S or expected < LEAST_EXPECTED:
             return
         done = newest.finished - oldest.finished
         waiting = newest.occupancy - oldest.occupancy
         opened = newest.connections - oldest.connections
-        shown = done + max(waiting, opened)
-        if shown >= HIDDEN * expected:
-            return
-        self._accounted = max(shown, 0) / expected
-        self._verdict = self._kind(newest, done, shown)
-
-    def _kind(self, newest: _Seen, done: int, shown: int) -> Verdict:
-        if done > 0 or shown > 0:
-            return Verdict.HIDES
-        if newest.occupancy >= self._slots:
-            return Verdict.STUCK
-        return Verdict.FROZEN
+        shown = done + max(waiting, opened, 0)
+        self._accounted = shown / expected
+        self._moved = shown > 0
