--- a/packing/_contents.py
+++ b/packing/_contents.py
@@ -15,6 +15,9 @@
 _PRODUCT = _ROOT / "src"
 _PINS = _ROOT / "requirements.txt"
 
+_START = "__main__.py"
+"""What Python runs; it also runs on other versions, to say what it needs."""
+
 _LEFT_OUT_FOLDERS = frozenset({"__pycache__", "tests", "test", ".."})
 """Folders of a library that no import of ours needs."""
 
@@ -36,14 +39,14 @@
 def gather() -> list[Entry]:
     """Returns every file of the binary, sorted by name."""
     files = {**_library_files(), **_own_files()}
-    entries = [Entry(name, path.read_bytes()) for name, path in files.items()]
+    entries: list[Entry] = []
     with tempfile.TemporaryDirectory() as folder:
         target = pathlib.Path(folder) / "module.pyc"
-        entries += [
-            _compiled(name, path, target)
-            for name, path in files.items()
-            if path.suffix == ".py" and name != "__main__.py"
-        ]
+        for name, path in files.items():
+            if path.suffix == ".py" and name != _START:
+                entries.append(_compiled(name, path, target))
+            else:
+                entries.append(Entry(name, path.read_bytes()))
     entries.append(_native_list(entries))
     return sorted(entries, key=lambda entry: entry.name)
 
@@ -84,8 +87,9 @@
 def _compiled(name: str, path: pathlib.Path, target: pathlib.Path) -> Entry:
     """Compiles a module, so that no start has to.
 
-    The mark "unchecked" spares each start the comparison with the source,
-    which stands beside it for tracebacks only and cannot change.
+    Its source stays out: it made the binary a quarter greater, and tracebacks
+    name file and line without it. The mark "unchecked" says that there is no
+    source to compare with.
     """
     py_compile.compile(
         str(path),
