Demo: short sessions beside long ones; show counters and failures

Cause: with long sessions alone nothing new came to a draining upstream, so the count of late connections could not fail.

--- a/standins/_asking.py
+++ b/standins/_asking.py
@@ -24,6 +24,8 @@
         size: Bytes of an image.
         deadline_s: Time after which an answer is of no use, in seconds.
         feed_s: Time between two alerts, in seconds; 0 opens no feed.
+        lifetime_s: Time after which a caller closes its session and opens
+            another, in seconds; 0 keeps it.
         keepalive_s: Time between two keep-alives, in seconds.
         idle_s: Idle time-out of a connection, in seconds.
     """
@@ -39,6 +41,7 @@
     size: int = 20_000
     deadline_s: float = 10.0
     feed_s: float = 1.0
+    lifetime_s: float = 0.0
     keepalive_s: float = 2.0
     idle_s: float = 15.0
 
--- a/standins/_flow.py
+++ b/standins/_flow.py
@@ -66,9 +66,14 @@
         """The connection."""
         return self.link.quic
 
+    @property
+    def is_over(self) -> bool:
+        """Whether it has ended, or the caller is closing it."""
+        return self._closing or self._ended()
+
     def close(self) -> None:
         """Closes the flow in an orderly way."""
-        if self._ended():
+        if self.is_over:
             return
         self._closing = True
         self.link.close()
--- a/standins/_records.py
+++ b/standins/_records.py
@@ -43,6 +43,21 @@
     """No answer in time; whether it ran is unknown."""
 
 
+@attrs.frozen
+class Stall:
+    """An alert that came late, or after a long silence.
+
+    Attributes:
+        at: When it came.
+        silence_s: Time since the alert before it, in seconds.
+        lateness_s: Its age when it came, in seconds.
+    """
+
+    at: float
+    silence_s: float
+    lateness_s: float
+
+
 @attrs.define
 class FlowRecord:
     """One flow, from its first packet to its end.
@@ -56,8 +71,8 @@
         reason: The error code and text it ended with.
         alerts: Alerts received on the feed.
         silence_s: Greatest time between two alerts, in seconds.
-        silence_at: When that silence ended.
         lateness_s: Greatest age of an alert when it came, in seconds.
+        stalls: Alerts that came late, the first ones of them.
     """
 
     service: str
@@ -68,8 +83,8 @@
     reason: str = ""
     alerts: int = 0
     silence_s: float = 0.0
-    silence_at: float = 0.0
     lateness_s: float = 0.0
+    stalls: list[Stall] = attrs.field(factory=list)
 
 
 @attrs.define
@@ -121,7 +136,10 @@
     results = Results()
     for flow in value["flows"]:
         fate = Fate(flow["fate"])
-        results.flows.append(FlowRecord(**(flow | {"fate": fate})))
+        stalls = [Stall(**stall) for stall in flow["stalls"]]
+        results.flows.append(
+            FlowRecord(**(flow | {"fate": fate, "stalls": stalls}))
+        )
     for request in value["requests"]:
         outcome = Outcome(request["outcome"])
         results.requests.append(
--- a/standins/_session.py
+++ b/standins/_session.py
@@ -5,6 +5,11 @@
 from standins import _asking, _flow, _records
 
 REOPEN_S = 1.0
+RETIRE_CHECK_S = 0.05
+LATE_S = 0.5
+"""An alert older than this is noted as late."""
+
+MOST_STALLS = 50
 
 
 class SessionCaller(_flow.FlowOwner):
@@ -65,6 +70,8 @@
         if plan.rate:
             first_s = self._shared.rng.random() / plan.rate
             self._later(first_s, lambda: self._submit_next(flow))
+        if plan.lifetime_s:
+            self._later(plan.lifetime_s, lambda: self._retire(flow))
 
     def on_data(self, stream: int, data: bytes, end: bool) -> None:
         """Takes alerts, or an answer."""
@@ -94,8 +101,15 @@
                 record.end(_records.Outcome.LOST, self._shared.reactor.now)
         self._asked.clear()
         self._answers.clear()
-        if ending.fate is not _records.Fate.CLOSED:
-            self._later(ending.retry_after_s or REOPEN_S, self.open)
+        self._later(ending.retry_after_s or REOPEN_S, self.open)
+
+    def _retire(self, flow: _flow.Flow) -> None:
+        if self._gone(flow):
+            return
+        if self._asked:
+            self._later(RETIRE_CHECK_S, lambda: self._retire(flow))
+        else:
+            flow.close()
 
     def _open_feed(self) -> None:
         plan = self._shared.plan
@@ -113,19 +127,19 @@
         record = self._flow.record
         now = self._shared.reactor.now
         for line in lines:
-            alert = json.loads(line)
-            record.alerts += 1
-            record.lateness_s = max(record.lateness_s, now - alert["at"])
-        if lines:
-            self._note_silence(record, now)
-
-    def _note_silence(self, record: _records.FlowRecord, now: float) -> None:
-        if self._last_alert is not None:
-            silence_s = now - self._last_alert
-            if silence_s > record.silence_s:
-                record.silence_s = silence_s
-                record.silence_at = now
+            lateness_s = now - json.loads(line)["at"]
+            self._note_alert(record, now, lateness_s)
+
+    def _note_alert(self, record, now: float, lateness_s: float) -> None:
+        last = now if self._last_alert is None else self._last_alert
+        silence_s = now - last
         self._last_alert = now
+        record.alerts += 1
+        record.lateness_s = max(record.lateness_s, lateness_s)
+        record.silence_s = max(record.silence_s, silence_s)
+        late = silence_s > 2 * self._shared.plan.feed_s or lateness_s > LATE_S
+        if late and len(record.stalls) < MOST_STALLS:
+            record.stalls.append(_records.Stall(now, silence_s, lateness_s))
 
     def _keep_alive(self, flow: _flow.Flow) -> None:
         if self._gone(flow):
@@ -166,7 +180,7 @@
         record.end(outcome, self._shared.reactor.now)
 
     def _gone(self, flow: _flow.Flow) -> bool:
-        return flow.record.fate is not _records.Fate.OPEN
+        return flow.is_over
 
     def _later(self, delay_s: float, callback) -> None:
         self._shared.reactor.at(self._shared.reactor.now + delay_s, callback)
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -101,6 +101,7 @@
         size=options.size,
         deadline_s=options.deadline_s,
         feed_s=options.feed_s,
+        lifetime_s=options.lifetime_s,
         keepalive_s=options.keepalive_s,
         idle_s=options.idle_s,
     )
@@ -122,6 +123,7 @@
     parser.add_argument("--size", type=int, default=20_000)
     parser.add_argument("--deadline-s", type=float, default=10.0)
     parser.add_argument("--feed-s", type=float, default=1.0)
+    parser.add_argument("--lifetime-s", type=float, default=0.0)
     parser.add_argument("--keepalive-s", type=float, default=2.0)
     parser.add_argument("--idle-s", type=float, default=15.0)
     parser.add_argument("--duration-s", type=float, default=None)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -22,13 +22,24 @@
 
 SESSIONS = 120
 SUBMISSIONS_A_SECOND = 0.2
+VISITORS = 20
+VISITOR_SUBMISSIONS_A_SECOND = 1.0
+VISIT_S = 2.0
+"""Short sessions, so that there is new work to be kept off the leaving."""
+
 IMAGES_A_SECOND = 20.0
 PAUSE_S = 3.0
 """Between two changes, so that what each does can be told apart."""
 
 GRACE_S = 15.0
+SETTINGS = {"relay": {"grace_s": "8"}}
+"""A leaving relay passes on late answers while their callers still use its
+path; they send at least each 2 s here, so 8 s are ample."""
+
 IN_FORCE_WITHIN_S = 5.0
 PROGRESS_EVERY_S = 2.0
+SHOWN_COUNTERS = ("drops", "fallbacks", "refusals", "repaths", "retries")
+MOST_SHOWN = 10
 LAST_WORDS = 3
 """Lines of error output shown of each process when the demo fails."""
 
@@ -115,7 +126,7 @@
         place = self._vm_place(number)
         seeds = [self._vm_place(each) for each in (1, 2, 3)]
         settings = fleet.write_settings(
-            place, self._folder, seeds, addresses=self._addresses
+            place, self._folder, seeds, SETTINGS, self._addresses
         )
         self._vms[number] = fleet.Vm(place, self._processes, settings)
         self._vms[number].start()
@@ -145,6 +156,17 @@
                 seed=number,
             )
             self._callers.append(publishers)
+        visitors = start(
+            "visitors",
+            "session",
+            fleet.REGISTRY,
+            local=self._addresses.caller(4),
+            count=VISITORS,
+            rate=VISITOR_SUBMISSIONS_A_SECOND,
+            lifetime_s=VISIT_S,
+            ramp_s=VISIT_S,
+        )
+        self._callers.append(visitors)
         images = start(
             "images",
             "image",
@@ -246,6 +268,33 @@
             finished = sum(load["finished"] for load in loads)
             self.say(f"  {open_now} connections open, {finished} requests run")
 
+    async def _show_counters(self) -> None:
+        for vm in self._vms.values():
+            counters = (await vm.status()).get("counters", [])
+            shown = [
+                f"{each['name']}/{each['reason']} {each['value']}"
+                for each in counters
+                if each["name"] in SHOWN_COUNTERS and each["value"]
+            ]
+            if shown:
+                self.say(f"{vm.place.name}: {', '.join(shown)}")
+
+    def _show_failures(self, results: list[_records.Results]) -> None:
+        unanswered = (_records.Outcome.LOST, _records.Outcome.CUT)
+        failed = [
+            request
+            for result in results
+            for request in result.requests
+            if request.outcome in unanswered
+        ]
+        for request in failed[:MOST_SHOWN]:
+            asked_s = request.asked - self._began
+            opened_s = request.flow_opened - self._began
+            self.say(
+                f"{request.outcome.value}: {request.identifier}, asked at "
+                f"{asked_s:.1f} s on a flow opened at {opened_s:.1f} s"
+            )
+
     async def _end_callers(self) -> list[_records.Results]:
         self.say("ending the callers")
         for process in self._callers:
@@ -260,19 +309,19 @@
         return results
 
     async def _summary(self, results: list[_records.Results]) -> dict:
+        await self._show_counters()
+        self._show_failures(results)
         counted = await self._around.executions()
         executions = _ledger.Executions(counted)
         ledger = _ledger.join(results, executions, self._loss)
         calls = await self._around.calls()
-        flows = [flow for result in results for flow in result.flows]
         late = {
             name: upstream["late_connections"]
             for name, upstream in counted.items()
             if upstream["late_connections"]
         }
         return {
-            "greatest_silence_s": max(flow.silence_s for flow in flows),
-            "greatest_lateness_s": max(flow.lateness_s for flow in flows),
+            **_feeds(results, self._loss),
             "connections_after_drain": late,
             "platform_calls": calls["calls"],
             **self._notes,
@@ -282,6 +331,26 @@
         }
 
 
+def _feeds(results: list[_records.Results], loss: _ledger.Loss) -> dict:
+    """Returns how late alerts came, before the unplanned loss and after."""
+    stalls = [
+        stall
+        for result in results
+        for flow in result.flows
+        for stall in flow.stalls
+    ]
+    lateness = {
+        "latest_alert_s": [s.lateness_s for s in stalls if s.at < loss.at],
+        "latest_alert_after_kill_s": [
+            s.lateness_s for s in stalls if s.at >= loss.at
+        ],
+    }
+    return {
+        name: round(max(values, default=0.0), 3)
+        for name, values in lateness.items()
+    }
+
+
 def verdict(summary: dict) -> int:
     """Returns the exit code that a summary earns."""
     if summary["problems"]:
