Compare endpoints by robust signs only

Cause: the first checks of reports gave false alarms, and one false alarm led to the next: a VM that alone still sent work to a doubted endpoint took its own part for the fleet's. One check by connections doubted every endpoint of a service whose reports carry none, and the service went dark: now doubts that most of a service shares are dropped.

--- a/bench/_load_baseline.py
+++ b/bench/_load_baseline.py
@@ -39,6 +39,9 @@
     def on_answered(self, service: int, endpoint: str, now: float) -> None:
         """Has no use for it."""
 
+    def on_flow_ended(self, service: int, endpoint: str, now: float) -> None:
+        """Has no use for it."""
+
     def on_unanswered(self, service: int, endpoint: str, now: float) -> None:
         """Has no use for it."""
 
--- a/bench/_load_model.py
+++ b/bench/_load_model.py
@@ -35,6 +35,9 @@
 SHED_QUEUE = 64
 """Requests that an upstream queues by itself before it sheds."""
 
+QUIET_S = 30.0
+"""Quiet after which a relay takes a session for ended."""
+
 DEADLINE_S = 1.0
 """An answer later than this is late: its caller has no more use for it."""
 
@@ -314,6 +317,8 @@
         take = upstream.connect if self._sessions else upstream.offer
         if take(job, self._finish):
             self.loop.after(WAY_S, self._answered, vm, endpoint)
+            quiet = job.length_s + QUIET_S
+            self.loop.after(quiet, self._quiet, vm, endpoint)
         else:
             self.loop.after(RETRY_S, self._unanswered, vm, job, endpoint)
 
@@ -322,6 +327,11 @@
             self.service.number, endpoint, self.loop.now
         )
 
+    def _quiet(self, vm: int, endpoint: str) -> None:
+        self.dispatchers[vm].on_flow_ended(
+            self.service.number, endpoint, self.loop.now
+        )
+
     def _unanswered(self, vm: int, job: Job, endpoint: str) -> None:
         now = self.loop.now
         dispatcher = self.dispatchers[vm]
--- a/src/pollenmast/decisions/_capacity.py
+++ b/src/pollenmast/decisions/_capacity.py
@@ -53,6 +53,10 @@
     def pace(self) -> float:
         """Returns seconds that a flow holds a slot, 0 where it has none."""
 
+    @abc.abstractmethod
+    def compare(self, median_s: float) -> None:
+        """Takes in the median of what `pace` is at the service's endpoints."""
+
 
 class SessionCapacity(Capacity):
     """Fullness by connections: long sessions."""
@@ -106,3 +110,6 @@
     def pace(self) -> float:
         """Returns 0: sessions hold no slot."""
         return 0.0
+
+    def compare(self, median_s: float) -> None:
+        """Has no use for it."""
--- a/src/pollenmast/decisions/_endpoint.py
+++ b/src/pollenmast/decisions/_endpoint.py
@@ -9,7 +9,7 @@
 from pollenmast.manifest import Endpoint, EndpointState
 from pollenmast.peers._messages import EndpointReport
 
-SLOW = 1.5
+SLOW = 2.0
 """Service time, by the service's median, from which an endpoint gets less.
 
 Below it the difference may be chance; from there the share is that of its
@@ -94,29 +94,48 @@
             self.open_flows -= 1
             self.capacity.on_open(-1)
 
-    def on_report(
-        self, report: EndpointReport, now: float, part: float
-    ) -> None:
+    def on_report(self, report: EndpointReport, now: float) -> bool:
         """Takes in a report unless it is old or repeated.
 
         A repeated one, come by another way, would count its finished
         requests as none and make the endpoint look slow.
+
+        Returns:
+            Whether it tells of the load and has to be settled.
         """
         last = self.report
         if last is not None and report.sequence <= last.sequence:
-            return
+            return False
         self.report, self.reported_at = report, now
-        if not report.healthy:
-            return
-        self.trust.on_report(report, now, part)
-        self.capacity.on_report(report, now, self.trust.verdict(now))
+        if report.healthy:
+            sessions = 0 if self.capacity.pace() else self.open_flows
+            self.trust.on_report(report, now, sessions)
+        return report.healthy
+
+    def settle(self, now: float) -> None:
+        """Counts the newest report as far as it is believed."""
+        self.capacity.on_report(self.report, now, self.trust.verdict(now))
+
+    def doubted(self, now: float) -> bool:
+        """Whether its report costs it work."""
+        return self.trust.verdict(now) in (Verdict.HIDES, Verdict.STUCK)
 
-    def compare(self, median_s: float, usual: float, now: float) -> None:
-        """Compares its service time and report with the service's medians."""
+    def compare(
+        self, median_s: float, usual: float, usual_busy: float, now: float
+    ) -> None:
+        """Compares it with the medians of its service.
+
+        Args:
+            median_s: Of the service times.
+            usual: Of what finishes for each flow that this VM sends.
+            usual_busy: Of the busy slots reported.
+            now: The runtime's clock.
+        """
+        self.capacity.compare(median_s)
         pace = self.capacity.pace()
         slow = pace > SLOW * median_s > 0.0
         self.speed = max(median_s / pace, LEAST_SHARE) if slow else 1.0
-        self.trust.compare(usual, pace / median_s if median_s else 0.0, now)
+        self.trust.compare(usual, usual_busy, now)
 
     def share(self, now: float) -> float:
         """Returns its share of new flows, 0 to 1, before any floor."""
--- a/src/pollenmast/decisions/_request_capacity.py
+++ b/src/pollenmast/decisions/_request_capacity.py
@@ -50,15 +50,19 @@
 RECENT_S = 1.0
 """Time constant of a VM's own recent flows, by which it spreads them."""
 
-DOUBTED = 0.8
-"""Flows sent for each one finished where a report hides work.
+TRIAL_RATE = 1.0
+"""Flows a second of the fleet to an endpoint whose report hides work.
 
-What it finishes is all that is known of it. Sending less drains the queue
-that built up before the report was found out.
+How much waits there is not known; this lets it work that off, and what it
+does with the few that it gets shows whether its report is true again.
 """
 
-TRIAL_RATE = 1.0
-"""Flows a second of the fleet that such an endpoint gets at the least."""
+ALIKE = 1.5
+"""Service time, by the service's median, up to which the median counts.
+
+The time is measured from few samples of busy slots. Taken as it is, by
+chance one endpoint would seem twice as fast and get twice the flows.
+"""
 
 
 class RequestCapacity(Capacity):
@@ -83,6 +87,7 @@
         self._drained = 0.0
         self._recent = 0.0
         self._doubted = False
+        self._mean = self._time.mean
         self._at = 0.0
         self._last: EndpointReport | None = None
         self._last_at = 0.0
@@ -113,10 +118,7 @@
         self._doubted = verdict is Verdict.HIDES
         occupancy = report.running + report.queued
         self._part.on_report(self._name, occupancy / self._target, done, now)
-        if self._doubted:
-            self._debt -= DOUBTED * done * self._part.value
-            self._debt = max(self._debt, self._floor)
-        elif verdict is Verdict.BELIEVED:
+        if verdict is Verdict.BELIEVED:
             self._settle(drained - done * self._part.value, occupancy)
 
     def has_room(self, now: float, share: float) -> bool:
@@ -143,6 +145,12 @@
         """Returns the measured service time."""
         return self._time.mean
 
+    def compare(self, median_s: float) -> None:
+        """Takes the service's median time unless it differs clearly."""
+        own = self._time.mean
+        alike = median_s / ALIKE <= own <= median_s * ALIKE
+        self._mean = median_s if alike else own
+
     def _settle(self, missing: float, occupancy: int) -> None:
         """Replaces what was expected to finish by what did.
 
@@ -165,7 +173,7 @@
 
     def _drain_rate(self) -> float:
         """Returns this VM's part of the finish rate."""
-        full = self._slots / self._time.mean
+        full = self._slots / self._mean
         return (TRIAL_RATE if self._doubted else full) * self._part.value
 
     def _advance(self, now: float) -> None:
--- a/src/pollenmast/decisions/_service.py
+++ b/src/pollenmast/decisions/_service.py
@@ -81,10 +81,10 @@
     def on_report(self, report: EndpointReport, now: float) -> None:
         """Takes in a report and compares the endpoints' speeds."""
         record = self._records.get(report.endpoint)
-        if record is None:
+        if record is None or not record.on_report(report, now):
             return
-        record.on_report(report, now, self._part.value)
         self._compare(record, now)
+        record.settle(now)
 
     def on_new_flow(
         self, request: FlowRequest, now: float
@@ -108,10 +108,10 @@
             return self._refused(RefusalReason.NO_ENDPOINT, now)
         if not self._budget.spend():
             return self._refused(RefusalReason.RETRY_SPENT, now)
+        # A retry may go beyond this VM's part: its caller has waited long
+        # already, and the budget bounds what that adds.
         roomy = [c for c in others if self._has_room(c, now)]
-        if not roomy:
-            return self._refused(RefusalReason.BUSY, now)
-        return self._choose(request, roomy, now)
+        return self._choose(request, roomy or others, now)
 
     def release(self, now: float) -> list[Released]:
         """Places held flows in turn and gives up those whose time is over."""
@@ -160,13 +160,18 @@
         """Compares an endpoint with the service's medians."""
         serving = [r for r in self._records.values() if r.serving] or [record]
         paces = [r.capacity.pace() for r in serving]
-        parts = [r.trust.accounted for r in serving]
-        known = [part for part in parts if part is not None]
+        ratios = [r.trust.finished_by_sent for r in serving]
+        known = [ratio for ratio in ratios if ratio is not None]
         record.compare(
             statistics.median_low(paces),
             statistics.median_low(known) if len(known) > 1 else 0.0,
+            statistics.median_low([r.trust.busy for r in serving]),
             now,
         )
+        doubted = [r for r in serving if r.doubted(now)]
+        if 2 * len(doubted) > len(serving):
+            for other in doubted:
+                other.trust.forgive()
 
     def _usable(self, now: float) -> list[Candidate]:
         """Returns the endpoints that may get new flows.
--- a/src/pollenmast/decisions/_trust.py
+++ b/src/pollenmast/decisions/_trust.py
@@ -4,12 +4,13 @@
 idle, or one whose load page is served by a stuck thread, draws the work of
 all VMs when reports steer placement; one frozen at full gets none.
 
-Every request that reaches an endpoint must show up as waiting, running or
-finished. A VM knows how many it placed there and about which part of the
-fleet's that is. What a report fails to account for over some seconds, it
-hides. An endpoint is compared with the others of its service: callers that
-send nothing after the handshake make all of them seem to hide work, and must
-not be able to close a service so.
+Three checks, none of which needs the report to be honest. Nothing in it moves
+although this VM sends work there. An endpoint that this VM sends as much as
+the others finishes much less than they do, yet says that it is less busy. One
+says that it has far fewer connections than this VM alone holds to it.
+
+Endpoints are compared with each other, since callers that send nothing after
+the handshake make all of them finish less than they were sent.
 """
 
 import collections
@@ -22,17 +23,31 @@
 WINDOW_S = 4.0
 """Time over which flows and report are compared: about eight reports."""
 
-LEAST_EXPECTED = 12.0
-"""Flows of the fleet expected in that time before a verdict is given."""
+LEAST_PLACED = 6
+"""Own flows in that time before finished work is compared.
+
+With fewer, chance alone is as large as what is looked for; a VM that sends
+less does little harm either.
+"""
+
+LEAST_TO_MOVE = 3
+"""Own flows in that time after which a report has to move."""
 
 HIDDEN = 0.5
-"""Part accounted for, by the service's usual, below which work is hidden."""
+"""Finished by sent, by the service's median, below which work is hidden."""
+
+LESS_BUSY = 0.5
+"""Busy slots reported, by the service's median, below which an endpoint may
+hide work. One that says it is as busy as the others is slow or gets less
+work, and honest about it."""
 
-IMPLAUSIBLE = 0.25
-"""Service time, by the service's median, below which the slots in use are
-not believed: an endpoint that says idle seems to finish work in no time."""
+FEWER = 0.25
+"""Connections reported, by this VM's own, below which they are not believed.
 
-SUSPECT_S = 10.0
+A VM counts flows that ended until it notices that they are quiet.
+"""
+
+SUSPECT_S = 20.0
 """How long a report that hid work is not believed after the last sign.
 
 Once less work goes there the sign vanishes, whether the report is mended or
@@ -64,9 +79,7 @@
 @attrs.frozen
 class _Seen:
     at: float
-    occupancy: int
-    connections: int
-    finished: int
+    report: EndpointReport
     placed: int
 
 
@@ -79,57 +92,68 @@
             maxlen=MOST_KEPT
         )
         self._placed = 0
-        self._accounted: float | None = None
         self._moved = True
+        self._finished_by_sent: float | None = None
         self._suspect_until: float | None = None
 
     @property
-    def accounted(self) -> float | None:
-        """Part of the work sent there that shows, None when too little was."""
-        return self._accounted
+    def finished_by_sent(self) -> float | None:
+        """Requests finished for each own flow sent, None with too few."""
+        return self._finished_by_sent
 
     def on_placed(self) -> None:
         """A flow was placed there by this VM."""
         self._placed += 1
 
     def on_report(
-        self, report: EndpointReport, now: float, part: float
+        self, report: EndpointReport, now: float, sessions: int
     ) -> None:
         """Compares a newer report with the one some seconds before.
 
         Args:
             report: The report.
             now: The runtime's clock.
-            part: This VM's part of the flows that go there.
+            sessions: Sessions that this VM carries there, if it has such.
         """
-        if self._seen and report.finished < self._seen[-1].finished:
+        if self._seen and report.finished < self._seen[-1].report.finished:
             self._seen.clear()
-        newest = _Seen(
-            now,
-            report.running + report.queued,
-            report.connections,
-            report.finished,
-            self._placed,
-        )
-        self._seen.append(newest)
+        self._seen.append(_Seen(now, report, self._placed))
         while len(self._seen) > 2 and now - self._seen[1].at >= WINDOW_S:
             self._seen.popleft()
-        self._account(self._seen[0], newest, part)
+        self._measure()
+        fewer = report.connections < FEWER * sessions
+        if fewer and sessions >= LEAST_PLACED:
+            self._suspect_until = now + SUSPECT_S
 
-    def compare(self, usual: float, pace: float, now: float) -> None:
-        """Compares with the other endpoints of the service.
+    @property
+    def busy(self) -> float:
+        """Busy slots in the mean of the reports compared."""
+        running = sum(seen.report.running for seen in self._seen)
+        return running / len(self._seen) if self._seen else 0.0
+
+    def compare(self, usual: float, usual_busy: float, now: float) -> None:
+        """Compares with the service's medians.
 
         Args:
-            usual: The median of what they account for.
-            pace: The service time by the median one, 0 when unknown.
+            usual: The median of `finished_by_sent`.
+            usual_busy: The median of `busy`.
             now: The runtime's clock.
         """
-        hides = self._accounted is not None and self._accounted < HIDDEN * min(
-            usual, 1.0
-        )
-        if hides or 0.0 < pace < IMPLAUSIBLE:
+        ratio = self._finished_by_sent
+        if ratio is None or ratio >= HIDDEN * usual:
+            return
+        if self.busy < LESS_BUSY * usual_busy:
             self._suspect_until = now + SUSPECT_S
 
+    def forgive(self) -> None:
+        """Believes it again, because most of the service looks the same.
+
+        Reports of another kind than this VM expects, or callers that only
+        open flows, would otherwise close the whole service.
+        """
+        self._suspect_until = None
+        self._moved = True
+
     def verdict(self, now: float) -> Verdict:
         """Returns what the newest report is worth now."""
         if not self._seen:
@@ -138,20 +162,27 @@
         if now - newest.at > STALE_S:
             return Verdict.STALE
         if not self._moved:
-            full = newest.occupancy >= self._slots
+            full = newest.report.running >= self._slots
             return Verdict.STUCK if full else Verdict.FROZEN
         if self._suspect_until is not None and now < self._suspect_until:
             return Verdict.HIDES
         return Verdict.BELIEVED
 
-    def _account(self, oldest: _Seen, newest: _Seen, part: float) -> None:
-        self._accounted, self._moved = None, True
-        expected = (newest.placed - oldest.placed) / part
-        if newest.at - oldest.at < WINDOW_S or expected < LEAST_EXPECTED:
+    def _measure(self) -> None:
+        oldest, newest = self._seen[0], self._seen[-1]
+        self._moved, self._finished_by_sent = True, None
+        if newest.at - oldest.at < WINDOW_S:
             return
-        done = newest.finished - oldest.finished
-        waiting = newest.occupancy - oldest.occupancy
-        opened = newest.connections - oldest.connections
-        shown = done + max(waiting, opened, 0)
-        self._accounted = shown / expected
-        self._moved = shown > 0
+        placed = newest.placed - oldest.placed
+        done = newest.report.finished - oldest.report.finished
+        if placed >= LEAST_TO_MOVE:
+            self._moved = done > 0 or any(
+                _shown(seen.report) != _shown(newest.report)
+                for seen in self._seen
+            )
+        if placed >= LEAST_PLACED:
+            self._finished_by_sent = done / placed
+
+
+def _shown(report: EndpointReport) -> tuple[int, int, int]:
+    return report.running, report.queued, report.connections
