--- a/bench/_control_stubs.py
+++ b/bench/_control_stubs.py
@@ -10,12 +10,10 @@
 import random
 
 import anyio
-import pynng
 
 from pollenmast import counters, http1
-from pollenmast.peers import _codec
 from pollenmast.peers._envelope import Opener, Sealer
-from pollenmast.peers._kinds import Kind
+from pollenmast.peers._link import Link
 from pollenmast.peers._messages import (
     CounterValue,
     DrainOrder,
@@ -33,10 +31,8 @@
 
     def __init__(self, name: str, address: str, port: int, endpoints: int):
         self._name = name
-        self._sealer = Sealer(name, KEY)
-        self._opener = Opener(KEY)
-        self._socket = pynng.Pair0(recv_max_size=8 << 20)
-        self._socket.listen(f"tcp://{address}:{port}")
+        self._link = Link(Sealer(name, KEY), Opener(KEY), counters.Counters())
+        self._link.listen(address, port)
         self._view: FleetView | None = None
         self._draining = False
         self._endpoints = endpoints
@@ -44,17 +40,13 @@
     async def report(self) -> None:
         """Reports until cancelled."""
         while True:
-            report = _codec.encode(self._report())
-            with anyio.move_on_after(REPORT_S):
-                await self._socket.asend(self._sealer.seal(Kind.LINK, report))
+            await self._link.send(self._report())
             await anyio.sleep(REPORT_S)
 
     async def take(self) -> None:
         """Takes views until cancelled."""
         while True:
-            data = await self._socket.arecv()
-            opened = self._opener.open(data, anyio.current_time())
-            message = _codec.decode(opened.unwrap().body).unwrap()
+            message = await self._link.receive()
             if isinstance(message, FleetView):
                 self._see(message)
             elif isinstance(message, DrainOrder):
--- a/src/pollenmast/agent/_gossip_loop.py
+++ b/src/pollenmast/agent/_gossip_loop.py
@@ -33,9 +33,6 @@
 """Sends of one endpoint's report, times log2 of the fleet. A lost report is
 replaced by the next one within two seconds, so once is enough."""
 
-LONGEST_SLEEP_S = 0.1
-"""A message may bring a deadline nearer than the one slept for."""
-
 _STATE_EVENTS = {
     VmState.SUSPECT: events.VM_SUSPECT,
     VmState.DEAD: events.VM_DEAD,
@@ -71,6 +68,7 @@
         now = anyio.current_time()
         self._budget = ByteBudget(BYTES_PER_S, BURST_BYTES, now)
         self._fresh = False
+        self._earlier = anyio.Event()
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -80,9 +78,12 @@
 
     def send(self, sends: list[Send]) -> None:
         """Sends messages, each with as much news as it may carry."""
-        self._collect()
+        changed = self._collect()
         for send in sends:
             self._send(send)
+        if changed or any(send.act is Act.PING for send in sends):
+            # There may be a deadline before the one that `_tick` waits for.
+            self._earlier.set()
 
     def tell(self, news: ProbeNews) -> None:
         """Queues an endpoint's report for the peers."""
@@ -94,8 +95,9 @@
         while True:
             now = anyio.current_time()
             self.send(membership.tick(now))
-            wait = membership.due() - anyio.current_time()
-            await anyio.sleep(min(max(wait, 0.0), LONGEST_SLEEP_S))
+            self._earlier = anyio.Event()
+            with anyio.move_on_at(membership.due()):
+                await self._earlier.wait()
 
     async def _receive(self) -> None:
         while True:
@@ -114,14 +116,14 @@
         if self._node.acceptance.wants(key):
             self._wanted(key, message.sender)
 
-    def _collect(self) -> None:
+    def _collect(self) -> bool:
         """Turns what membership changed into news and log lines."""
         membership = self._node.membership
-        for change in membership.take_changes():
+        changes = membership.take_changes()
+        for change in changes:
             told = membership.told(change.vm.name)
             self._members.add(told.name, told, _gossip.member_size(told))
             self._write(change)
-            self._node.notify()
         if membership.fresh != self._fresh:
             self._fresh = membership.fresh
             if self._fresh:
@@ -129,7 +131,10 @@
                 self._node.log.write(events.REFRESH_ENDED, alone=alone)
             else:
                 self._node.log.write(events.REFRESH_BEGAN)
-            self._node.notify()
+            self._node.notify(at_once=True)
+        if changes:
+            self._node.notify(at_once=True)
+        return bool(changes)
 
     def _write(self, change: Change) -> None:
         event = _WHY_EVENTS.get(change.why, _STATE_EVENTS[change.vm.state])
--- a/src/pollenmast/agent/_link_loop.py
+++ b/src/pollenmast/agent/_link_loop.py
@@ -20,9 +20,12 @@
 VIEW_S = 1.0
 """Longest time between two views; the relay's lease on them is longer."""
 
-SPACING_S = 0.1
-"""Shortest time between two views. Each costs the agent about a fifth of a
-millisecond, and load reports change faster than any decision should."""
+SPACING_S = 0.25
+"""Shortest time between two views that tell of load only. Load is probed
+twice a second; telling each probe at once cost a fifth of the agent."""
+
+LEAST_SPACING_S = 0.02
+"""Shortest time between two views of any kind: changes come in bursts."""
 
 MANIFEST_AGAIN_S = 1.0
 """A manifest that the relay has not reported in force after so long is sent
@@ -34,7 +37,7 @@
 MOST_QUERIES = 16
 """Explanations awaited at the same time."""
 
-WATCH_RELAY_S = 0.25
+WATCH_RELAY_S = 0.5
 """Between two looks at whether the relay still reports, in seconds."""
 
 
@@ -90,9 +93,8 @@
             now = anyio.current_time()
             self._gossip.send(self._node.membership.look(now))
             await self._link.send(self._view(now))
-            await anyio.sleep(SPACING_S)
-            with anyio.move_on_after(VIEW_S - SPACING_S):
-                await self._node.changed()
+            await anyio.sleep(LEAST_SPACING_S)
+            await self._node.changed(SPACING_S, VIEW_S)
 
     def _view(self, now: float) -> FleetView:
         node = self._node
@@ -138,7 +140,7 @@
         first = node.relay.report is None
         node.relay.hear(report, anyio.current_time())
         if first:
-            node.notify()
+            node.notify(at_once=True)
         if not node.stopping:
             if report.draining:
                 node.membership.leave()
--- a/src/pollenmast/agent/_node.py
+++ b/src/pollenmast/agent/_node.py
@@ -52,6 +52,7 @@
     platform_up: bool = True
     platform_heard_s: float | None = None
     _changed: anyio.Event = attrs.field(factory=anyio.Event)
+    _urgent: anyio.Event = attrs.field(factory=anyio.Event)
 
     @property
     def name(self) -> str:
@@ -63,14 +64,30 @@
         fleet = self.settings.fleet
         return Opener(fleet.key, fleet.previous_key)
 
-    def notify(self) -> None:
-        """Wakes whoever waits for a change of the view."""
+    def notify(self, at_once: bool = False) -> None:
+        """Notes a change of the view.
+
+        Args:
+            at_once: Whether flows go wrong until the relay knows.
+        """
         self._changed.set()
+        if at_once:
+            self._urgent.set()
+
+    async def changed(self, spacing_s: float, most_s: float) -> None:
+        """Waits until the relay should be told.
 
-    async def changed(self) -> None:
-        """Returns after the next change of the view."""
-        await self._changed.wait()
+        Args:
+            spacing_s: Wait at least so long, unless a change is urgent.
+            most_s: Wait so long at the most.
+        """
+        with anyio.move_on_after(spacing_s):
+            await self._urgent.wait()
+        if not self._changed.is_set():
+            with anyio.move_on_after(most_s - spacing_s):
+                await self._changed.wait()
         self._changed = anyio.Event()
+        self._urgent = anyio.Event()
 
 
 def new_node(settings: Settings, now: float) -> Node:
--- a/src/pollenmast/agent/_program.py
+++ b/src/pollenmast/agent/_program.py
@@ -121,5 +121,5 @@
         """Tells the relay and a few peers of a manifest now in force."""
         membership = self._node.membership
         membership.set_in_force(self._node.acceptance.key)
-        self._node.notify()
+        self._node.notify(at_once=True)
         self._gossip.send(membership.push())
--- a/src/pollenmast/peers/_gossip.py
+++ b/src/pollenmast/peers/_gossip.py
@@ -1,6 +1,8 @@
 """Gossip between agents: its messages, their bytes and their bounds."""
 
 import enum
+import operator
+from collections.abc import Callable
 
 import attrs
 from cattrs import UnstructureStrategy
@@ -8,7 +10,7 @@
 from result import Err, Ok, Result
 
 from pollenmast.counters import EnvelopeFault
-from pollenmast.peers._messages import EndpointReport, Vm
+from pollenmast.peers._messages import EndpointReport, Vm, VmState
 
 MOST_BODY_BYTES = 1200
 """A gossip body fits one unfragmented datagram on any path: 1,280 bytes is
@@ -88,6 +90,76 @@
 _CONVERTER = make_converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
 
 
+def _exactly(*allowed: type) -> Callable[[object], object]:
+    def read(value: object) -> object:
+        if type(value) not in allowed:
+            raise TypeError(type(value).__name__)
+        return value
+
+    return read
+
+
+_text, _number, _flag = _exactly(str), _exactly(int), _exactly(bool)
+_seconds = _exactly(float, int)
+
+
+def _by_position(
+    cls: type, fields: dict[str, Callable[[object], object]]
+) -> Callable[..., object]:
+    """Registers how a flat class travels; returns its reader.
+
+    cattrs reads classes by position one attribute at a time, through its
+    dispatch; a message with twenty of them took a third of a millisecond.
+    """
+    names, readers = tuple(fields), tuple(fields.values())
+    assert names == tuple(field.name for field in attrs.fields(cls))
+    take = operator.attrgetter(*names)
+
+    def structure(values: list, _: type = cls) -> object:
+        if len(values) != len(readers):
+            raise ValueError(cls.__name__)
+        read = [reader(v) for reader, v in zip(readers, values, strict=True)]
+        return cls(*read)
+
+    _CONVERTER.register_structure_hook(cls, structure)
+    _CONVERTER.register_unstructure_hook(cls, take)
+    return structure
+
+
+_by_position(
+    Vm,
+    {
+        "name": _text,
+        "zone": _text,
+        "address": _text,
+        "relay_port": _number,
+        "gossip_port": _number,
+        "fetch_port": _number,
+        "incarnation": _number,
+        "state": VmState,
+        "relay_up": _flag,
+    },
+)
+_read_report = _by_position(
+    EndpointReport,
+    {
+        "service": _number,
+        "endpoint": _text,
+        "sequence": _number,
+        "healthy": _flag,
+        "running": _number,
+        "queued": _number,
+        "connections": _number,
+        "finished": _number,
+        "uptime_s": _seconds,
+    },
+)
+_CONVERTER.register_structure_hook(
+    ProbeNews,
+    lambda values, _: ProbeNews(_number(values[0]), _read_report(values[1])),
+)
+
+
 def member_size(vm: Vm) -> int:
     """Returns at most how many bytes a VM takes in a message."""
     return 40 + len(vm.name) + len(vm.zone) + len(vm.address)
