--- a/src/pollenmast/decisions/_introductions.py
+++ b/src/pollenmast/decisions/_introductions.py
@@ -18,7 +18,7 @@
         self._seeds = tuple(seeds)
         self._listed: dict[str, Vm] | None = None
 
-    def list(self, vms: Iterable[Vm]) -> None:
+    def take(self, vms: Iterable[Vm]) -> None:
         """Takes the platform's list."""
         self._listed = {vm.name: vm for vm in vms if vm.name != self._own_name}
 
--- a/src/pollenmast/decisions/_membership.py
+++ b/src/pollenmast/decisions/_membership.py
@@ -156,7 +156,7 @@
 
     def introduce(self, listed: Iterable[Vm], now: float) -> list[Send]:
         """Takes the platform's list: whom to greet, and whom to forget."""
-        self._introductions.list(listed)
+        self._introductions.take(listed)
         return self._greet(now)
 
     def tick(self, now: float) -> list[Send]:
