--- a/src/pollenmast/http1/_client.py
+++ b/src/pollenmast/http1/_client.py
@@ -122,11 +122,17 @@
         return await self._read()
 
     async def _read(self) -> Response:
-        status, parts, size = 0, [], 0
+        status, parts, size, begun = 0, [], 0, False
         while True:
             event = self._protocol.next_event()
             if event is h11.NEED_DATA:
-                self._protocol.receive_data(await self._receive())
+                data = await self._receive()
+                if not data and not begun:
+                    # Closed without a byte of an answer: most often a kept
+                    # connection that the server gave up while it was idle.
+                    raise anyio.EndOfStream
+                begun = True
+                self._protocol.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
--- a/src/pollenmast/peers/_gossip_socket.py
+++ b/src/pollenmast/peers/_gossip_socket.py
@@ -85,13 +85,14 @@
             except OSError:
                 # The system reports a peer's closed port here.
                 continue
-            message = self._open(data)
+            message = self.open(data, anyio.current_time())
             if message is not None:
                 received.append((message, source))
         return received
 
-    def _open(self, data: bytes) -> _gossip.Gossip | None:
-        opened = self._opener.open(data, anyio.current_time())
+    def open(self, data: bytes, now: float) -> _gossip.Gossip | None:
+        """Returns the message that a datagram holds, if it is genuine."""
+        opened = self._opener.open(data, now)
         if opened.is_err():
             self._counters.add(ENVELOPE_FAULTS, opened.unwrap_err())
             return None
--- /dev/null
+++ b/tests/decisions_acceptance_test.py
@@ -0,0 +1,89 @@
+"""Tests of decisions._acceptance."""
+
+import itertools
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast.counters import ManifestOutcome
+from pollenmast.decisions._acceptance import (
+    MOST_REFUSED,
+    Acceptance,
+    ManifestKey,
+)
+from pollenmast.manifest import Manifest
+
+LOW, HIGH = "aa" * 16, "bb" * 16
+
+
+def _offer(acceptance: Acceptance, version: int, digest: str):
+    manifest = Manifest(version, (), digest)
+    return acceptance.offer(manifest, digest.encode(), 0.0)
+
+
+class AcceptanceTest(TestCase):
+    """The greatest manifest is in force, and never an older one again."""
+
+    @parameterized.expand(
+        [
+            ("greater", 6, LOW, ManifestOutcome.ACCEPTED, False),
+            ("same", 5, HIGH, ManifestOutcome.KNOWN, False),
+            ("older", 4, HIGH, ManifestOutcome.OLDER, False),
+            ("lost_conflict", 5, LOW, ManifestOutcome.CONFLICT_LOST, True),
+            ("won_conflict", 5, "cc" * 16, ManifestOutcome.ACCEPTED, True),
+        ]
+    )
+    def test_offer(self, _, version, digest, outcome, conflict):
+        """Only a greater version, or a greater digest under it, is taken."""
+        acceptance = Acceptance()
+        _offer(acceptance, 5, HIGH)
+        offer = _offer(acceptance, version, digest)
+        self.assertEqual((outcome, conflict), (offer.outcome, offer.conflict))
+        taken = outcome is ManifestOutcome.ACCEPTED
+        expected = (version, digest) if taken else (5, HIGH)
+        self.assertEqual(ManifestKey(*expected), acceptance.key)
+
+    def test_two_pipelines(self):
+        """Two pipelines publish one version with two contents at once.
+
+        VMs see them in any order. If the last one seen won, half the fleet
+        would follow one pipeline and half the other.
+        """
+        offers = [(5, LOW), (5, HIGH), (4, HIGH)]
+        ends = set()
+        for order in itertools.permutations(offers):
+            acceptance = Acceptance()
+            for version, digest in order:
+                _offer(acceptance, version, digest)
+            ends.add(acceptance.key)
+        self.assertEqual({ManifestKey(5, HIGH)}, ends)
+
+    @settings(max_examples=200, derandomize=True, database=None, deadline=None)
+    @given(st.lists(st.tuples(st.integers(1, 5), st.sampled_from([LOW, HIGH]))))
+    def test_never_reverts(self, offers):
+        """Whatever is offered in whatever order, the key only grows."""
+        acceptance, before = Acceptance(), ManifestKey()
+        for version, digest in offers:
+            _offer(acceptance, version, digest)
+            self.assertGreaterEqual(acceptance.key, before)
+            before = acceptance.key
+        keys = [ManifestKey(*offer) for offer in offers]
+        self.assertEqual(max(keys, default=ManifestKey()), acceptance.key)
+
+    def test_refused_is_not_wanted_again(self):
+        """A peer has in force what this release finds invalid.
+
+        Asked for with each heartbeat, it would cost a megabyte twice a
+        second for nothing.
+        """
+        acceptance = Acceptance()
+        key = ManifestKey(9, LOW)
+        self.assertTrue(acceptance.wants(key))
+        acceptance.refuse(key)
+        self.assertFalse(acceptance.wants(key))
+        self.assertEqual(key, acceptance.heard)
+        for version in range(100, 100 + MOST_REFUSED):
+            acceptance.refuse(ManifestKey(version, LOW))
+        self.assertTrue(acceptance.wants(key))
--- /dev/null
+++ b/tests/decisions_dissemination_test.py
@@ -0,0 +1,60 @@
+"""Tests of decisions._dissemination."""
+
+from testtools import TestCase
+
+from pollenmast.decisions._dissemination import ByteBudget, Dissemination
+
+
+class DisseminationTest(TestCase):
+    """News is told often enough, and not more."""
+
+    def test_sends_are_bounded(self):
+        """A piece of news rides three times log2 of the fleet."""
+        news = Dissemination()
+        news.add("a", 1, 50)
+        sends = sum(len(news.pick(100, 7)) for _ in range(100))
+        self.assertEqual(9, sends)
+
+    def test_least_sent_first(self):
+        """A burst of news shares the messages evenly."""
+        news = Dissemination()
+        for key in range(6):
+            news.add(key, key, 50)
+        picked = [news.pick(100, 7) for _ in range(3)]
+        self.assertEqual(set(range(6)), {key for two in picked for key in two})
+
+    def test_budget_is_kept(self):
+        """News that does not fit waits; smaller news may still go."""
+        news = Dissemination()
+        news.add("large", "large", 90)
+        news.add("small", "small", 20)
+        self.assertEqual(("small",), news.pick(50, 7))
+
+    def test_newer_replaces_older(self):
+        """Only the newest word on a key is told, and told in full."""
+        news = Dissemination()
+        news.add("a", 1, 50)
+        for _ in range(5):
+            news.pick(100, 7)
+        news.add("a", 2, 50)
+        sends = [news.pick(100, 7) for _ in range(20)]
+        self.assertEqual([(2,)] * 9, [each for each in sends if each])
+
+
+class ByteBudgetTest(TestCase):
+    """Bytes a second, with a burst."""
+
+    def test_rate_and_burst(self):
+        """What was not used gathers up to the burst and no further."""
+        budget = ByteBudget(100, 250, 0.0)
+        budget.spend(250)
+        self.assertEqual(0, budget.left(0.0))
+        self.assertEqual(100, budget.left(1.0))
+        self.assertEqual(250, budget.left(60.0))
+
+    def test_overdraft(self):
+        """Heartbeats go out even over the budget, and are paid back."""
+        budget = ByteBudget(100, 250, 0.0)
+        budget.spend(400)
+        self.assertEqual(0, budget.left(1.0))
+        self.assertEqual(50, budget.left(2.0))
--- /dev/null
+++ b/tests/decisions_probing_test.py
@@ -0,0 +1,150 @@
+"""Tests of decisions._probing and decisions._readers."""
+
+import random
+
+import attrs
+from testtools import TestCase
+
+from pollenmast.decisions import _probing, _readers
+from pollenmast.decisions._probing import Reports
+from pollenmast.manifest import Endpoint
+from pollenmast.peers._gossip import ProbeNews
+from pollenmast.peers._messages import EndpointReport, VmState
+from tests.membership_group import ZONES, vm
+
+OWN, PEER = 1, 2
+REPORT = EndpointReport(1, "registry-1", 11, True, 1, 0, 100, 5, 100.0)
+
+
+def _reports() -> Reports:
+    return Reports(OWN, floor=10)
+
+
+def _report(**changes) -> EndpointReport:
+    return attrs.evolve(REPORT, **changes)
+
+
+class ProbersTest(TestCase):
+    """Who probes an endpoint."""
+
+    def test_two_of_its_zone(self):
+        """Each endpoint has two probers, of its own zone where there are."""
+        vms = [vm(number) for number in range(9)]
+        by_name = {each.name: each for each in vms}
+        for number in range(20):
+            endpoint = Endpoint(f"e-{number}", "127.0.2.1", 1, 2, ZONES[1])
+            probers = _probing.probers(1, endpoint, vms)
+            zones = [by_name[name].zone for name in probers]
+            self.assertEqual([ZONES[1]] * 2, zones)
+
+    def test_loss_moves_only_its_own(self):
+        """A VM ends; only what it probed gets another prober."""
+        vms = [vm(number) for number in range(9)]
+        for number in range(20):
+            endpoint = Endpoint(f"e-{number}", "127.0.2.1", 1, 2, ZONES[0])
+            before = _probing.probers(1, endpoint, vms)
+            after = _probing.probers(1, endpoint, vms[:-1])
+            kept = set(before) - {"vm-8"}
+            self.assertTrue(kept <= set(after))
+
+    def test_leaving_probes_nothing(self):
+        """A leaving VM's probes end with it, so others take them before."""
+        vms = [vm(0), attrs.evolve(vm(3), state=VmState.LEAVING), vm(1)]
+        endpoint = Endpoint("e", "127.0.2.1", 1, 2, ZONES[0])
+        self.assertNotIn("vm-3", _probing.probers(1, endpoint, vms))
+
+
+class ReportsTest(TestCase):
+    """What the fleet's probes say of an endpoint."""
+
+    def test_newest_wins(self):
+        """A report that was overtaken on its way changes nothing."""
+        reports = _reports()
+        newer = ProbeNews(PEER, _report(sequence=13, running=2))
+        self.assertTrue(reports.heard(newer, 0.0))
+        self.assertFalse(reports.heard(ProbeNews(PEER, REPORT), 0.0))
+        self.assertEqual((newer.report,), reports.view(0.0))
+
+    def test_one_lost_answer(self):
+        """One probe fails, as when the endpoint pauses; two say it is down."""
+        reports = _reports()
+        reports.own(REPORT, 0.0)
+        failed = _report(sequence=12, healthy=False)
+        self.assertIsNone(reports.own(failed, 0.5))
+        self.assertTrue(reports.view(0.5)[0].healthy)
+        self.assertIsNotNone(reports.own(failed, 1.0))
+        self.assertFalse(reports.view(1.0)[0].healthy)
+
+    def test_one_prober_cut_off(self):
+        """One of two probers does not reach an endpoint that is well.
+
+        Did the newest word win, the endpoint would seem to come and go four
+        times a second, and its flows with it.
+        """
+        reports = _reports()
+        reports.heard(ProbeNews(PEER, REPORT), 0.0)
+        for sequence in (12, 14):
+            reports.own(_report(sequence=sequence, healthy=False), 0.1)
+        self.assertTrue(reports.view(0.2)[0].healthy)
+
+    def test_silent_prober_expires(self):
+        """A prober is cut off or frozen; its last word is old, not true."""
+        reports = _reports()
+        reports.heard(ProbeNews(PEER, REPORT), 0.0)
+        self.assertEqual((), reports.view(_probing.REPORT_LEASE_S + 0.1))
+
+    def test_unchanged_is_told_rarely(self):
+        """An idle endpoint costs one report each two seconds."""
+        reports = _reports()
+        told = [
+            reports.own(_report(sequence=11 + n), n * 0.5) for n in range(20)
+        ]
+        self.assertEqual(5, sum(news is not None for news in told))
+
+    def test_sequences_go_up_over_restarts(self):
+        """All agents restart; their sequences start above those before."""
+        reports = _reports()
+        self.assertEqual(11, reports.next_sequence(1, "registry-1"))
+        reports.heard(ProbeNews(PEER, _report(sequence=40)), 0.0)
+        self.assertEqual(41, reports.next_sequence(1, "registry-1"))
+
+    def test_forgets_what_the_manifest_drops(self):
+        """Endpoints that are gone from the manifest take no memory."""
+        reports = _reports()
+        reports.heard(ProbeNews(PEER, REPORT), 0.0)
+        reports.keep_only(set())
+        self.assertEqual((), reports.view(0.0))
+
+
+class ReadersTest(TestCase):
+    """Who watches the platform."""
+
+    def test_two_watch_a_zone(self):
+        """The watchers do not grow with the zone."""
+        vms = [vm(number) for number in range(60)]
+        for zone in ZONES:
+            watchers = _readers.watchers(zone, vms)
+            self.assertEqual(_readers.WATCHERS, len(watchers))
+
+    def test_lost_watchers_are_replaced(self):
+        """Both watchers of a zone die at once.
+
+        Without successors the zone would hear of a new manifest only by its
+        rare fallback reads.
+        """
+        vms = [vm(number) for number in range(9)]
+        lost = _readers.watchers(ZONES[0], vms)
+        left = [each for each in vms if each.name not in lost]
+        watchers = _readers.watchers(ZONES[0], left)
+        self.assertEqual(1, len(watchers))
+        self.assertFalse(set(watchers) & set(lost))
+
+    def test_fallback_reads_stay_bounded(self):
+        """The whole fleet's fallback reads do not grow with its size."""
+        rng = random.Random(1)
+        for fleet in (300, 1400, 3000):
+            waits = [
+                _readers.fallback_interval(fleet, rng) for _ in range(fleet)
+            ]
+            reads_per_s = sum(1 / wait for wait in waits)
+            self.assertLess(reads_per_s, 1.1 * _readers.FLEET_READS_PER_S)
--- /dev/null
+++ b/tests/peers_gossip_test.py
@@ -0,0 +1,157 @@
+"""Tests of peers._gossip and peers._gossip_socket."""
+
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast.counters import ENVELOPE_FAULTS, Counters, EnvelopeFault
+from pollenmast.peers import _gossip
+from pollenmast.peers._envelope import Opener, Sealer
+from pollenmast.peers._gossip import Act, Gossip, ProbeNews
+from pollenmast.peers._gossip_socket import GossipSocket
+from pollenmast.peers._kinds import Kind
+from pollenmast.peers._messages import EndpointReport, VmState
+from tests.membership_group import vm
+
+KEY = bytes(range(32))
+REPORT = EndpointReport(1, "registry-1", 7, True, 2, 1, 900, 40, 12.5)
+FULL = Gossip(
+    Act.PING,
+    5,
+    vm(1),
+    "vm-2",
+    3,
+    b"d" * 16,
+    (attrs.evolve(vm(4), state=VmState.DEAD), vm(5)),
+    (ProbeNews(99, REPORT),),
+)
+_FUZZ = settings(
+    max_examples=300, derandomize=True, database=None, deadline=None
+)
+
+
+def _changed_report(**changes) -> Gossip:
+    news = ProbeNews(99, attrs.evolve(REPORT, **changes))
+    return attrs.evolve(FULL, probes=(news,))
+
+
+class CodecTest(TestCase):
+    """Only possible messages are read, whatever the bytes."""
+
+    def test_round_trip(self):
+        """A message survives its bytes."""
+        self.assertEqual(FULL, _gossip.decode(_gossip.encode(FULL)).unwrap())
+
+    def test_sizes_are_bounds(self):
+        """The sizes that budgets count with are not below the real ones."""
+        bare = len(_gossip.encode(attrs.evolve(FULL, members=(), probes=())))
+        wide = attrs.evolve(vm(1), incarnation=1 << 61, state=VmState.SUSPECT)
+        one = attrs.evolve(FULL, members=(wide,), probes=())
+        size = len(_gossip.encode(one)) - bare
+        self.assertLessEqual(size, _gossip.member_size(wide))
+        news = ProbeNews(
+            (1 << 32) - 1,
+            attrs.evolve(REPORT, sequence=1 << 33, finished=1 << 33),
+        )
+        two = attrs.evolve(FULL, members=(), probes=(news,))
+        size = len(_gossip.encode(two)) - bare
+        self.assertLessEqual(size, _gossip.probe_size(news))
+
+    @parameterized.expand(
+        [
+            (
+                "port",
+                attrs.evolve(FULL, sender=attrs.evolve(vm(1), gossip_port=0)),
+            ),
+            ("name", attrs.evolve(FULL, sender=attrs.evolve(vm(1), name=""))),
+            ("digest", attrs.evolve(FULL, digest=b"short")),
+            ("version", attrs.evolve(FULL, version=-1)),
+            ("text", attrs.evolve(FULL, sender=attrs.evolve(vm(1), zone=5))),
+            (
+                "incarnation",
+                attrs.evolve(
+                    FULL, members=(attrs.evolve(vm(1), incarnation=1 << 62),)
+                ),
+            ),
+            ("not_a_number", _changed_report(uptime_s=float("nan"))),
+            ("negative", _changed_report(connections=-1)),
+            ("flag", _changed_report(healthy=1)),
+        ]
+    )
+    def test_impossible(self, _, message):
+        """A VM of a faulty release tells what cannot be.
+
+        Taken, it would send heartbeats to port 0, or make an incarnation
+        that its VM can never outgrow.
+        """
+        decoded = _gossip.decode(_gossip.encode(message))
+        self.assertEqual(EnvelopeFault.MALFORMED, decoded.unwrap_err())
+
+    def test_oversized(self):
+        """More than a datagram's worth is not read at all."""
+        decoded = _gossip.decode(bytes(_gossip.MOST_BODY_BYTES + 1))
+        self.assertEqual(EnvelopeFault.OVERSIZED, decoded.unwrap_err())
+
+    @_FUZZ
+    @given(st.binary(max_size=400))
+    def test_any_bytes(self, data):
+        """Bytes of no meaning are refused, and nothing is raised."""
+        self.assertTrue(_gossip.decode(data).is_err())
+
+    @_FUZZ
+    @given(st.integers(0, 1000), st.integers(0, 255))
+    def test_one_byte_changed(self, place, value):
+        """Any changed byte gives a possible message or a counted fault."""
+        data = bytearray(_gossip.encode(FULL))
+        data[place % len(data)] = value
+        decoded = _gossip.decode(bytes(data))
+        if decoded.is_err():
+            self.assertEqual(EnvelopeFault.MALFORMED, decoded.unwrap_err())
+        else:
+            _gossip.encode(decoded.unwrap())
+
+
+class SocketTest(TestCase):
+    """What is not genuine is counted and changes nothing."""
+
+    def setUp(self):
+        """Makes a socket without a system's socket."""
+        super().setUp()
+        self.counters = Counters()
+        sealer = Sealer("b", KEY)
+        self.socket = GossipSocket(None, sealer, Opener(KEY), self.counters)
+        self.sealer = Sealer("a", KEY)
+
+    def _open(self, data: bytes) -> Gossip | None:
+        return self.socket.open(data, 0.0)
+
+    def _faults(self, fault: EnvelopeFault) -> int:
+        return self.counters.value(ENVELOPE_FAULTS, fault)
+
+    def test_genuine(self):
+        """A sealed message is taken once."""
+        data = self.sealer.seal(Kind.GOSSIP, _gossip.encode(FULL))
+        self.assertEqual(FULL, self._open(data))
+        self.assertIsNone(self._open(data))
+        self.assertEqual(1, self._faults(EnvelopeFault.REPLAYED))
+
+    def test_other_kind(self):
+        """A link message recorded on the VM is played to the gossip port."""
+        data = self.sealer.seal(Kind.LINK, _gossip.encode(FULL))
+        self.assertIsNone(self._open(data))
+        self.assertEqual(1, self._faults(EnvelopeFault.MALFORMED))
+
+    @_FUZZ
+    @given(st.integers(0, 1000), st.integers(1, 255), st.booleans())
+    def test_forged_or_cut(self, place, flip, cut):
+        """A datagram that was changed or cut on its way is dropped.
+
+        Were it taken, anyone on the path could declare VMs dead.
+        """
+        data = bytearray(self.sealer.seal(Kind.GOSSIP, _gossip.encode(FULL)))
+        place %= len(data)
+        data[place] ^= flip
+        forged = bytes(data[:place]) if cut else bytes(data)
+        self.assertIsNone(self._open(forged))
