--- a/src/pollenmast/peers/_gossip.py
+++ b/src/pollenmast/peers/_gossip.py
@@ -1,6 +1,8 @@
 """Gossip between agents: its messages, their bytes and their bounds."""
 
 import enum
+import functools
+import ipaddress
 import operator
 from collections.abc import Callable
 
@@ -196,18 +198,34 @@
         all(0 <= number < MOST_NUMBER for number in numbers)
         and len(message.digest) in (0, DIGEST_BYTES)
         and len(message.target) <= MOST_NAME
-        and _possible_vm(message.sender)
-        and all(_possible_vm(vm) for vm in message.members)
+        and possible_vm(message.sender)
+        and all(possible_vm(vm) for vm in message.members)
         and all(_possible_probe(news) for news in message.probes)
     )
 
 
-def _possible_vm(vm: Vm) -> bool:
+@functools.lru_cache(4096)
+def is_ip_number(text: str) -> bool:
+    """Returns whether a text is an IPv4 number.
+
+    The system looks up the name of anything else when it sends, and the
+    whole loop would wait for the answer.
+    """
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def possible_vm(vm: Vm) -> bool:
+    """Returns whether a VM could be one: its names, ports and numbers."""
     ports = (vm.relay_port, vm.gossip_port, vm.fetch_port)
-    texts = (vm.name, vm.zone, vm.address)
     return (
         all(0 < port < 65_536 for port in ports)
-        and all(0 < len(text) <= MOST_NAME for text in texts)
+        and 0 < len(vm.name) <= MOST_NAME
+        and 0 < len(vm.zone) <= MOST_NAME
+        and is_ip_number(vm.address)
         and 0 <= vm.incarnation < MOST_NUMBER
     )
 
--- a/src/pollenmast/platform/_client.py
+++ b/src/pollenmast/platform/_client.py
@@ -10,6 +10,7 @@
 
 from pollenmast import http1
 from pollenmast.counters import CONTROL_BYTES, PLATFORM_CALLS, Counters
+from pollenmast.peers._gossip import possible_vm
 from pollenmast.peers._messages import Vm
 
 READ_TIMEOUT_S = 2.0
@@ -100,7 +101,9 @@
             self._counters.add(PLATFORM_CALLS, "malformed")
             return Err(PlatformFault.MALFORMED)
         self._counters.add(PLATFORM_CALLS, "answered")
-        return Ok(tuple(_vm(each) for each in listing.vms[:MOST_LISTED]))
+        vms = [_vm(each) for each in listing.vms[:MOST_LISTED]]
+        # One impossible entry must not keep a VM from all the others.
+        return Ok(tuple(vm for vm in vms if possible_vm(vm)))
 
     async def _get(
         self,
--- /dev/null
+++ b/tests/agent_manifest_test.py
@@ -0,0 +1,240 @@
+"""Tests of agent._manifest_loop: which manifest comes into force, and when."""
+
+import json
+
+import trio
+import trio.testing
+from parameterized import parameterized
+from result import Err, Ok
+from testtools import TestCase
+
+from pollenmast.agent._manifest_loop import ManifestLoop
+from pollenmast.agent._node import Node, new_node
+from pollenmast.counters import MANIFESTS, ManifestOutcome
+from pollenmast.decisions import _readers
+from pollenmast.decisions._acceptance import ManifestKey
+from pollenmast.manifest import parse
+from pollenmast.platform import Platform, PlatformFault
+from pollenmast.settings import (
+    FleetSettings,
+    PlatformSettings,
+    Settings,
+    VmSettings,
+)
+from tests.membership_group import vm
+
+SETTINGS = Settings(
+    VmSettings("vm-0", "hall-bor", "127.0.1.1"),
+    FleetSettings(bytes(range(32))),
+    PlatformSettings("127.0.3.1", 80),
+)
+
+
+def text(version: int, endpoint: str = "e-1") -> bytes:
+    """Returns a manifest's text."""
+    endpoints = [
+        {
+            "name": endpoint,
+            "address": "127.0.2.1",
+            "port": 5001,
+            "load_port": 6001,
+            "zone": "hall-bor",
+            "slots": 2,
+            "connections": 2000,
+            "state": "serving",
+        }
+    ]
+    service = {
+        "name": "cellvakt",
+        "number": 1,
+        "port": 4001,
+        "kind": "session",
+        "idempotent": False,
+        "endpoints": endpoints,
+    }
+    return json.dumps({"version": version, "services": [service]}).encode()
+
+
+def key(data: bytes) -> ManifestKey:
+    """Returns the key of a manifest's text."""
+    manifest = parse(data).unwrap()
+    return ManifestKey(manifest.version, manifest.digest)
+
+
+class FakePlatform(Platform):
+    """Holds one text; may be down."""
+
+    def __init__(self, data: bytes | None):
+        self.data = data
+        self.calls = 0
+
+    async def manifest(self, after, wait_s):
+        """Returns the text where it is newer, else waits."""
+        self.calls += 1
+        until = trio.current_time() + wait_s
+        while True:
+            if self.data is None:
+                return Err(PlatformFault.UNREACHABLE)
+            version = json.loads(self.data)["version"]
+            if version > after:
+                return Ok(self.data)
+            if trio.current_time() >= until:
+                return Ok(None)
+            await trio.sleep(0.05)
+
+    async def vms(self):
+        """Lists nobody."""
+        return Ok(())
+
+
+class FakeFetcher:
+    """Peers by their names, and what they have in force."""
+
+    def __init__(self, **texts: bytes | None):
+        self.texts = texts
+        self.fetched = []
+
+    async def fetch(self, address, port, wanted):
+        """Returns what the peer at this address has."""
+        self.fetched.append(address)
+        await trio.sleep(0.01)
+        return self.texts.get(address.replace(".", "_"))
+
+
+PEER = vm(4)
+PEER_KEY = "127_0_1_5"
+
+
+class ManifestLoopTest(TestCase):
+    """The greatest manifest is in force, wherever it comes from."""
+
+    def _run(self, platform, fetcher, script) -> Node:
+        async def main():
+            node = new_node(SETTINGS, trio.current_time())
+            loop = ManifestLoop(node, platform, fetcher, lambda: None)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(loop.run)
+                nursery.start_soon(self._beat, node)
+                await script(node, loop)
+                nursery.cancel_scope.cancel()
+            return node
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        return trio.run(main, clock=clock)
+
+    async def _beat(self, node: Node) -> None:
+        # Nobody answers, so the first refresh ends by its own time.
+        while True:
+            node.membership.tick(trio.current_time())
+            await trio.sleep(0.1)
+
+    def test_restart_against_a_stale_platform(self):
+        """A VM restarts while the platform is frozen at an old manifest.
+
+        Did it believe the platform first, callers of this one VM would be
+        sent to endpoints that left releases ago.
+        """
+        platform = FakePlatform(text(3))
+        fetcher = FakeFetcher(**{PEER_KEY: text(7)})
+
+        async def script(node, loop):
+            await trio.sleep(0.2)
+            self.assertEqual(0, platform.calls)
+            loop.wanted(key(text(7)), PEER)
+            await trio.sleep(4.0)
+
+        node = self._run(platform, fetcher, script)
+        self.assertEqual(7, node.acceptance.key.version)
+        self.assertGreater(platform.calls, 0)
+
+    def test_platform_down_peer_up(self):
+        """A VM restarts while the platform is down; a peer has it all."""
+        fetcher = FakeFetcher(**{PEER_KEY: text(7)})
+
+        async def script(node, loop):
+            loop.wanted(key(text(7)), PEER)
+            await trio.sleep(0.1)
+
+        node = self._run(FakePlatform(None), fetcher, script)
+        self.assertEqual(7, node.acceptance.key.version)
+
+    def test_first_source_fails(self):
+        """The first peer that has the manifest dies before it hands it out."""
+        fetcher = FakeFetcher(**{PEER_KEY: text(7), "127_0_1_6": None})
+
+        async def script(node, loop):
+            loop.wanted(key(text(7)), PEER)
+            loop.wanted(key(text(7)), vm(5))
+            await trio.sleep(1.0)
+
+        node = self._run(FakePlatform(None), fetcher, script)
+        self.assertEqual(["127.0.1.6", "127.0.1.5"], fetcher.fetched)
+        self.assertEqual(7, node.acceptance.key.version)
+
+    def test_watch(self):
+        """A published manifest is in force within the watch's answer."""
+        platform = FakePlatform(text(1))
+        times = []
+
+        async def script(node, loop):
+            await trio.sleep(2.5)
+            platform.data = text(2)
+            began = trio.current_time()
+            while node.acceptance.key.version < 2:
+                await trio.sleep(0.01)
+            times.append(trio.current_time() - began)
+
+        self._run(platform, FakeFetcher(), script)
+        self.assertLess(times[0], 0.2)
+
+    @parameterized.expand(
+        [
+            ("older", text(4), 5, ManifestOutcome.OLDER),
+            ("invalid", b'{"version": 9}', 5, ManifestOutcome.INVALID),
+            ("no_json", b"\xff\x00", 5, ManifestOutcome.INVALID),
+        ]
+    )
+    def test_refused_whole(self, _, offered, version, outcome):
+        """A pipeline publishes a manifest that must not be taken.
+
+        The one in force stays, and the refusal is counted.
+        """
+
+        async def script(node, loop):
+            loop._offer(text(5), "platform")
+            loop._offer(offered, "platform")
+
+        node = self._run(FakePlatform(None), FakeFetcher(), script)
+        self.assertEqual(version, node.acceptance.key.version)
+        self.assertEqual(1, node.counters.value(MANIFESTS, outcome))
+
+    def test_published_again_with_other_content(self):
+        """Two pipelines publish version 5; a watch does not show the second.
+
+        Every VM must end with the same content, whichever it saw first.
+        """
+        first, second = sorted((text(5, "e-1"), text(5, "e-2")), key=key)
+        platform = FakePlatform(first)
+
+        async def script(node, loop):
+            await trio.sleep(2.5)
+            platform.data = second
+            await trio.sleep(_readers.WATCH_S + 1)
+
+        node = self._run(platform, FakeFetcher(), script)
+        self.assertEqual(key(second), node.acceptance.key)
+        conflicts = node.counters.value(MANIFESTS, ManifestOutcome.CONFLICT)
+        self.assertEqual(1, conflicts)
+
+    def test_dead_platform_is_asked_rarely(self):
+        """A platform that is down is not asked more often than a few seconds.
+
+        A fleet that asks without pause would keep it down.
+        """
+        platform = FakePlatform(None)
+
+        async def script(node, loop):
+            await trio.sleep(100.0)
+
+        self._run(platform, FakeFetcher(), script)
+        self.assertLess(platform.calls, 40)
--- a/tests/peers_gossip_test.py
+++ b/tests/peers_gossip_test.py
@@ -66,6 +66,10 @@
                 attrs.evolve(FULL, sender=attrs.evolve(vm(1), gossip_port=0)),
             ),
             ("name", attrs.evolve(FULL, sender=attrs.evolve(vm(1), name=""))),
+            (
+                "address",
+                attrs.evolve(FULL, sender=attrs.evolve(vm(1), address="a.b")),
+            ),
             ("digest", attrs.evolve(FULL, digest=b"short")),
             ("version", attrs.evolve(FULL, version=-1)),
             ("text", attrs.evolve(FULL, sender=attrs.evolve(vm(1), zone=5))),
