--- /dev/null
+++ b/tests/agent_link_test.py
@@ -0,0 +1,314 @@
+"""Tests of agent._link_loop and agent._shutdown, with a relay in memory."""
+
+import math
+
+import anyio
+import attrs
+import trio
+import trio.testing
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast.agent import _link_loop, _shutdown
+from pollenmast.agent._gossip_loop import GossipLoop
+from pollenmast.agent._node import new_node
+from pollenmast.counters import Counters
+from pollenmast.manifest import parse
+from pollenmast.peers._envelope import Opener, Sealer
+from pollenmast.peers._gossip_socket import GossipSocket
+from pollenmast.peers._messages import (
+    DrainOrder,
+    ExplainAnswer,
+    ExplainQuery,
+    FleetView,
+    RelayReport,
+    VmState,
+)
+from tests.agent_manifest_test import SETTINGS, text
+
+REPORT = RelayReport(0, "", True, False, False, 5, 0, 0, (), ())
+
+
+class NoWire:
+    """A system's socket that loses everything."""
+
+    def sendto(self, data, to):
+        """Loses a datagram."""
+        return len(data)
+
+
+class FakeRelay:
+    """The link, and the relay at its other end.
+
+    Attributes:
+        report: What it reports twice a second, or None while it is silent.
+        taken: The messages that it took, with their times.
+        explains: Whether it answers queries.
+    """
+
+    def __init__(self):
+        self.report = REPORT
+        self.taken = []
+        self.explains = True
+        self._out, self._in = trio.open_memory_channel(math.inf)
+
+    async def send(self, message) -> bool:
+        """Takes a message of the agent."""
+        self.taken.append((trio.current_time(), message))
+        if isinstance(message, ExplainQuery) and self.explains:
+            answer = ExplainAnswer(message.identifier, ("why",))
+            self._out.send_nowait(answer)
+        if isinstance(message, DrainOrder):
+            self.report = attrs.evolve(self.report, draining=True)
+        return True
+
+    async def receive(self):
+        """Returns the relay's next message."""
+        return await self._in.receive()
+
+    async def run(self) -> None:
+        """Reports until cancelled."""
+        while True:
+            if self.report is not None:
+                self._out.send_nowait(self.report)
+            await trio.sleep(0.5)
+
+    def views(self) -> list[tuple[float, FleetView]]:
+        """Returns the views taken, with their times."""
+        return [each for each in self.taken if isinstance(each[1], FleetView)]
+
+
+class Agent:
+    """A node with its link, without peers."""
+
+    def __init__(self):
+        settings = attrs.evolve(
+            SETTINGS, relay=attrs.evolve(SETTINGS.relay, grace_s=5.0)
+        )
+        self.node = new_node(settings, trio.current_time())
+        key = settings.fleet.key
+        socket = GossipSocket(
+            NoWire(), Sealer("vm-0", key), Opener(key), Counters()
+        )
+        self.gossip = GossipLoop(self.node, socket, lambda key, vm: None)
+        self.relay = FakeRelay()
+        self.link = _link_loop.LinkLoop(self.node, self.relay, self.gossip)
+
+    async def beat(self) -> None:
+        """Runs membership without a network."""
+        while True:
+            now = trio.current_time()
+            self.gossip.send(self.node.membership.tick(now))
+            await trio.sleep(0.1)
+
+    def accept(self, data: bytes) -> None:
+        """Takes a manifest into force."""
+        now = trio.current_time()
+        self.node.acceptance.offer(parse(data).unwrap(), data, now)
+        self.node.membership.set_in_force(self.node.acceptance.key)
+        self.node.notify(at_once=True)
+
+
+def run(script):
+    """Runs a script beside an agent, with the clock paused between steps."""
+
+    async def main():
+        agent = Agent()
+        async with trio.open_nursery() as nursery:
+            for task in (agent.relay.run, agent.link.run, agent.beat):
+                nursery.start_soon(task)
+            await script(agent)
+            nursery.cancel_scope.cancel()
+        return agent
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(main, clock=clock)
+
+
+class ViewTest(TestCase):
+    """What the relay is told, and how often."""
+
+    def test_each_second(self):
+        """Nothing changes; the relay's lease on its view is renewed."""
+
+        async def script(agent):
+            await trio.sleep(20.0)
+
+        times = [at for at, _ in run(script).relay.views()][3:]
+        gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+        self.assertLessEqual(max(gaps), 1.1)
+        self.assertGreater(min(gaps), 0.9)
+
+    def test_load_is_coalesced(self):
+        """Reports of load come a hundred a second; views go four a second."""
+
+        async def script(agent):
+            await trio.sleep(2.0)
+            agent.relay.taken.clear()
+            for _ in range(1000):
+                agent.node.notify()
+                await trio.sleep(0.01)
+
+        self.assertLess(len(run(script).relay.views()), 45)
+
+    def test_urgent_is_told_at_once(self):
+        """A VM dies; each moment until the relay knows loses packets.
+
+        What moves flows does not wait for the spacing of load reports.
+        """
+        spent = []
+
+        async def script(agent):
+            await trio.sleep(2.0)
+            now = trio.current_time()
+            agent.relay.taken.clear()
+            agent.node.notify(at_once=True)
+            await trio.sleep(0.2)
+            spent.append(agent.relay.views()[0][0] - now)
+
+        run(script)
+        self.assertLess(spent[0], 0.05)
+
+    def test_manifest_until_in_force(self):
+        """The text goes to the relay until its report shows it, then not."""
+
+        async def script(agent):
+            await trio.sleep(1.0)
+            agent.accept(text(3))
+            await trio.sleep(0.1)
+            key = agent.node.acceptance.key
+            agent.relay.report = attrs.evolve(
+                REPORT, version=key.version, digest=key.digest
+            )
+            await trio.sleep(10.0)
+
+        views = run(script).relay.views()
+        sent = [view for _, view in views if view.manifest is not None]
+        self.assertEqual([text(3)], [view.manifest for view in sent])
+
+    def test_new_relay_gets_the_manifest(self):
+        """The relay restarts and reports no manifest; it is sent again."""
+
+        async def script(agent):
+            await trio.sleep(1.0)
+            agent.accept(text(3))
+            await trio.sleep(3.0)
+
+        views = run(script).relay.views()
+        sent = [at for at, view in views if view.manifest is not None]
+        self.assertGreaterEqual(len(sent), 2)
+
+    def test_stale_after_a_pause(self):
+        """The whole VM freezes; the first view after it must not be fresh.
+
+        Else the relay would open flows by what was true before the freeze.
+        """
+
+        async def main():
+            agent = Agent()
+            agent.node.membership.tick(trio.current_time())
+            await trio.sleep(1.5)
+            agent.node.membership.tick(trio.current_time())
+            before = agent.node.membership.fresh
+            await trio.sleep(30.0)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(agent.link._send_views)
+                await trio.sleep(0.001)
+                nursery.cancel_scope.cancel()
+            return before, agent.relay.views()[0][1].fresh
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        self.assertEqual((True, False), trio.run(main, clock=clock))
+
+
+class RelayTest(TestCase):
+    """What this VM tells the fleet of its relay."""
+
+    def test_silent_relay(self):
+        """The relay dies or hangs; its VM says so, and flows move on."""
+        seen = []
+
+        async def script(agent):
+            await trio.sleep(2.0)
+            seen.append(agent.node.membership.own.relay_up)
+            agent.relay.report = None
+            await trio.sleep(2.6)
+            seen.append(agent.node.membership.own.relay_up)
+            agent.relay.report = REPORT
+            await trio.sleep(1.0)
+            seen.append(agent.node.membership.own.relay_up)
+
+        run(script)
+        self.assertEqual([True, False, True], seen)
+
+    def test_draining_relay(self):
+        """The relay alone is stopped, and replaced by a new one."""
+        seen = []
+
+        async def script(agent):
+            agent.relay.report = attrs.evolve(REPORT, draining=True)
+            await trio.sleep(1.0)
+            seen.append(agent.node.membership.own.state)
+            agent.relay.report = REPORT
+            await trio.sleep(1.0)
+            seen.append(agent.node.membership.own.state)
+
+        run(script)
+        self.assertEqual([VmState.LEAVING, VmState.ALIVE], seen)
+
+    @parameterized.expand([("answers", True, ("why",)), ("mute", False, None)])
+    def test_explain(self, _, explains, expected):
+        """An operator's question has an answer, or none in bounded time."""
+        lines = []
+
+        async def script(agent):
+            agent.relay.explains = explains
+            lines.append(await agent.link.explain("registry/registry-1"))
+
+        run(script)
+        self.assertEqual([expected], lines)
+
+
+class ShutdownTest(TestCase):
+    """A graceful stop waits for the relay, but not for ever."""
+
+    def _stop(self, drains_after_s: float | None) -> tuple:
+        outcome = []
+
+        async def script(agent):
+            await trio.sleep(2.0)
+            shutdown = _shutdown.Shutdown(agent.node, agent.gossip, agent.link)
+            began = trio.current_time()
+
+            async def drained():
+                await trio.sleep(drains_after_s)
+                agent.relay.report = attrs.evolve(
+                    agent.relay.report, draining=True, drained=True
+                )
+
+            async with anyio.create_task_group() as tasks:
+                if drains_after_s is not None:
+                    tasks.start_soon(drained)
+                await shutdown._drain()
+            outcome.append(trio.current_time() - began)
+            outcome.append(agent.node.membership.own.state)
+
+        agent = run(script)
+        orders = [
+            message
+            for _, message in agent.relay.taken
+            if isinstance(message, DrainOrder)
+        ]
+        return (*outcome, len(orders))
+
+    def test_drained(self):
+        """The agent ends soon after its relay has handed over all flows."""
+        spent, state, orders = self._stop(2.0)
+        self.assertTrue(2.0 < spent < 3.0, spent)
+        self.assertEqual((VmState.DEAD, 1), (state, orders))
+
+    def test_never_drained(self):
+        """A flow never moves; the VM ends after the grace all the same."""
+        spent, state, _ = self._stop(None)
+        self.assertTrue(5.0 < spent < 5.5, spent)
+        self.assertEqual(VmState.DEAD, state)
