Do not hold up a planned stop for flows that have ended

Cause: a leaving relay waits until each handed-over flow is answered by its new path.

Change: a flow without a packet for `drain_quiet_s` (15 s, a setting) is not waited for. It must be above the callers' keep-alive interval.

Ruled out: reading the close from the packets (it is encrypted); not waiting for idle flows at all (an alert to an idle caller would be lost).

--- a/src/pollenmast/relay/_upkeep.py
+++ b/src/pollenmast/relay/_upkeep.py
@@ -109,8 +109,12 @@
     ) -> None:
         if flow.path.flows.get(flow.target.address) is not flow:
             return
-        idle = max(flow.heard, flow.answered) < idle_since
-        if idle or self._unproved(flow, tick):
+        last = max(flow.heard, flow.answered)
+        if (
+            last < idle_since
+            or self._unproved(flow, tick)
+            or self._given_up(flow, tick - last)
+        ):
             self._end(flow, now)
         elif flow.state in (FlowState.CARRIED, FlowState.ADOPTED):
             self._keep(flow, now, tick)
@@ -122,6 +126,18 @@
             GUESS_S * TICKS_PER_S
         )
 
+    def _given_up(self, flow: Flow, quiet: int) -> bool:
+        """Whether a leaving relay no longer waits for a flow handed over.
+
+        A session that its caller has closed looks like an idle one. Waiting
+        for each until it is idle for good would hold up every planned stop.
+        """
+        return (
+            self._draining
+            and flow.state is FlowState.MOVED
+            and quiet > self._settings.drain_quiet_s * TICKS_PER_S
+        )
+
     def _end(self, flow: Flow, now: float) -> None:
         if flow.state is not FlowState.MOVED:
             self._custody.ended(flow)
--- a/src/pollenmast/settings/_keys.py
+++ b/src/pollenmast/settings/_keys.py
@@ -124,6 +124,13 @@
         "Budget for replication, in bytes a second.",
     ),
     _relay("grace_s", Seconds(0, 3_600), "Longest graceful shutdown."),
+    _relay(
+        "drain_quiet_s",
+        Seconds(0, 3_600),
+        "A graceful shutdown does not wait for a flow without a packet for so "
+        "long. Keep it above the callers' keep-alive interval and the longest "
+        "silence of a request.",
+    ),
     _agent("gossip_port", PORT, "UDP port for heartbeats."),
     _agent("fetch_port", PORT, "TCP port on which peers fetch the manifest."),
     _agent(
--- a/src/pollenmast/settings/_model.py
+++ b/src/pollenmast/settings/_model.py
@@ -40,6 +40,9 @@
         replicate_after_s: Age at which a flow is replicated, in seconds.
         replication_bytes_per_s: Budget for replication, in bytes a second.
         grace_s: Longest graceful shutdown, in seconds.
+        drain_quiet_s: A graceful shutdown does not wait for a flow without a
+            packet for so long, in seconds. It must be above the callers'
+            keep-alive interval and the longest silence of a request.
     """
 
     peer_port: int = 7001
@@ -49,6 +52,7 @@
     replicate_after_s: float = 1.0
     replication_bytes_per_s: int = 2_000
     grace_s: float = 60.0
+    drain_quiet_s: float = 15.0
 
 
 @attrs.frozen
--- /dev/null
+++ b/standins/world.py
@@ -0,0 +1,217 @@
+"""A whole fleet with its surroundings, and what operators do to it."""
+
+import contextlib
+import json
+import pathlib
+import signal
+import time
+
+import anyio
+import attrs
+
+from standins import _ledger, _processes, _records, fleet
+
+SETTLE_S = 15.0
+"""Longest wait for callers to end once they were asked to."""
+
+POLL_S = 0.02
+"""Between two looks at what is awaited."""
+
+
+class WorldError(Exception):
+    """Something did not come up, or did not end; says what."""
+
+
+@attrs.frozen
+class Outcome:
+    """What came of one run.
+
+    Attributes:
+        ledger: Counts of what is promised, and of what a loss may break.
+        results: What the callers recorded.
+        executions: What each upstream counted.
+    """
+
+    ledger: _ledger.Ledger
+    results: list[_records.Results]
+    executions: dict[str, dict]
+
+
+class World:
+    """Platform, fabric, upstreams, VMs and callers as processes."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        services: tuple[fleet.ServiceSize, ...] = fleet.SERVICES,
+        overrides: dict[str, dict[str, str]] | None = None,
+    ):
+        """Reserves addresses; nothing is started.
+
+        Args:
+            folder: Keeps settings and logs.
+            services: The services and their sizes.
+            overrides: Settings of the VMs, by section and key.
+        """
+        self.processes = _processes.Processes(folder)
+        self._reservation = fleet.Reservation()
+        self.addresses = self._reservation.addresses
+        self.around = fleet.Surroundings(self.processes, self.addresses)
+        self.places = fleet.upstreams(services, addresses=self.addresses)
+        self.vms: dict[int, fleet.Vm] = {}
+        self.loss: _ledger.Loss | None = None
+        self._folder = folder
+        self._services = services
+        self._overrides = overrides
+        self._callers: list[_processes.Process] = []
+        self._version = 0
+
+    async def start(self, vms: int) -> None:
+        """Starts all but the callers, and waits until every VM is ready.
+
+        Raises:
+            WorldError: Something did not become ready.
+        """
+        if not await self.around.start(self.places):
+            raise WorldError("a stand-in did not become ready")
+        await self.publish(wait=False)
+        numbers = list(range(1, vms + 1))
+        await self.list_vms(numbers, at_once=True)
+        for number in numbers:
+            self.start_vm(number)
+        for number in numbers:
+            await self.until_ready(number)
+
+    def place(self, number: int) -> fleet.VmPlace:
+        """Returns where the VM with this number runs."""
+        return fleet.vm_place(number, addresses=self.addresses)
+
+    def start_vm(self, number: int) -> None:
+        """Starts a VM's two programs."""
+        place = self.place(number)
+        seeds = [self.place(each) for each in (1, 2, 3)]
+        settings = fleet.write_settings(
+            place, self._folder, seeds, self._overrides, self.addresses
+        )
+        self.vms[number] = fleet.Vm(place, self.processes, settings)
+        self.vms[number].start()
+
+    async def until_ready(self, number: int) -> None:
+        """Waits until a VM takes flows.
+
+        Raises:
+            WorldError: It does not in time.
+        """
+        with anyio.move_on_after(fleet.READY_WITHIN_S):
+            while not await self.vms[number].is_ready():
+                await anyio.sleep(POLL_S)
+            return
+        raise WorldError(f"vm-{number} did not become ready")
+
+    def start_callers(
+        self, name: str, kind: str, service: fleet.ServiceSize, **options
+    ) -> None:
+        """Starts a callers program on an address of its own."""
+        local = self.addresses.caller(len(self._callers) + 1)
+        self._callers.append(
+            self.around.start_callers(
+                name, kind, service, local=local, **options
+            )
+        )
+
+    async def list_vms(
+        self, numbers: list[int], leaving: int = 0, at_once: bool = False
+    ) -> None:
+        """Sets the platform's lagging list."""
+        entries = [
+            self.place(each).entry("leaving" if each == leaving else "live")
+            for each in numbers
+        ]
+        await self.around.list_vms(entries, at_once)
+
+    async def publish(
+        self,
+        draining: frozenset[str] = frozenset(),
+        gone: frozenset[str] = frozenset(),
+        wait: bool = True,
+    ) -> float:
+        """Publishes the next manifest; returns the seconds to be in force.
+
+        Raises:
+            WorldError: It is not in force on every VM in time.
+        """
+        self._version += 1
+        places = [each for each in self.places if each.name not in gone]
+        text = fleet.manifest(self._version, places, draining, self._services)
+        began = time.monotonic()
+        await self.around.publish(text)
+        if wait:
+            await self._until_in_force(self._version)
+        return time.monotonic() - began
+
+    async def _until_in_force(self, version: int) -> None:
+        waiting = [vm for vm in self.vms.values() if vm.live]
+        with anyio.move_on_after(fleet.READY_WITHIN_S):
+            while waiting:
+                status = await waiting[0].status()
+                if status.get("manifest", {}).get("version") == version:
+                    waiting.pop(0)
+                else:
+                    await anyio.sleep(POLL_S)
+        if waiting:
+            names = [vm.place.name for vm in waiting]
+            raise WorldError(f"manifest {version} not in force on {names}")
+
+    async def replace(self, old: int, new: int, within_s: float) -> float:
+        """Replaces a VM gracefully; returns the seconds that its stop took.
+
+        Raises:
+            WorldError: The old VM did not end in order.
+        """
+        self.start_vm(new)
+        await self.until_ready(new)
+        others = [number for number in self.vms if number not in (old, new)]
+        await self.list_vms([*others, old, new], leaving=old)
+        vm = self.vms.pop(old)
+        began = time.monotonic()
+        vm.signal(signal.SIGTERM)
+        await vm.ended(within_s)
+        if set(vm.exit_codes.values()) != {0}:
+            raise WorldError(f"vm-{old} ended with {vm.exit_codes}")
+        await self.list_vms([*others, new])
+        return time.monotonic() - began
+
+    async def kill(self, number: int, listed_after_s: float = 1.0) -> None:
+        """Kills a VM; the platform notices after a while."""
+        self.loss = _ledger.Loss(time.monotonic())
+        self.vms.pop(number).signal(signal.SIGKILL)
+        await anyio.sleep(listed_after_s)
+        await self.list_vms(list(self.vms))
+
+    async def end_callers(self) -> Outcome:
+        """Ends the callers and joins what they and the upstreams counted.
+
+        Raises:
+            WorldError: A callers program did not end.
+        """
+        for process in self._callers:
+            process.signal(signal.SIGTERM)
+        results = []
+        for process in self._callers:
+            if not await process.ended(SETTLE_S):
+                raise WorldError(f"{process.name} did not end")
+            value = json.loads(process.out.read_text())
+            results.append(_records.from_json(value))
+        executions = await self.around.executions()
+        counted = _ledger.Executions(executions)
+        ledger = _ledger.join(results, counted, self.loss)
+        return Outcome(ledger, results, executions)
+
+    @contextlib.asynccontextmanager
+    async def running(self, vms: int):
+        """Starts the world, and ends every process of it at the end."""
+        try:
+            await self.start(vms)
+            yield self
+        finally:
+            await self.processes.stop()
--- a/tests/relay_custody_test.py
+++ b/tests/relay_custody_test.py
@@ -82,6 +82,17 @@
         self.assertEqual([1] * len(moved), told)
         self.assertFalse(net.relays[1].drained())
 
+    def test_closed_sessions(self):
+        """Sessions that their callers have closed do not hold up a stop.
+
+        Nothing shows that they ended, and their paths would be kept until
+        they count as idle; operators would wait minutes for each VM.
+        """
+        net = _opened()
+        net.declare_leaving(1)
+        net.advance(20.0)
+        self.assertTrue(net.relays[1].drained())
+
     def test_rolling_replacement(self):
         """All VMs are replaced one after the other; no flow breaks."""
         net = _opened()
