--- /dev/null
+++ b/standins/_summary.py
@@ -0,0 +1,66 @@
+"""What the demo says at its end, and the exit code that this earns."""
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from standins import _ledger, _records, _work
+
+MOST_FAILURES = 10
+"""Failed requests that are shown one by one."""
+
+_UNANSWERED = (_records.Outcome.LOST, _records.Outcome.CUT)
+
+
+def feeds(
+    results: Iterable[_records.Results], loss: _ledger.Loss
+) -> dict[str, float]:
+    """Returns how late alerts came, before the unplanned loss and after."""
+    before_s, after_s = 0.0, 0.0
+    for result in results:
+        for flow in result.flows:
+            for stall in flow.stalls:
+                if stall.at < loss.at:
+                    before_s = max(before_s, stall.lateness_s)
+                else:
+                    after_s = max(after_s, stall.lateness_s)
+    return {
+        "latest_alert_s": round(before_s, 3),
+        "latest_alert_after_kill_s": round(after_s, 3),
+    }
+
+
+def failures(results: Iterable[_records.Results], began: float) -> list[str]:
+    """Returns a line for each of the first requests that failed."""
+    failed = [
+        request
+        for result in results
+        for request in result.requests
+        if request.outcome in _UNANSWERED
+    ]
+    return [
+        f"{request.outcome.value}: {request.identifier}, asked at "
+        f"{request.asked - began:.1f} s on a flow opened at "
+        f"{request.flow_opened - began:.1f} s"
+        for request in failed[:MOST_FAILURES]
+    ]
+
+
+def late_connections(counted: Mapping[str, Mapping]) -> list[str]:
+    """Returns a line for each upstream that got work after it had drained."""
+    return [
+        f"{name} got {upstream['late_connections']} new connections more "
+        f"than {_work.SILENT_AFTER_DRAIN_S:.0f} s after it began to leave"
+        for name, upstream in counted.items()
+        if upstream["late_connections"]
+    ]
+
+
+def verdict(summary: Mapping) -> int:
+    """Returns the exit code that a summary earns."""
+    if summary["problems"]:
+        return 1
+    names = [field.name for field in attrs.fields(_ledger.Tally)]
+    promised = _ledger.Tally(**{name: summary[name] for name in names})
+    after = _ledger.Tally(**summary["after_kill"])
+    return int(promised.faults() + after.never_excused() > 0)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -15,7 +15,7 @@
 import anyio
 import attrs
 
-from standins import _ledger, _processes, _records, fleet
+from standins import _ledger, _processes, _records, _summary, fleet
 
 MOST_S = 56.0
 """The whole demo stays under a minute."""
@@ -39,7 +39,6 @@
 IN_FORCE_WITHIN_S = 5.0
 PROGRESS_EVERY_S = 2.0
 SHOWN_COUNTERS = ("drops", "fallbacks", "refusals", "repaths", "retries")
-MOST_SHOWN = 10
 LAST_WORDS = 3
 """Lines of error output shown of each process when the demo fails."""
 
@@ -279,22 +278,6 @@
             if shown:
                 self.say(f"{vm.place.name}: {', '.join(shown)}")
 
-    def _show_failures(self, results: list[_records.Results]) -> None:
-        unanswered = (_records.Outcome.LOST, _records.Outcome.CUT)
-        failed = [
-            request
-            for result in results
-            for request in result.requests
-            if request.outcome in unanswered
-        ]
-        for request in failed[:MOST_SHOWN]:
-            asked_s = request.asked - self._began
-            opened_s = request.flow_opened - self._began
-            self.say(
-                f"{request.outcome.value}: {request.identifier}, asked at "
-                f"{asked_s:.1f} s on a flow opened at {opened_s:.1f} s"
-            )
-
     async def _end_callers(self) -> list[_records.Results]:
         self.say("ending the callers")
         for process in self._callers:
@@ -310,19 +293,16 @@
 
     async def _summary(self, results: list[_records.Results]) -> dict:
         await self._show_counters()
-        self._show_failures(results)
+        for line in _summary.failures(results, self._began):
+            self.say(line)
         counted = await self._around.executions()
+        for line in _summary.late_connections(counted):
+            self.problem(line)
         executions = _ledger.Executions(counted)
         ledger = _ledger.join(results, executions, self._loss)
         calls = await self._around.calls()
-        late = {
-            name: upstream["late_connections"]
-            for name, upstream in counted.items()
-            if upstream["late_connections"]
-        }
         return {
-            **_feeds(results, self._loss),
-            "connections_after_drain": late,
+            **_summary.feeds(results, self._loss),
             "platform_calls": calls["calls"],
             **self._notes,
             "problems": self._problems,
@@ -331,36 +311,6 @@
         }
 
 
-def _feeds(results: list[_records.Results], loss: _ledger.Loss) -> dict:
-    """Returns how late alerts came, before the unplanned loss and after."""
-    stalls = [
-        stall
-        for result in results
-        for flow in result.flows
-        for stall in flow.stalls
-    ]
-    lateness = {
-        "latest_alert_s": [s.lateness_s for s in stalls if s.at < loss.at],
-        "latest_alert_after_kill_s": [
-            s.lateness_s for s in stalls if s.at >= loss.at
-        ],
-    }
-    return {
-        name: round(max(values, default=0.0), 3)
-        for name, values in lateness.items()
-    }
-
-
-def verdict(summary: dict) -> int:
-    """Returns the exit code that a summary earns."""
-    if summary["problems"]:
-        return 1
-    names = [field.name for field in attrs.fields(_ledger.Tally)]
-    promised = _ledger.Tally(**{name: summary[name] for name in names})
-    after = _ledger.Tally(**summary["after_kill"])
-    return int(promised.faults() + after.never_excused() > 0)
-
-
 async def _run_in(folder: pathlib.Path) -> int:
     demo = Demo(folder)
     summary: dict = {}
@@ -381,7 +331,7 @@
         demo.say("all processes have ended")
     summary["problems"] = demo.problems
     print(json.dumps(summary), flush=True)
-    return verdict(summary)
+    return _summary.verdict(summary)
 
 
 async def _run(keep: str | None) -> int:
