Keep flows at their service when a port is given to another one

Cause: relays named a service by its number on the wire, in a flow's hash and in its records. A manifest that gives a port to another service reaches relays at different times, so a registry packet that one relay passed on as one of cellvakt was taken to a cellvakt endpoint by another; a relay that had joined since guessed likewise; and a flow handed over was adopted at the port where its service now listens, so that its caller got answers from a port that it never asked. Found by the proof's machine (tests/proof).

Ruled out: refusing such a manifest. Whether it is one depends on what was in force before, so VMs with different histories would end with different manifests.

Now the wire names the port that the caller sends to, and an endpoint by a number that includes its service; the bytes are as many. A VM that knows a port as given away no longer sends back a session's packet as unknown, so that a newcomer does not guess. Whether 0-RTT may pass to an open flow is asked of the flow's own endpoint, not of the service that has its port now.

Left: when all VMs asked have joined since the port was given away, a session that none of them carries is still guessed.

--- a/src/pollenmast/decisions/_ownership.py
+++ b/src/pollenmast/decisions/_ownership.py
@@ -29,14 +29,14 @@
 one zone is a matter of odds below one in 10^9."""
 
 
-def flow_hash(service: int, ip: str, port: int) -> int:
+def flow_hash(service_port: int, ip: str, port: int) -> int:
     """Returns the 64-bit hash of a flow's key, the same on every VM."""
-    return xxhash.xxh3_64_intdigest(f"{service}|{ip}|{port}".encode())
+    return xxhash.xxh3_64_intdigest(f"{service_port}|{ip}|{port}".encode())
 
 
-def connection_id_hash(service: int, cid: int) -> int:
+def connection_id_hash(service_port: int, cid: int) -> int:
     """Returns the 64-bit hash of a connection id, the same on every VM."""
-    return xxhash.xxh3_64_intdigest(f"{service}#{cid}".encode())
+    return xxhash.xxh3_64_intdigest(f"{service_port}#{cid}".encode())
 
 
 @attrs.frozen
--- a/src/pollenmast/peers/_records.py
+++ b/src/pollenmast/peers/_records.py
@@ -1,4 +1,10 @@
-"""Flow records and forwarded datagrams as bytes between relays."""
+"""Flow records and forwarded datagrams as bytes between relays.
+
+They name a service by the port that its callers send to, and an endpoint by
+its own number alone. A manifest may give a port to another service, and it
+reaches relays at different times: named by service, a caller's packet passed
+from a relay that has it to one that has not would reach the other service.
+"""
 
 import ipaddress
 import socket
@@ -20,9 +26,9 @@
 _CONNECTION_ID = struct.Struct("!HQI")
 
 
-def endpoint_id(name: str) -> int:
-    """Returns the 32-bit number of an endpoint's name within its service."""
-    return xxhash.xxh32_intdigest(name.encode())
+def endpoint_id(service: int, name: str) -> int:
+    """Returns the 32-bit number of an endpoint, its service included."""
+    return xxhash.xxh32_intdigest(f"{service}/{name}".encode())
 
 
 @attrs.frozen
@@ -30,14 +36,14 @@
     """Where a flow goes: all that another relay needs to carry it on.
 
     Attributes:
-        service: The service's number.
+        service_port: The port that the caller sends to.
         ip: The caller's IP number.
         port: The caller's UDP port.
         endpoint: `endpoint_id` of the endpoint.
         flags: What the record asks for, see `RecordFlag`.
     """
 
-    service: int
+    service_port: int
     ip: str
     port: int
     endpoint: int
@@ -46,7 +52,7 @@
     @property
     def key(self) -> tuple[int, str, int]:
         """What identifies the flow in the whole fleet."""
-        return (self.service, self.ip, self.port)
+        return (self.service_port, self.ip, self.port)
 
 
 class RecordFlag:
@@ -75,7 +81,9 @@
 
 def _pack(record: FlowRecord) -> bytes:
     ip = pack_ip(record.ip)
-    fixed = _RECORD.pack(record.service, record.endpoint, record.flags, len(ip))
+    fixed = _RECORD.pack(
+        record.service_port, record.endpoint, record.flags, len(ip)
+    )
     return fixed + ip + _PORT.pack(record.port)
 
 
@@ -124,7 +132,7 @@
     """A caller's datagram on its way between relays.
 
     Attributes:
-        service: The service's number.
+        service_port: The port that the caller sends to.
         ip: The caller's IP number.
         port: The caller's UDP port.
         hops: How often it was passed on.
@@ -133,7 +141,7 @@
         data: The datagram.
     """
 
-    service: int
+    service_port: int
     ip: str
     port: int
     hops: int
@@ -146,7 +154,7 @@
     """Returns the body of a FORWARD, ASK or UNKNOWN envelope."""
     ip = pack_ip(forwarded.ip)
     fixed = _FORWARD.pack(
-        forwarded.service,
+        forwarded.service_port,
         forwarded.hops,
         forwarded.asker,
         forwarded.next_asked,
@@ -213,12 +221,12 @@
     """Which endpoint chose a connection id.
 
     Attributes:
-        service: The service's number.
+        service_port: The port that the caller sends to.
         cid: The first eight bytes of the connection id, as a number.
         endpoint: `endpoint_id` of the endpoint.
     """
 
-    service: int
+    service_port: int
     cid: int
     endpoint: int
 
@@ -226,7 +234,7 @@
 def pack_connection_ids(entries: list[ConnectionId]) -> bytes:
     """Returns the body of a CONNECTION_IDS envelope."""
     return b"".join(
-        _CONNECTION_ID.pack(entry.service, entry.cid, entry.endpoint)
+        _CONNECTION_ID.pack(entry.service_port, entry.cid, entry.endpoint)
         for entry in entries
     )
 
--- a/src/pollenmast/relay/_carrier.py
+++ b/src/pollenmast/relay/_carrier.py
@@ -34,7 +34,7 @@
     @property
     def key(self) -> int:
         """The flow's hash."""
-        return flow_hash(self.listener.service.number, *self.caller)
+        return flow_hash(self.listener.service.port, *self.caller)
 
     @property
     def opens(self) -> bool:
--- a/src/pollenmast/relay/_core.py
+++ b/src/pollenmast/relay/_core.py
@@ -178,7 +178,8 @@
         if opening is None:
             self._routing.route(arrival, now)
             return
-        data, early = self._without_early_data(arrival.listener, arrival.data)
+        idempotent = arrival.listener.service.idempotent
+        data, early = self._without_early_data(idempotent, arrival.data)
         if data:
             self._openings.add_datagram(opening, data, early, now)
 
@@ -208,7 +209,7 @@
             return
         early = False
         if data[0] & LONG_HEADER:
-            data, early = self._without_early_data(flow.listener, data)
+            data, early = self._without_early_data(flow.target.idempotent, data)
             if not data:
                 return
         if flow.state is FlowState.OPENING:
@@ -220,13 +221,13 @@
         flow.path.send(data, flow.target.address)
 
     def _without_early_data(
-        self, listener: Listener, data: bytes
+        self, idempotent: bool, data: bytes
     ) -> tuple[bytes, bool]:
         """Returns what may be passed on, and whether 0-RTT is in it."""
         stripped, found = without_early_data(data)
         if not found:
             return data, False
-        if listener.service.idempotent:
+        if idempotent:
             return data, True
         self.counters.add(c.DROPS, c.DropReason.EARLY_DATA, found)
         return (stripped if any(stripped) else b""), False
@@ -265,7 +266,8 @@
         if not self.ready(now):
             self.counters.add(c.DROPS, c.DropReason.NOT_READY)
             return
-        data, early = self._without_early_data(arrival.listener, arrival.data)
+        idempotent = arrival.listener.service.idempotent
+        data, early = self._without_early_data(idempotent, arrival.data)
         self._openings.begin(
             arrival.listener, arrival.caller, arrival.packet, data, early, now
         )
@@ -290,7 +292,7 @@
         flow = self._adopt(
             arrival.listener,
             arrival.caller,
-            endpoint_id(name),
+            endpoint_id(number, name),
             FlowState.GUESSED,
             now,
         )
@@ -331,7 +333,7 @@
         state: FlowState,
         now: float,
     ) -> Flow | None:
-        target = self._table.target(listener.service.number, endpoint)
+        target = self._table.target(endpoint)
         if target is None:
             return None
         flow = self._table.open(
--- a/src/pollenmast/relay/_custody.py
+++ b/src/pollenmast/relay/_custody.py
@@ -1,7 +1,6 @@
 """Flow records between relays: who keeps them, who takes a flow over."""
 
 from pollenmast import counters as c
-from pollenmast.decisions._ownership import flow_hash
 from pollenmast.peers._envelope import Opened
 from pollenmast.peers._kinds import Kind
 from pollenmast.peers._records import (
@@ -117,7 +116,7 @@
         self._post.send(opened.sender, Kind.RECORDS_TAKEN, number)
 
     def _take_record(self, record: FlowRecord, sender: int, now: float) -> None:
-        listener = self._carrier.table.listener(record.service)
+        listener = self._carrier.table.at_port(record.service_port)
         flow = (
             listener.flows.get((record.ip, record.port)) if listener else None
         )
@@ -135,7 +134,7 @@
             self._replicas.keep(record, sender)
 
     def _take_over(self, record: FlowRecord, sender: int, now: float) -> None:
-        listener = self._carrier.table.listener(record.service)
+        listener = self._carrier.table.at_port(record.service_port)
         if listener is None:
             return
         flow = self._carrier.adopt(
@@ -146,7 +145,7 @@
             now,
         )
         if flow is not None:
-            self._replicas.drop(record.service, flow.caller)
+            self._replicas.drop(record.service_port, flow.caller)
             self._note_former(flow, sender)
 
     def _note_former(self, flow: Flow, sender: int) -> None:
@@ -168,7 +167,7 @@
         if record.flags == RecordFlag.TAKE:
             self._note_former(flow, sender)
             return
-        owner = self._fleet.owner(flow_hash(flow.target.service, *flow.caller))
+        owner = self._fleet.owner(flow.key)
         if owner is not None and owner.number == sender:
             self._release(flow, record, sender, now)
             return
@@ -194,7 +193,7 @@
                 self._release(flow, record, opened.sender, now)
 
     def _flow(self, record: FlowRecord) -> Flow | None:
-        listener = self._carrier.table.listener(record.service)
+        listener = self._carrier.table.at_port(record.service_port)
         if listener is None:
             return None
         return listener.flows.get((record.ip, record.port))
@@ -206,4 +205,5 @@
 def record_of(flow: Flow, flag: int) -> FlowRecord:
     """Returns the record of a flow carried here."""
     ip, port = flow.caller
-    return FlowRecord(flow.target.service, ip, port, flow.target.number, flag)
+    service_port = flow.listener.service.port
+    return FlowRecord(service_port, ip, port, flow.target.number, flag)
--- a/src/pollenmast/relay/_directory.py
+++ b/src/pollenmast/relay/_directory.py
@@ -97,13 +97,13 @@
         """Has the keepers keep the flow's connection id, once."""
         cid = self._learnt.pop(flow, None)
         if cid is not None:
-            target = flow.target
-            self._keep(ConnectionId(target.service, cid, target.number))
+            port = flow.listener.service.port
+            self._keep(ConnectionId(port, cid, flow.target.number))
 
     def hand_over(self) -> None:
         """Gives every entry to its new keepers, for a planned stop."""
-        for (service, cid), endpoint in self._entries.items():
-            self._keep(ConnectionId(service, cid, endpoint))
+        for (port, cid), endpoint in self._entries.items():
+            self._keep(ConnectionId(port, cid, endpoint))
 
     def tick(self, tick: int) -> None:
         """Publishes the ids of flows that have lasted, and sends what waits."""
@@ -137,16 +137,16 @@
         cid = _cid_of(arrival)
         if cid is None:
             return False
-        service = arrival.listener.service.number
-        endpoint = self._entries.get((service, cid))
+        service_port = arrival.listener.service.port
+        endpoint = self._entries.get((service_port, cid))
         if endpoint is not None:
             return self._lead_back(arrival, endpoint, now)
-        asked = self._others(service, cid)
+        asked = self._others(service_port, cid)
         if not asked:
             return False
         ip, port = arrival.caller
         forwarded = Forwarded(
-            service,
+            service_port,
             ip,
             port,
             1,
@@ -171,7 +171,7 @@
     def answer(self, forwarded: Forwarded) -> None:
         """Answers a question for a connection id, or asks on."""
         cid = _read_cid(forwarded.data)
-        endpoint = self._entries.get((forwarded.service, cid))
+        endpoint = self._entries.get((forwarded.service_port, cid))
         following = forwarded.next_asked
         if endpoint is not None:
             found = pack_found(Found(endpoint, True, forwarded))
@@ -179,7 +179,7 @@
         elif following and self._fleet.carries(following):
             body = pack_forwarded(
                 Forwarded(
-                    forwarded.service,
+                    forwarded.service_port,
                     forwarded.ip,
                     forwarded.port,
                     forwarded.hops,
@@ -206,7 +206,7 @@
         return True
 
     def _keep(self, entry: ConnectionId) -> None:
-        key = connection_id_hash(entry.service, entry.cid)
+        key = connection_id_hash(entry.service_port, entry.cid)
         for keeper in self._fleet.keepers(key):
             if keeper == self._fleet.me.number:
                 self._store(entry)
@@ -214,13 +214,13 @@
                 self._leaving.setdefault(keeper, []).append(entry)
 
     def _store(self, entry: ConnectionId) -> None:
-        key = (entry.service, entry.cid)
+        key = (entry.service_port, entry.cid)
         if len(self._entries) >= MOST_ENTRIES and key not in self._entries:
             del self._entries[next(iter(self._entries))]
         self._entries[key] = entry.endpoint
 
-    def _others(self, service: int, cid: int) -> list[int]:
-        keepers = self._fleet.keepers(connection_id_hash(service, cid))
+    def _others(self, service_port: int, cid: int) -> list[int]:
+        keepers = self._fleet.keepers(connection_id_hash(service_port, cid))
         return [number for number in keepers if number != self._fleet.me.number]
 
 
--- a/src/pollenmast/relay/_flows.py
+++ b/src/pollenmast/relay/_flows.py
@@ -7,6 +7,7 @@
 import abc
 import enum
 
+from pollenmast.decisions._ownership import flow_hash
 from pollenmast.manifest import Service
 from pollenmast.upstreams._paths import Path, PathChooser, PathPool
 
@@ -40,7 +41,8 @@
     Attributes:
         service: The service's number.
         name: The endpoint's name.
-        number: `peers.endpoint_id` of the name.
+        number: `peers.endpoint_id` of service and name.
+        idempotent: Whether its requests may run twice.
         address: Where its packets go.
         serving: Whether the manifest lets it take new flows.
         flows: Flows that this relay carries to it.
@@ -52,6 +54,7 @@
         "address",
         "answered",
         "flows",
+        "idempotent",
         "name",
         "number",
         "paths",
@@ -72,6 +75,7 @@
         self.number = number
         self.address = address
         self.serving = True
+        self.idempotent = False
         self.flows = 0
         self.answered = 0
         self.paths = PathChooser(pool, address)
@@ -150,3 +154,8 @@
         self.unanswered = 0
         self.backup = 0
         self.off_default = False
+
+    @property
+    def key(self) -> int:
+        """Its hash, by which every VM finds its owner."""
+        return flow_hash(self.listener.service.port, *self.caller)
--- a/src/pollenmast/relay/_openings.py
+++ b/src/pollenmast/relay/_openings.py
@@ -137,7 +137,10 @@
         self._ticket += 1
         service = listener.service.number
         request = FlowRequest(
-            self._ticket, service, caller[0], flow_hash(service, *caller)
+            self._ticket,
+            service,
+            caller[0],
+            flow_hash(listener.service.port, *caller),
         )
         opening = Opening(
             request,
@@ -219,7 +222,7 @@
     def _place(self, opening: Opening, placed: Placed, now: float) -> None:
         listener = opening.listener
         target = self._table.target(
-            listener.service.number, endpoint_id(placed.endpoint)
+            endpoint_id(listener.service.number, placed.endpoint)
         )
         if target is None or not self._connect(opening, target, now):
             self._end_flow(opening, now)
--- a/src/pollenmast/relay/_replicas.py
+++ b/src/pollenmast/relay/_replicas.py
@@ -33,7 +33,7 @@
 
     def keep(self, record: FlowRecord, holder: int) -> bool:
         """Keeps a record for its holder; returns whether it fitted."""
-        key = (record.service, record.ip, record.port)
+        key = (record.service_port, record.ip, record.port)
         if len(self) >= MOST_REPLICAS and key not in self._replicas:
             return False
         self._replicas[key] = Replica(holder, record.endpoint)
@@ -41,18 +41,20 @@
 
     def forget(self, record: FlowRecord, holder: int) -> None:
         """Forgets a record, unless another VM carries the flow by now."""
-        key = (record.service, record.ip, record.port)
+        key = (record.service_port, record.ip, record.port)
         replica = self._replicas.get(key)
         if replica is not None and replica.holder == holder:
             del self._replicas[key]
 
-    def find(self, service: int, caller: tuple[str, int]) -> Replica | None:
+    def find(
+        self, service_port: int, caller: tuple[str, int]
+    ) -> Replica | None:
         """Returns the record of a caller's flow."""
-        return self._replicas.get((service, *caller))
+        return self._replicas.get((service_port, *caller))
 
-    def drop(self, service: int, caller: tuple[str, int]) -> None:
+    def drop(self, service_port: int, caller: tuple[str, int]) -> None:
         """Drops the record of a flow that this relay now carries itself."""
-        self._replicas.pop((service, *caller), None)
+        self._replicas.pop((service_port, *caller), None)
 
     def drop_holders(self, holders: set[int]) -> int:
         """Drops the records of VMs long gone; returns how many."""
--- a/src/pollenmast/relay/_routing.py
+++ b/src/pollenmast/relay/_routing.py
@@ -10,6 +10,7 @@
 import attrs
 
 from pollenmast import counters as c
+from pollenmast.callers import LONG_HEADER
 from pollenmast.decisions._token_bucket import TokenBucket
 from pollenmast.peers._envelope import Opened
 from pollenmast.peers._kinds import Kind
@@ -69,7 +70,7 @@
     def route(self, arrival: Arrival, now: float) -> None:
         """Finds the relay that carries a datagram's flow, or carries it."""
         replica = self._custody.replicas.find(
-            arrival.listener.service.number, arrival.caller
+            arrival.listener.service.port, arrival.caller
         )
         if replica is not None and self._follow(replica, arrival, now):
             return
@@ -102,8 +103,8 @@
         )
         if flow is None:
             return False
-        number = arrival.listener.service.number
-        self._custody.replicas.drop(number, arrival.caller)
+        port = arrival.listener.service.port
+        self._custody.replicas.drop(port, arrival.caller)
         self._carrier.carry(flow, arrival.data, now)
         return True
 
@@ -157,13 +158,13 @@
         if forwarded is None:
             return
         caller = (forwarded.ip, forwarded.port)
-        listener = self._carrier.table.listener(forwarded.service)
+        listener = self._carrier.table.at_port(forwarded.service_port)
         flow = listener.flows.get(caller) if listener else None
         if flow is not None:
             self._carrier.carry(flow, forwarded.data, now)
             self._custody.tell_keeper(flow, forwarded.asker)
             return
-        replica = self._custody.replicas.find(forwarded.service, caller)
+        replica = self._custody.replicas.find(forwarded.service_port, caller)
         if replica is not None and replica.holder != forwarded.asker:
             self._answer_from_replica(replica, forwarded)
             return
@@ -183,6 +184,9 @@
         self._post.send(forwarded.asker, Kind.FOUND, found)
 
     def _ask_next(self, forwarded: Forwarded) -> None:
+        if self._may_be_anothers(forwarded):
+            self._counters.add(c.DROPS, c.DropReason.UNKNOWN_FLOW)
+            return
         following = forwarded.next_asked
         if following and self._fleet.carries(following):
             self._counters.add(c.FORWARDS, c.ForwardReason.ASK)
@@ -235,6 +239,19 @@
         else:
             self._carrier.carry(flow, arrival.data, now)
 
+    def _may_be_anothers(self, forwarded: Forwarded) -> bool:
+        """Whether a session's packet may belong to its port's last service.
+
+        The asker may have come after the port was given away, and would take
+        the packet to the default endpoint of the new service.
+        """
+        table = self._carrier.table
+        listener = table.at_port(forwarded.service_port)
+        in_session = not forwarded.data or not forwarded.data[0] & LONG_HEADER
+        return in_session and (
+            listener is not None and not table.may_guess(listener)
+        )
+
     def on_unknown(self, opened: Opened, now: float) -> None:
         """Takes back a datagram whose flow none of the asked knows."""
         forwarded = self._unpack(opened)
@@ -250,7 +267,7 @@
     def _read(self, forwarded: Forwarded | None, sender: int) -> Arrival | None:
         if forwarded is None:
             return None
-        listener = self._carrier.table.listener(forwarded.service)
+        listener = self._carrier.table.at_port(forwarded.service_port)
         if listener is None:
             self._counters.add(c.DROPS, c.DropReason.UNKNOWN_SERVICE)
             return None
@@ -272,7 +289,7 @@
 ) -> Forwarded:
     ip, port = arrival.caller
     return Forwarded(
-        arrival.listener.service.number,
+        arrival.listener.service.port,
         ip,
         port,
         hops,
--- a/src/pollenmast/relay/_table.py
+++ b/src/pollenmast/relay/_table.py
@@ -33,7 +33,7 @@
         self._pool = PathPool(wire.open_path)
         self._listeners: dict[int, Listener] = {}
         self._services: dict[int, Listener] = {}
-        self._targets: dict[tuple[int, int], Target] = {}
+        self._targets: dict[int, Target] = {}
         self._reused: set[int] = set()
         self._flows = 0
         self._moved: dict[tuple[int, str, int], Flow] = {}
@@ -94,27 +94,32 @@
             target.serving = False
         for service in manifest.services:
             for endpoint in service.endpoints:
-                key = (service.number, endpoint_id(endpoint.name))
+                key = endpoint_id(service.number, endpoint.name)
                 address = (endpoint.address, endpoint.port)
                 target = self._targets.get(key)
                 if target is None or target.address != address:
                     target = Target(
                         service.number,
                         endpoint.name,
-                        key[1],
+                        key,
                         address,
                         self._pool,
                     )
                     self._targets[key] = target
+                target.idempotent = service.idempotent
                 target.serving = endpoint.state is EndpointState.SERVING
 
     def listener(self, service: int) -> Listener | None:
         """Returns the port of the service with this number."""
         return self._services.get(service)
 
-    def target(self, service: int, endpoint: int) -> Target | None:
-        """Returns the endpoint with this number within its service."""
-        return self._targets.get((service, endpoint))
+    def at_port(self, port: int) -> Listener | None:
+        """Returns the service whose callers send to this port."""
+        return self._listeners.get(port)
+
+    def target(self, endpoint: int) -> Target | None:
+        """Returns the endpoint with this number."""
+        return self._targets.get(endpoint)
 
     def may_guess(self, listener: Listener) -> bool:
         """Returns whether an unknown flow may go to its default endpoint.
@@ -169,11 +174,11 @@
         if flow.listener.flows.get(flow.caller) is flow:
             del flow.listener.flows[flow.caller]
         flow.state = FlowState.MOVED
-        self._moved[flow.target.service, *flow.caller] = flow
+        self._moved[flow.listener.service.port, *flow.caller] = flow
 
     def end_moved(self, record: FlowRecord, now: float) -> None:
         """Forgets a flow that another relay now carries in both directions."""
-        flow = self._moved.get((record.service, record.ip, record.port))
+        flow = self._moved.get(record.key)
         if flow is not None:
             self.end(flow, now)
 
@@ -186,7 +191,7 @@
         """Forgets a flow."""
         if flow.listener.flows.get(flow.caller) is flow:
             del flow.listener.flows[flow.caller]
-        key = (flow.target.service, *flow.caller)
+        key = (flow.listener.service.port, *flow.caller)
         if self._moved.get(key) is flow:
             del self._moved[key]
         flow.target.paths.give_back(flow.path, now)
--- a/src/pollenmast/relay/_upkeep.py
+++ b/src/pollenmast/relay/_upkeep.py
@@ -6,7 +6,6 @@
 
 from pollenmast import counters as c
 from pollenmast.decisions import Dispatcher
-from pollenmast.decisions._ownership import flow_hash
 from pollenmast.decisions._replication import is_due
 from pollenmast.decisions._silence import (
     BURST,
@@ -159,16 +158,19 @@
             self._replicate(flow)
 
     def _hand_over(self, flow: Flow) -> None:
-        key = flow_hash(flow.target.service, *flow.caller)
-        owner = self._fleet.owner(key)
+        owner = self._fleet.owner(flow.key)
         if owner is not None and owner.number != self._fleet.me.number:
             self._custody.hand_over(flow, owner.number)
 
     def _check_default(self, flow: Flow) -> None:
-        service = flow.target.service
-        key = flow_hash(service, *flow.caller)
-        default = self._dispatcher.default_endpoint(service, key)
-        flow.off_default = default != flow.target.name
+        # Who does not know the flow sees only its port, which may by now
+        # belong to another service.
+        service = flow.listener.service.number
+        default = self._dispatcher.default_endpoint(service, flow.key)
+        flow.off_default = (service, default) != (
+            flow.target.service,
+            flow.target.name,
+        )
 
     def _replicate(self, flow: Flow) -> None:
         # Its age when its caller was last heard: a flow that has ended shows
@@ -177,7 +179,7 @@
         due = is_due(age_s, flow.off_default, self._settings.replicate_after_s)
         if not due and not self._check_backups:
             return
-        key = flow_hash(flow.target.service, *flow.caller)
+        key = flow.key
         if not due and self._fleet.owns(key):
             return
         backup = self._fleet.backup(key)
--- /dev/null
+++ b/tests/proof/__init__.py
@@ -0,0 +1,1 @@
+"""Proof of the whole: a machine of faults, an oracle, and mutations."""
--- /dev/null
+++ b/tests/proof_found_test.py
@@ -0,0 +1,73 @@
+"""What the proof has found, kept as the steps that showed it."""
+
+from testtools import TestCase
+
+from tests.proof import _traffic as traffic
+from tests.proof._machine import FleetMachine
+
+_REGISTRY = traffic.REGISTRY
+
+
+def _begin(vms: int, seed: int = 0) -> FleetMachine:
+    machine = FleetMachine()
+    machine.begin(seed=seed, vms=vms)
+    return machine
+
+
+class ReusedPortTest(TestCase):
+    """Operators give a port to another service while sessions are open."""
+
+    def test_during_spread(self):
+        """Some relays have the new manifest, others not yet.
+
+        A relay that had it passed a registry packet on as one of cellvakt;
+        one that had not took it to a cellvakt endpoint.
+        """
+        state = _begin(4)
+        state.open(count=3, early=False, service=_REGISTRY, to=0)
+        for _ in range(6):
+            state.all_say()
+        state.swap_ports(pair=(1, 3))
+        state.wait(seconds=0.05)
+        state.all_say()
+        state.teardown()
+
+    def test_open_sessions(self):
+        """Sessions opened before stay with their service at every relay."""
+        state = _begin(4)
+        state.open(count=3, early=False, service=_REGISTRY, to=0)
+        for _ in range(3):
+            state.all_say()
+        state.swap_ports(pair=(1, 3))
+        for _ in range(4):
+            state.all_say()
+        state.open(count=1, early=False, service=_REGISTRY, to=0)
+        state.all_say()
+        state.open(count=1, early=False, service=_REGISTRY, to=0)
+        state.teardown()
+
+    def test_relays_that_join(self):
+        """Relays that come with the change know no port as given away.
+
+        They guessed that a packet of an older session was meant for the
+        service that has the port now.
+        """
+        state = _begin(3)
+        state.swap_ports(pair=(1, 3))
+        state.join(number=4)
+        state.join(number=5)
+        state.open(count=3, early=False, service=_REGISTRY, to=0)
+        state.calm()
+        state.teardown()
+
+    def test_handed_over(self):
+        """A relay leaves; its flows were taken over at the wrong port.
+
+        Their callers then got answers from a port that they had not asked.
+        """
+        state = _begin(2)
+        state.restart_agent(which=0)
+        state.swap_ports(pair=(1, 3))
+        state.open(count=1, early=False, service=_REGISTRY, to=0)
+        state.stop(which=0)
+        state.teardown()
