--- a/src/pollenmast/relay/_program.py
+++ b/src/pollenmast/relay/_program.py
@@ -124,12 +124,13 @@
     async def _watch_signals(
         self, received: AsyncIterator[int], scope: anyio.CancelScope
     ) -> None:
-        async for _ in received:
-            if self._stop_at is not None:
-                self._exit = EXIT_CUT
-                scope.cancel()
-                return
-            self._stop(self._grace_s)
+        await anext(received)
+        self._stop(self._grace_s)
+        # Only a second signal cuts: the first may come after the agent's
+        # order, when both programs are told to stop at once.
+        await anext(received)
+        self._exit = EXIT_CUT
+        scope.cancel()
 
     async def _watch_drain(self, scope: anyio.CancelScope) -> None:
         while not self._over():
