--- a/standins/demo.py
+++ b/standins/demo.py
@@ -31,6 +31,9 @@
 PAUSE_S = 3.0
 """Between two changes, so that what each does can be told apart."""
 
+INTERRUPTED = 130
+"""The exit code that shells expect after a keyboard interrupt."""
+
 GRACE_S = 15.0
 SETTINGS = {"relay": {"grace_s": "8"}}
 """A leaving relay passes on late answers while their callers still use its
@@ -348,7 +351,10 @@
     parser = argparse.ArgumentParser(prog="standins.demo")
     parser.add_argument("--keep", help="folder that keeps settings and logs")
     keep = parser.parse_args().keep
-    sys.exit(anyio.run(_run, keep, backend="asyncio"))
+    try:
+        sys.exit(anyio.run(_run, keep, backend="asyncio"))
+    except KeyboardInterrupt:
+        sys.exit(INTERRUPTED)
 
 
 if __name__ == "__main__":
