--- a/bench/_load_sizes.py
+++ b/bench/_load_sizes.py
@@ -5,8 +5,8 @@
 import attrs
 
 from bench import _load_measures as measures
+from bench._load_callers import SLOTS, ZONES, manifest, steady
 from bench._load_model import Fleet
-from bench._load_patterns import SLOTS, ZONES, manifest, steady
 from pollenmast.decisions import Dispatcher
 
 SEED = 3
@@ -48,6 +48,7 @@
     )
     fleet.loop.run(end + 5.0)
     figures = measures.received(fleet.jobs, 5.0, end)
+    del figures["unanswered"]
     figures["finished"] = measures.finished(fleet, 5.0, end, capacity)
     return figures
 
@@ -59,25 +60,3 @@
         for size in SIZES
         for load in LOADS
     ]
-
-
-def table(rows: list[dict]) -> str:
-    """Returns the rows as a Markdown table."""
-    keys = (
-        "vms",
-        "endpoints",
-        "mean_s",
-        "load",
-        "asked",
-        "answered",
-        "late",
-        "refused",
-        "shed",
-        "median_ms",
-        "p99_ms",
-        "finished",
-    )
-    lines = ["| " + " | ".join(keys) + " |", "|" + " --- |" * len(keys)]
-    for row in rows:
-        lines.append("| " + " | ".join(str(row[key]) for key in keys) + " |")
-    return "\n".join(lines)
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -10,17 +10,10 @@
 
 from bench import _load_measures as measures
 from bench._load_baseline import RandomDispatcher
+from bench._load_callers import ENDPOINTS, VMS, ZONES, manifest
 from bench._load_model import Fleet
-from bench._load_patterns import (
-    ENDPOINTS,
-    PATTERNS,
-    VMS,
-    ZONES,
-    Pattern,
-    manifest,
-)
+from bench._load_patterns import PATTERNS, Pattern
 from bench._load_sizes import run_sizes
-from bench._load_sizes import table as sizes_table
 from bench._load_switches import SWITCHES
 from pollenmast.decisions import Dispatcher
 from pollenmast.manifest import ServiceKind
@@ -34,6 +27,9 @@
 """Time after the last request in which the open ones may end."""
 
 
+_IMBALANCES = (("placed", measures.placed_in), ("used", measures.used_in))
+
+
 def run_pattern(pattern: Pattern, make=Dispatcher, seed: int = SEED) -> Fleet:
     """Runs one pattern and returns the fleet for measuring."""
     kind = ServiceKind.SESSION if pattern.sessions else ServiceKind.REQUEST
@@ -66,10 +62,9 @@
         figures["goodput"] = measures.goodput(
             fleet, begin, end, pattern.capacity
         )
-    figures["placed"] = measures.imbalance(fleet, names, begin, end)
-    figures["used"] = measures.imbalance(
-        fleet, names, begin, end, measures.used_in
-    )
+    for kind, values in _IMBALANCES:
+        ratios = measures.imbalance(fleet, names, begin, end, values)
+        figures |= {f"{kind}_{key}": value for key, value in ratios.items()}
     if pattern.change_at is not None:
         figures |= _change(pattern, fleet, names)
     return figures
@@ -107,22 +102,21 @@
 
 def run() -> dict:
     """Runs every pattern in every variant, and every size of fleet."""
-    return {"patterns": run_patterns(), "sizes": run_sizes()}
+    results = {pattern.name: _run_variants(pattern) for pattern in PATTERNS}
+    return {**results, "sizes": run_sizes()}
 
 
-def run_patterns() -> dict:
-    """Runs every pattern in every variant."""
-    results = {}
-    for pattern in PATTERNS:
-        rows = {}
-        for name, make, off in _variants(pattern):
-            with off():
-                rows[name] = measure(pattern, run_pattern(pattern, make))
-        results[pattern.name] = {"meaning": pattern.meaning, "variants": rows}
-    return results
+def _run_variants(pattern: Pattern) -> list[dict]:
+    rows = []
+    for name, make, off in _variants(pattern):
+        with off():
+            fleet = run_pattern(pattern, make)
+        rows.append({"variant": name, **measure(pattern, fleet)})
+    return rows
 
 
 _COLUMNS = (
+    "variant",
     "asked",
     "answered",
     "late",
@@ -136,44 +130,47 @@
     "at_once",
     "told_p99_ms",
     "retries",
+    "goodput",
+    "placed_whole",
+    "placed_window_median",
+    "used_whole",
+    "used_window_median",
+    "off_default",
+    "to_even_s",
+    "last_new_work_s",
+    "newcomer_share",
 )
 
 
-def table(results: dict) -> str:
-    """Returns the patterns' results as a Markdown table."""
-    heads = (
-        "pattern",
-        "variant",
-        *_COLUMNS,
-        "goodput",
-        "placed whole/window",
-        "in use whole/window",
-        "off_default",
-        "to_even_s",
-        "last_new_work_s",
-        "newcomer_share",
-    )
-    lines = ["| " + " | ".join(heads) + " |", "|" + " --- |" * len(heads)]
-    for pattern, result in results.items():
-        for variant, row in result["variants"].items():
-            lines.append(_line(pattern, variant, row))
+def markdown(results: dict) -> str:
+    """Returns the results as Markdown tables, one for each pattern."""
+    meanings = {pattern.name: pattern.meaning for pattern in PATTERNS}
+    parts = []
+    for name, rows in results.items():
+        meaning = meanings.get(name, "other fleets and services")
+        parts.append(f"### {name}: {meaning}\n\n{_table(rows)}\n")
+    return "\n".join(parts)
+
+
+def _table(rows: list[dict]) -> str:
+    known = list(dict.fromkeys(key for row in rows for key in row))
+    columns = [key for key in _COLUMNS if key in known]
+    columns = columns if "variant" in known else known
+    used = [
+        key
+        for key in columns
+        if any(row.get(key, "") not in ("", None) for row in rows)
+    ]
+    lines = ["| " + " | ".join(used) + " |", "|" + " --- |" * len(used)]
+    for row in rows:
+        cells = [_cell(row.get(key, "")) for key in used]
+        lines.append("| " + " | ".join(cells) + " |")
     return "\n".join(lines)
 
 
-def _line(pattern: str, variant: str, row: dict) -> str:
-    cells = [pattern, variant]
-    cells += [row.get(key, "") for key in _COLUMNS]
-    cells.append(row.get("goodput", ""))
-    for kind in ("placed", "used"):
-        cells.append(f"{row[kind]['whole']}/{row[kind]['window_median']}")
-    cells.append(row["off_default"])
-    for key in ("to_even_s", "last_new_work_s", "newcomer_share"):
-        cells.append(row.get(key, ""))
-    return "| " + " | ".join(str(cell) for cell in cells) + " |"
+def _cell(value: object) -> str:
+    return "never" if value is None else str(value)
 
 
 if __name__ == "__main__":
-    everything = run()
-    print(table(everything["patterns"]))
-    print()
-    print(sizes_table(everything["sizes"]))
+    print(markdown(run()))
--- a/src/pollenmast/decisions/_holding.py
+++ b/src/pollenmast/decisions/_holding.py
@@ -17,8 +17,9 @@
 """Part of the hold that the queue ahead may take.
 
 Endpoints finish unevenly. With the whole hold one refused flow in seven had
-waited it out first (twice the capacity, `python -m bench.overload`); with
-half of it two in a hundred, at the same goodput and a shorter wait.
+waited it out first (a trial at twice the capacity); with half of it fewer
+than two in a hundred (`python -m bench run overload`, overload 2), at the
+same goodput and a shorter wait.
 """
 
 
--- a/tests/decisions_load_test.py
+++ b/tests/decisions_load_test.py
@@ -9,6 +9,7 @@
 from parameterized import parameterized
 from testtools import TestCase
 
+from bench import _load_callers as callers
 from bench import _load_measures as measures
 from bench import _load_patterns as patterns
 from bench._load_model import DEADLINE_S, Fleet, Result
@@ -16,16 +17,16 @@
 from pollenmast.manifest import ServiceKind
 
 _VMS = 4
-_NAMES = [f"e{n}" for n in range(patterns.ENDPOINTS)]
+_NAMES = [f"e{n}" for n in range(callers.ENDPOINTS)]
 
 
 def _fleet(kind: ServiceKind = ServiceKind.REQUEST, vms: int = _VMS) -> Fleet:
-    zones = patterns.ZONES
+    zones = callers.ZONES
     dispatchers = [
         Dispatcher(zones[n % len(zones)], random.Random(n)) for n in range(vms)
     ]
     sessions = kind is ServiceKind.SESSION
-    return Fleet(patterns.manifest(kind=kind), dispatchers, 1, sessions)
+    return Fleet(callers.manifest(kind=kind), dispatchers, 1, sessions)
 
 
 def _received(fleet: Fleet, begin: float, end: float, group: str = "") -> dict:
@@ -39,7 +40,7 @@
     def test_steady(self):
         """At 70% load nobody is refused and the endpoints are even."""
         fleet = _fleet()
-        patterns.steady(fleet, 0.7 * patterns.CAPACITY, 0.0, 15.0)
+        callers.steady(fleet, 0.7 * callers.CAPACITY, 0.0, 15.0)
         fleet.loop.run(18.0)
         received = _received(fleet, 3.0, 15.0)
         self.assertEqual(received["asked"], received["answered"])
@@ -54,9 +55,9 @@
         one in time. As much as can be served is; the others hear it at once.
         """
         fleet = _fleet(vms=vms)
-        patterns.steady(fleet, 5.0 * patterns.CAPACITY, 0.0, 12.0)
+        callers.steady(fleet, 5.0 * callers.CAPACITY, 0.0, 12.0)
         fleet.loop.run(15.0)
-        done = measures.finished(fleet, 4.0, 12.0, patterns.CAPACITY)
+        done = measures.finished(fleet, 4.0, 12.0, callers.CAPACITY)
         self.assertGreater(done, 0.85)
         received = _received(fleet, 4.0, 12.0)
         self.assertLess(received["late"], received["answered"] / 4)
@@ -69,8 +70,8 @@
         the others are told when to come back.
         """
         fleet = _fleet()
-        patterns.steady(fleet, 0.3 * patterns.CAPACITY, 0.0, 8.0)
-        patterns.steady(fleet, 1200.0, 5.0, 5.25, "burst")
+        callers.steady(fleet, 0.3 * callers.CAPACITY, 0.0, 8.0)
+        callers.steady(fleet, 1200.0, 5.0, 5.25, "burst")
         fleet.loop.run(12.0)
         received = _received(fleet, 5.0, 5.25, "burst")
         self.assertGreater(received["answered"], 0.6 * received["asked"])
@@ -79,8 +80,8 @@
 
     @parameterized.expand(
         [
-            ("caller", patterns.one_caller),
-            ("network", patterns.one_network),
+            ("caller", callers.one_caller),
+            ("network", callers.one_network),
         ]
     )
     def test_hot(self, _, caller):
@@ -90,9 +91,9 @@
         the others would be refused.
         """
         fleet = _fleet()
-        rate = patterns.CAPACITY
-        patterns.steady(fleet, 0.6 * rate, 0.0, 12.0)
-        patterns.steady(fleet, 3.0 * rate, 3.0, 12.0, "hot", caller)
+        rate = callers.CAPACITY
+        callers.steady(fleet, 0.6 * rate, 0.0, 12.0)
+        callers.steady(fleet, 3.0 * rate, 3.0, 12.0, "hot", caller)
         fleet.loop.run(15.0)
         others = _received(fleet, 4.0, 12.0, "others")
         self.assertGreater(others["answered"], 0.93 * others["asked"])
@@ -105,7 +106,7 @@
         Its part of the flows would wait for seconds; the others have room.
         """
         fleet = _fleet()
-        patterns.steady(fleet, 0.5 * patterns.CAPACITY, 0.0, 16.0)
+        callers.steady(fleet, 0.5 * callers.CAPACITY, 0.0, 16.0)
         fleet.upstreams["e0"].slowness = 5.0
         fleet.loop.run(20.0)
         late = _received(fleet, 8.0, 16.0)
@@ -118,7 +119,7 @@
         of them would wait for one all the time.
         """
         fleet = _fleet()
-        patterns.steady(fleet, 0.5 * patterns.CAPACITY, 0.0, 14.0)
+        callers.steady(fleet, 0.5 * callers.CAPACITY, 0.0, 14.0)
         fleet.upstreams["e0"].silent = True
         fleet.loop.run(18.0)
         received = _received(fleet, 2.0, 14.0)
@@ -132,7 +133,7 @@
         the first callers after a planned release wait longest.
         """
         fleet = _fleet(vms=9)
-        patterns.steady(fleet, 0.7 * patterns.CAPACITY, 0.0, 18.0)
+        callers.steady(fleet, 0.7 * callers.CAPACITY, 0.0, 18.0)
         fleet.loop.at(6.0, patterns.cold_start, fleet)
         fleet.loop.run(21.0)
         received = _received(fleet, 6.0, 18.0)
@@ -143,8 +144,8 @@
     def test_leaving_endpoint_gets_no_new_work(self):
         """An operator drains an endpoint; within 3 s nothing new goes there."""
         fleet = _fleet()
-        patterns.steady(fleet, 0.5 * patterns.CAPACITY, 0.0, 12.0)
-        change = patterns.manifest(2, draining=0)
+        callers.steady(fleet, 0.5 * callers.CAPACITY, 0.0, 12.0)
+        change = callers.manifest(2, draining=0)
         fleet.loop.at(5.0, fleet.publish, change)
         fleet.loop.run(14.0)
         self.assertLess(fleet.upstreams["e0"].placed[-1], 8.0)
@@ -157,7 +158,7 @@
         By its report it would get most of the new ones until it is full.
         """
         fleet = _fleet(ServiceKind.SESSION)
-        patterns.steady(fleet, 100.0, 0.0, 10.0, length=lambda _: 60.0)
+        callers.steady(fleet, 100.0, 0.0, 10.0, length=lambda _: 60.0)
         fleet.upstreams["e0"].lie = patterns.says_no_sessions
         fleet.loop.run(11.0)
         used = measures.used_in(fleet, _NAMES, (10.0, 11.0))
@@ -171,7 +172,7 @@
         fleet = _fleet(ServiceKind.SESSION)
         for upstream in fleet.upstreams.values():
             upstream.lie = patterns.says_no_sessions
-        patterns.steady(fleet, 100.0, 0.0, 10.0, length=lambda _: 60.0)
+        callers.steady(fleet, 100.0, 0.0, 10.0, length=lambda _: 60.0)
         fleet.loop.run(11.0)
         refused = [j for j in fleet.jobs if j.result == Result.REFUSED]
         self.assertEqual([], refused)
@@ -184,7 +185,7 @@
         fleet = _fleet()
         for upstream in fleet.upstreams.values():
             fleet.loop.at(4.0, setattr, upstream, "reports", False)
-        patterns.steady(fleet, 0.4 * patterns.CAPACITY, 0.0, 14.0)
+        callers.steady(fleet, 0.4 * callers.CAPACITY, 0.0, 14.0)
         fleet.loop.run(18.0)
         received = _received(fleet, 4.0, 14.0)
         self.assertGreater(received["answered"], 0.98 * received["asked"])
