Gossip: no echo in acks, and messages that fit with the longest names

Cause: (1) an ack carried back first what its ping had just brought, as the newest news goes first. (2) With names of 63 letters a message with all its news, a page or a push exceeded the bound on bodies, and whoever got it dropped it whole; a VM whose heartbeats are dropped is declared dead. Ruled out: a greater bound (datagrams would be fragmented). Conclusion: news of endpoints is queued after the answer; what a message may carry follows from what it must. Both cases have a test.

--- a/src/pollenmast/agent/_gossip_loop.py
+++ b/src/pollenmast/agent/_gossip_loop.py
@@ -26,9 +26,6 @@
 MEMBER_BYTES = 500
 """News of VMs in one message, at the most."""
 
-PROBE_BYTES = 640
-"""News of endpoints in one message, at the most."""
-
 PROBE_SENDS_PER_LOG = 1
 """Sends of one endpoint's report, times log2 of the fleet. A lost report is
 replaced by the next one within two seconds, so once is enough."""
@@ -103,18 +100,24 @@
         while True:
             for message, source in await self._socket.receive():
                 now = anyio.current_time()
-                self._take_news(message, now)
+                heard = self._take_news(message, now)
                 sends = self._node.membership.receive(message, source, now)
                 self.send(sends)
-
-    def _take_news(self, message: Gossip, now: float) -> None:
-        for news in message.probes:
-            if self._node.reports.heard(news, now):
-                self.tell(news)
-                self._node.notify()
+                # Queued after the answer: the newest news goes first, and
+                # an ack would carry back what its ping has just brought.
+                for news in heard:
+                    self.tell(news)
+
+    def _take_news(self, message: Gossip, now: float) -> list[ProbeNews]:
+        """Takes what a message tells; returns what was new of endpoints."""
+        reports = self._node.reports
+        heard = [news for news in message.probes if reports.heard(news, now)]
+        if heard:
+            self._node.notify()
         key = ManifestKey(message.version, message.digest.hex())
         if self._node.acceptance.wants(key):
             self._wanted(key, message.sender)
+        return heard
 
     def _collect(self) -> bool:
         """Turns what membership changed into news and log lines."""
@@ -160,16 +163,20 @@
 
     def _compose(self, send: Send, left: int) -> Gossip:
         node = self._node
+        own = node.membership.own
         fleet = len(node.membership.vms())
         members, probes = send.members, ()
         if send.act in (Act.PING, Act.ACK):
-            members += self._members.pick(min(left, MEMBER_BYTES), fleet)
-            probes = self._probes.pick(min(left, PROBE_BYTES), fleet)
+            room = min(left, _gossip.room(own, send.target, members))
+            news = self._members.pick(min(room, MEMBER_BYTES), fleet)
+            members += news
+            room -= sum(map(_gossip.member_size, news))
+            probes = self._probes.pick(room, fleet)
         key = node.acceptance.key
         return Gossip(
             act=send.act,
             sequence=send.sequence,
-            sender=node.membership.own,
+            sender=own,
             target=send.target,
             version=key.version,
             digest=bytes.fromhex(key.digest),
--- a/src/pollenmast/decisions/_members.py
+++ b/src/pollenmast/decisions/_members.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from pollenmast.peers._gossip import member_size
 from pollenmast.peers._messages import Vm, VmState
 
 _RANK = {
@@ -142,8 +143,25 @@
         member.dead_since = now if vm.state is VmState.DEAD else None
         member.vm = vm
 
-    def page(self, after: str, size: int) -> tuple[list[Vm], str]:
-        """Returns members by name after `after`, and the last or nothing."""
+    def page(self, after: str, budget: int) -> tuple[list[Vm], str]:
+        """Returns members by name after `after`, and where the next begin.
+
+        Args:
+            after: A name; empty for the first page.
+            budget: Bytes that the page may take.
+        """
         names = sorted(name for name in self._by_name if name > after)
-        page = [self._by_name[name].vm for name in names[:size]]
-        return page, page[-1].name if len(names) > size else ""
+        vms = [self._by_name[name].vm for name in names]
+        page = fitting(vms, budget)
+        return page, page[-1].name if len(page) < len(vms) else ""
+
+
+def fitting(vms: list[Vm], budget: int) -> list[Vm]:
+    """Returns the first VMs that fit into so many bytes of a message."""
+    taken = []
+    for vm in vms:
+        budget -= member_size(vm)
+        if budget < 0:
+            break
+        taken.append(vm)
+    return taken
--- a/src/pollenmast/decisions/_membership.py
+++ b/src/pollenmast/decisions/_membership.py
@@ -23,7 +23,13 @@
     gossip_address,
 )
 from pollenmast.decisions._introductions import Introductions
-from pollenmast.decisions._members import Change, Member, Members, Why
+from pollenmast.decisions._members import (
+    Change,
+    Member,
+    Members,
+    Why,
+    fitting,
+)
 from pollenmast.decisions._membership_times import Times
 from pollenmast.peers._gossip import Act, Gossip
 from pollenmast.peers._messages import Vm, VmState
@@ -65,8 +71,7 @@
         self._ran_s = now
         self._due_s = now
         self._next_greet = now
-        # A starting VM knows nothing; what it believes is no better than
-        # what a paused one does.
+        # What a starting VM believes is no better than what a paused one does.
         self._fresh.begin(now)
 
     # What others read.
@@ -288,7 +293,7 @@
         return Send(gossip_address(vm), Act.SYNC_REQUEST, target=after)
 
     def _page(self, message: Gossip, source: Address) -> Send:
-        page, last = self._members.page(message.target, figures.PAGE)
+        page, last = self._members.page(message.target, figures.PAGE_BYTES)
         return Send(source, Act.SYNC, target=last, members=tuple(page))
 
     def _paged(self, message: Gossip) -> list[Send]:
@@ -326,15 +331,14 @@
         self._own = attrs.evolve(own, incarnation=vm.incarnation)
         self._restate(why=Why.REFUTED)
         if vm.state is VmState.DEAD:
-            # The others have gone on without this VM; what it believes is
-            # as old as its death.
+            # The others went on; what this VM believes is as old as that.
             self._fresh.begin(now)
             self._pages_left = figures.REFRESH_SYNCS
 
     def _restate(self, why: Why, **changed: object) -> None:
         before = self._own.state
-        incarnation = self._own.incarnation + 1
-        self._own = attrs.evolve(self._own, incarnation=incarnation, **changed)
+        changed["incarnation"] = self._own.incarnation + 1
+        self._own = attrs.evolve(self._own, **changed)
         self._note(Change(self._own, before, why))
 
     # Lateness.
@@ -342,9 +346,8 @@
     def _notice(self, now: float) -> list[Send]:
         """Notes how late this process runs.
 
-        A paused process finds all its timers over at once and its socket
-        full of unread acks. Would it go on, it would declare the others
-        dead, and they would lose flows for a pause that was its own.
+        A paused process finds all its timers over and its socket full of
+        unread acks. It would declare the others dead for its own pause.
         """
         late = now - max(self._due_s, self._ran_s)
         gap = now - self._ran_s
@@ -367,9 +370,9 @@
         Flows go to a dead VM for as long as a change takes to spread; at one
         message an interval it would take seconds.
         """
-        urgent = tuple(self._urgent.values())[: figures.PAGE]
+        urgent = fitting(list(self._urgent.values()), figures.PAGE_BYTES)
         self._urgent.clear()
-        return self._push(urgent) if urgent else []
+        return self._push(tuple(urgent)) if urgent else []
 
     def _note(self, change: Change) -> None:
         self._changes.append(change)
@@ -382,9 +385,8 @@
 
     def _push(self, vms: tuple[Vm, ...]) -> list[Send]:
         told = {vm.name for vm in vms}
-        others = [
-            each.vm for each in self._members.live() if each.vm.name not in told
-        ]
+        live = [each.vm for each in self._members.live()]
+        others = [vm for vm in live if vm.name not in told]
         return [
             Send(gossip_address(vm), Act.NEWS, members=vms)
             for vm in self._sample(others, figures.URGENT)
--- a/src/pollenmast/decisions/_membership_times.py
+++ b/src/pollenmast/decisions/_membership_times.py
@@ -21,8 +21,10 @@
 enough to learn all the others, so the bound may stay small in a large
 fleet."""
 
-PAGE = 10
-"""Members in one page of a sync; they fit one datagram."""
+PAGE_BYTES = 800
+"""News of VMs in one page of a sync or one push. With the longest names its
+sender takes 360 bytes more, and a body has 1,200; a longer message would be
+dropped whole by whoever gets it."""
 
 
 @attrs.frozen
--- a/src/pollenmast/peers/_gossip.py
+++ b/src/pollenmast/peers/_gossip.py
@@ -27,6 +27,9 @@
 
 DIGEST_BYTES = 16
 
+_FIXED_BYTES = 64
+"""Numbers, digest and framing of a message, at the most."""
+
 
 class Act(enum.IntEnum):
     """What a gossip message asks for."""
@@ -172,6 +175,12 @@
     return 38 + len(news.report.endpoint)
 
 
+def room(sender: Vm, target: str, members: tuple[Vm, ...]) -> int:
+    """Returns the bytes that are left for news beside what must be told."""
+    told = sum(map(member_size, members)) + member_size(sender)
+    return max(0, MOST_BODY_BYTES - _FIXED_BYTES - len(target) - told)
+
+
 def encode(message: Gossip) -> bytes:
     """Returns the message as bytes."""
     return _CONVERTER.dumps(message)
--- /dev/null
+++ b/tests/agent_gossip_test.py
@@ -0,0 +1,181 @@
+"""Tests of agent._gossip_loop: which news goes on which message."""
+
+import attrs
+import trio
+import trio.testing
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast.agent._gossip_loop import BURST_BYTES, GossipLoop
+from pollenmast.agent._node import new_node
+from pollenmast.counters import CONTROL_BYTES
+from pollenmast.decisions._acceptance import ManifestKey
+from pollenmast.decisions._heartbeats import Send
+from pollenmast.decisions._members import Members, Why
+from pollenmast.decisions._membership_times import PAGE_BYTES
+from pollenmast.peers import _gossip
+from pollenmast.peers._gossip import Act, Gossip, ProbeNews
+from pollenmast.peers._messages import EndpointReport
+from tests.agent_manifest_test import LOG, SETTINGS
+from tests.membership_group import vm
+
+PEER = vm(4)
+SOURCE = (PEER.address, PEER.gossip_port)
+NEWS = ProbeNews(7, EndpointReport(1, "registry-1", 9, True))
+PING = Gossip(Act.PING, 1, PEER, "vm-0", probes=(NEWS,))
+
+
+class FakeSocket:
+    """Gives the loop what comes, and keeps what it sends."""
+
+    def __init__(self):
+        self.sent = []
+        self.came, self._in = trio.open_memory_channel(9)
+
+    def send(self, message, to) -> int:
+        """Keeps a message; returns its size."""
+        self.sent.append((message, to))
+        return len(_gossip.encode(message)) + 30
+
+    async def receive(self):
+        """Returns what came."""
+        return [await self._in.receive()]
+
+
+def _run(script):
+    async def main():
+        node = new_node(SETTINGS, LOG, trio.current_time())
+        wanted = []
+        socket = FakeSocket()
+        loop = GossipLoop(node, socket, lambda key, vm: wanted.append(key))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(loop._receive)
+            await script(loop, socket)
+            nursery.cancel_scope.cancel()
+        return socket.sent, wanted, node
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(main, clock=clock)
+
+
+def _take(socket, message) -> None:
+    socket.came.send_nowait((message, SOURCE))
+
+
+class NewsTest(TestCase):
+    """News goes where it is news, within the budget."""
+
+    def test_no_echo(self):
+        """An ack does not carry back what its ping has just brought.
+
+        It did once: half of all news of endpoints went to whom it came from,
+        and load was a quarter older everywhere.
+        """
+
+        async def script(loop, socket):
+            _take(socket, PING)
+            await trio.sleep(0.01)
+            loop.send([Send(SOURCE, Act.PING, 2, "vm-4")])
+
+        sent, _, _ = _run(script)
+        probes = {
+            act: [message.probes for message, _ in sent if message.act is act]
+            for act in (Act.ACK, Act.PING)
+        }
+        self.assertEqual([()], probes[Act.ACK])
+        self.assertEqual([(NEWS,)], probes[Act.PING])
+
+    def test_known_is_not_told_again(self):
+        """News that comes by two ways is passed on for one of them."""
+
+        async def script(loop, socket):
+            for sequence in range(9):
+                _take(socket, attrs.evolve(PING, sequence=sequence))
+                await trio.sleep(0.01)
+            for sequence in range(9):
+                loop.send([Send(SOURCE, Act.PING, sequence, "vm-4")])
+
+        sent, _, _ = _run(script)
+        told = sum(len(message.probes) for message, _ in sent)
+        self.assertEqual(2, told)  # Once log2 of this fleet of two.
+
+    def test_budget(self):
+        """A burst of news is cut off; heartbeats still go, without news.
+
+        Without the bound, a cut that kills half a large fleet's members
+        would cost each of the others a burst of megabytes.
+        """
+
+        async def script(loop, socket):
+            push = Send(SOURCE, Act.NEWS, members=tuple(map(vm, range(8))))
+            for _ in range(200):
+                loop.send([push])
+            loop.tell(NEWS)
+            loop.send([Send(SOURCE, Act.PING, 2, "vm-4")])
+
+        sent, _, _ = _run(script)
+        size = sum(len(_gossip.encode(message)) + 30 for message, _ in sent)
+        self.assertLess(size, BURST_BYTES + 1200)
+        self.assertEqual((Act.PING, ()), (sent[-1][0].act, sent[-1][0].probes))
+
+    def test_newer_manifest_is_wanted(self):
+        """Any message of a peer tells that it has a greater manifest."""
+
+        async def script(loop, socket):
+            _take(socket, attrs.evolve(PING, version=3, digest=b"d" * 16))
+            await trio.sleep(0.01)
+
+        _, wanted, node = _run(script)
+        self.assertEqual([ManifestKey(3, (b"d" * 16).hex())], wanted)
+        self.assertEqual(0, node.counters.value(CONTROL_BYTES, "fetch"))
+
+    @parameterized.expand([("usual", 4), ("longest", 63)])
+    def test_full_message_fits(self, _, length):
+        """A message with all the news that it may carry is one datagram.
+
+        With long names it once was more; whoever got it dropped it whole,
+        and a VM whose heartbeats are dropped is declared dead.
+        """
+
+        def long_vm(number: int):
+            name = f"vm-{number}".ljust(length, "x")
+            zone = "z" * length
+            return attrs.evolve(vm(number), name=name, zone=zone)
+
+        async def script(loop, socket):
+            loop._node.membership._own = long_vm(1)
+            for number in range(60):
+                name = f"e-{number}".ljust(length, "x")
+                report = attrs.evolve(NEWS.report, endpoint=name)
+                loop.tell(ProbeNews(number, report))
+                member = long_vm(number + 10)
+                size = _gossip.member_size(member)
+                loop._members.add(member.name, member, size)
+            target = long_vm(9)
+            told = (target,)
+            loop.send([Send(SOURCE, Act.PING, 2, target.name, told)])
+
+        sent, _, _ = _run(script)
+        size = len(_gossip.encode(sent[0][0]))
+        self.assertLessEqual(size, _gossip.MOST_BODY_BYTES)
+        self.assertGreater(size, _gossip.MOST_BODY_BYTES / 2)
+
+    def test_full_page_fits(self):
+        """A page of members with the longest names is one datagram."""
+        members = Members()
+        for number in range(40):
+            name = f"vm-{number}".ljust(63, "x")
+            long_vm = attrs.evolve(vm(number), name=name, zone="z" * 63)
+            members.merge(long_vm, 0.0, Why.TOLD)
+        seen, after = [], ""
+        while True:
+            page, after = members.page(after, PAGE_BYTES)
+            seen += page
+            message = Gossip(
+                Act.SYNC, 0, page[0], after, 9, b"d" * 16, tuple(page)
+            )
+            size = len(_gossip.encode(message))
+            self.assertLessEqual(size, _gossip.MOST_BODY_BYTES)
+            if not after:
+                break
+        self.assertEqual(40, len({each.name for each in seen}))
