Let two keys with one number both open envelopes

Cause: a key is named by one byte of its hash; during a change of key, one pair in 256 shares it, and the dictionary kept only the newer: every envelope under the old key would have been dropped as forged. Seen in a read-through; the new test fails before the change. Ruled out: a longer number (more bytes on each packet, and still a chance).

--- a/src/pollenmast/peers/_envelope.py
+++ b/src/pollenmast/peers/_envelope.py
@@ -61,6 +61,12 @@
     return hashlib.blake2b(key, digest_size=1, person=b"key number").digest()[0]
 
 
+def _is_genuine(sealed: bytes, mac: bytes, key: bytes) -> bool:
+    expected = hashlib.blake2b(sealed, key=key, digest_size=MAC_BYTES)
+    # Timing must not tell a forger how many bytes were right.
+    return hmac.compare_digest(expected.digest(), mac)
+
+
 class Sealer:
     """Seals what this process sends, under the fleet's key."""
 
@@ -110,8 +116,10 @@
     """Opens envelopes under the fleet's key, or the one before it."""
 
     def __init__(self, key: bytes, previous_key: bytes | None = None):
-        keys = [key] if previous_key is None else [previous_key, key]
-        self._keys = {_key_number(each): each for each in keys}
+        keys = [key] if previous_key is None else [key, previous_key]
+        self._keys: dict[int, list[bytes]] = {}
+        for each in keys:
+            self._keys.setdefault(_key_number(each), []).append(each)
         self._windows: dict[int, _Window] = {}
 
     def open(self, data: bytes, now: float) -> Result[Opened, EnvelopeFault]:
@@ -124,14 +132,12 @@
         if len(data) < HEADER_BYTES + MAC_BYTES:
             return Err(EnvelopeFault.TRUNCATED)
         kind, key_number, sender, sequence = _HEADER.unpack_from(data)
-        key = self._keys.get(key_number)
-        if key is None:
+        keys = self._keys.get(key_number)
+        if keys is None:
             return Err(EnvelopeFault.UNKNOWN_KEY)
-        sealed = data[:-MAC_BYTES]
-        mac = hashlib.blake2b(sealed, key=key, digest_size=MAC_BYTES).digest()
-        # The compared value is public to whoever holds the message; timing
-        # still must not tell a forger how many bytes were right.
-        if not hmac.compare_digest(mac, data[-MAC_BYTES:]):
+        sealed, mac = data[:-MAC_BYTES], data[-MAC_BYTES:]
+        # Two keys may share a number, one pair in 256: each is tried.
+        if not any(_is_genuine(sealed, mac, key) for key in keys):
             return Err(EnvelopeFault.FORGED)
         fault = self._note(sender, sequence, now)
         if fault is not None:
--- a/tests/peers_envelope_test.py
+++ b/tests/peers_envelope_test.py
@@ -72,3 +72,20 @@
             EnvelopeFault.UNKNOWN_KEY,
             Opener(_OTHER_KEY).open(old, 0.0).unwrap_err(),
         )
+
+    def test_keys_with_one_number(self):
+        """Two keys that happen to have the same number both open.
+
+        During a change of key every message under the old one would be
+        dropped otherwise, and half the fleet would look dead.
+        """
+        first = Sealer("a", _KEY).seal(1, b"")
+        twin = next(
+            key
+            for key in (n.to_bytes(32, "big") for n in range(10_000))
+            if Sealer("a", key).seal(1, b"")[1] == first[1]
+        )
+        opener = Opener(twin, previous_key=_KEY)
+        self.assertTrue(opener.open(first, 0.0).is_ok())
+        second = Sealer("b", twin).seal(1, b"")
+        self.assertTrue(opener.open(second, 0.0).is_ok())
