--- a/src/pollenmast/decisions/_dispatcher.py
+++ b/src/pollenmast/decisions/_dispatcher.py
@@ -30,9 +30,14 @@
         self._rng = rng
         self._services: dict[int, ServiceDecisions] = {}
         self._relays = 1
+        self._given_up: list[Released] = []
 
     def set_manifest(self, manifest: Manifest, now: float) -> None:
-        """Takes a newer manifest; endpoints that stay keep their state."""
+        """Takes a newer manifest; endpoints that stay keep their state.
+
+        Flows held for a service that is gone are given up at the next
+        release; forgotten, they would be held for ever.
+        """
         services = {}
         for service in manifest.services:
             decisions = self._services.pop(service.number, None)
@@ -41,6 +46,8 @@
                 decisions.set_fleet(self._relays)
             decisions.set_service(service, now)
             services[service.number] = decisions
+        for gone in self._services.values():
+            self._given_up.extend(gone.give_up_all(now))
         self._services = services
 
     def set_fleet(self, relays: int) -> None:
@@ -66,7 +73,7 @@
 
     def release(self, now: float) -> list[Released]:
         """Returns the held flows that are now placed or given up."""
-        released = []
+        released, self._given_up = self._given_up, []
         for service in self._services.values():
             released.extend(service.release(now))
         return released
@@ -76,6 +83,7 @@
         for service in self._services.values():
             if service.on_caller_gone(ticket):
                 return
+        self._given_up = [r for r in self._given_up if r.ticket != ticket]
 
     def on_flow_ended(self, service: int, endpoint: str, now: float) -> None:
         """A flow that this VM carried has ended or moved to another VM."""
--- a/src/pollenmast/decisions/_service.py
+++ b/src/pollenmast/decisions/_service.py
@@ -52,6 +52,10 @@
         """Takes a manifest's entry; endpoints that stay keep their state."""
         first = self._service is None
         known = self._records
+        resized = not first and (
+            self._service.kind is not service.kind
+            or self._service.limits != service.limits
+        )
         self._service = service
         self._rendezvous = Rendezvous(service)
         is_session = service.kind is ServiceKind.SESSION
@@ -60,13 +64,12 @@
         self._records = {}
         for endpoint in service.endpoints:
             record = known.get(endpoint.name)
-            if record is None or record.endpoint.address != endpoint.address:
-                record = EndpointRecord(
-                    endpoint,
-                    self._capacity(endpoint),
-                    ReportTrust(endpoint.slots),
-                    came_at=None if first else now,
-                )
+            if record is None or not _same(record.endpoint, endpoint):
+                came_at = None if first else now
+                record = self._new_record(endpoint, came_at)
+            elif resized or not _alike(record.endpoint, endpoint):
+                record.capacity = self._capacity(endpoint)
+                record.trust = ReportTrust(endpoint.slots)
             record.endpoint = endpoint
             self._records[endpoint.name] = record
         self._part.retain(set(self._records))
@@ -116,6 +119,8 @@
 
     def release(self, now: float) -> list[Released]:
         """Places held flows in turn and gives up those whose time is over."""
+        if not any(r.serving for r in self._records.values()):
+            return self.give_up_all(now)
         released, self._given_up = self._given_up, []
         for flow in self._queue.expired(now):
             released.append(self._released(flow, RefusalReason.BUSY, now))
@@ -128,8 +133,18 @@
             released.append(Released(flow.request.ticket, placed))
         return released
 
+    def give_up_all(self, now: float) -> list[Released]:
+        """Gives up every held flow: no endpoint takes new ones any more."""
+        released, self._given_up = self._given_up, []
+        while self._queue:
+            flow = self._queue.pop(now)
+            reason = RefusalReason.NO_ENDPOINT
+            released.append(self._released(flow, reason, now))
+        return released
+
     def on_caller_gone(self, ticket: int) -> bool:
         """Lets a held flow go; whether it was held here."""
+        self._given_up = [r for r in self._given_up if r.ticket != ticket]
         return self._queue.remove(ticket) is not None
 
     def default_endpoint(self, flow_hash: int) -> str | None:
@@ -151,6 +166,16 @@
             for name, record in self._records.items()
         ]
 
+    def _new_record(
+        self, endpoint: Endpoint, came_at: float | None
+    ) -> EndpointRecord:
+        return EndpointRecord(
+            endpoint,
+            self._capacity(endpoint),
+            ReportTrust(endpoint.slots),
+            came_at=came_at,
+        )
+
     def _capacity(self, endpoint: Endpoint) -> Capacity:
         if self._service.kind is ServiceKind.SESSION:
             return SessionCapacity(endpoint, self._part)
@@ -266,3 +291,13 @@
         if used and record.share(now) <= 0.0:
             return f"{why}; used all the same, since every endpoint looks bad"
         return why
+
+
+def _same(one: Endpoint, other: Endpoint) -> bool:
+    """Whether two entries of one name are the same upstream process."""
+    return (one.address, one.port) == (other.address, other.port)
+
+
+def _alike(one: Endpoint, other: Endpoint) -> bool:
+    """Whether two entries have the same size."""
+    return (one.slots, one.connections) == (other.slots, other.connections)
