--- a/bench/control.py
+++ b/bench/control.py
@@ -128,7 +128,7 @@
 def _publish(fleet: fleets.Fleet, version: int, padding: int) -> float | None:
     """Returns the time until the last relay has the manifest."""
     began = time.monotonic()
-    fleet.publish(fleets.manifest(version, padding))
+    fleet.publish(version, padding)
     size = len(fleet.agents)
     if not fleet.wait(lambda: len(fleet.seen(version=version)) == size):
         return None
