--- /dev/null
+++ b/bench/_capacity_relay.py
@@ -0,0 +1,176 @@
+"""Slopes of what a relay spends."""
+
+import time
+import tracemalloc
+
+from bench import _relay, packet_path, replication
+from bench._slopes import Slope
+from pollenmast import counters as c
+from pollenmast.decisions._ownership import flow_hash
+from pollenmast.peers._envelope import Opener, Sealer
+from pollenmast.peers._kinds import Kind
+from pollenmast.peers._records import (
+    ConnectionId,
+    FlowRecord,
+    Forwarded,
+    pack_connection_ids,
+    pack_forwarded,
+    pack_records,
+    unpack_forwarded,
+)
+from pollenmast.relay._replicas import Replicas
+from tests.fakes import Net
+
+_REPEATS = 3
+_MESSAGES = 3_000
+_FLOW_SIZES = (10_000, 50_000, 100_000)
+_RECORD_SIZES = (10_000, 50_000, 100_000)
+_DATAGRAM_SIZES = (100, 600, 1200)
+_BATCHES = (1, 8, 32, 64)
+_OPEN_RATES = (20, 60, 120)
+_HANDED_FLOWS = (50, 100, 200)
+_UPKEEP_TICKS = 200
+_UDP_BYTES = 28
+
+
+def flow_memory(at_size: float) -> Slope:
+    """Bytes of the flow table."""
+    points = []
+    for size in _FLOW_SIZES:
+        tracemalloc.start()
+        core = _relay.core(packet_path._NullWire(), _relay.manifest(200), 100.0)
+        before = tracemalloc.get_traced_memory()[0]
+        _fill(core, size)
+        held = tracemalloc.get_traced_memory()[0] - before
+        tracemalloc.stop()
+        points.append((size, held / 1e6))
+    return Slope("flow table", "MB", "flows", tuple(points), at_size)
+
+
+def _fill(core, size: int) -> None:
+    targets = core.table.targets
+    for number, caller in enumerate(packet_path._callers(size)):
+        target = targets[number % len(targets)]
+        packet_path._open_flow(core, caller, target, 100.0)
+
+
+def upkeep_cost(at_size: float) -> Slope:
+    """Processor of the walk over the flow table, share of a core."""
+    points = []
+    for size in _FLOW_SIZES:
+        core = _relay.core(packet_path._NullWire(), _relay.manifest(200), 100.0)
+        _fill(core, size)
+        now = 100.0
+        start = time.process_time()
+        for _ in range(_UPKEEP_TICKS):
+            now += 0.02
+            core._upkeep._checks = False
+            core._upkeep._owners_at = core.fleet.changed_at
+            core._upkeep._new_defaults = False
+            core._upkeep.tick(now, int(now * 10))
+        spent = time.process_time() - start
+        points.append((size, spent / (_UPKEEP_TICKS * 0.02) * 100))
+    return Slope(
+        "walk over the flows", "% core", "flows", tuple(points), at_size
+    )
+
+
+def replica_memory(at_size: float) -> Slope:
+    """Bytes of the records kept for others."""
+    points = []
+    for size in _RECORD_SIZES:
+        callers = list(packet_path._callers(size))
+        tracemalloc.start()
+        replicas = Replicas()
+        for ip, port in callers:
+            replicas.keep(FlowRecord(1, ip, port, 7), 9)
+        points.append((size, tracemalloc.get_traced_memory()[0] / 1e6))
+        tracemalloc.stop()
+    return Slope("records kept", "MB", "records", tuple(points), at_size)
+
+
+def new_flows(at_size: float) -> Slope:
+    """Processor of new flows, share of a core, by flows a second."""
+    per_s = packet_path._new_flows()["flows_per_s"]
+    points = tuple((rate, rate / per_s * 100) for rate in (10, 41, 100))
+    return Slope("new flows", "% core", "flows/s", points, at_size)
+
+
+def forwarding(at_size: float) -> Slope:
+    """Microseconds of sealing, opening and reading a forwarded datagram."""
+    sealer, opener = Sealer("vm-1", _relay.KEY), Opener(_relay.KEY)
+    points = []
+    for size in _DATAGRAM_SIZES:
+        forwarded = Forwarded(1, "10.0.0.1", 4000, 1, bytes(size))
+        best = float("inf")
+        for _ in range(_REPEATS):
+            start = time.process_time()
+            for _ in range(_MESSAGES):
+                flow_hash(1, "10.0.0.1", 4000)
+                data = sealer.seal(Kind.FORWARD, pack_forwarded(forwarded))
+                unpack_forwarded(opener.open(data, 0.0).unwrap().body)
+            best = min(best, time.process_time() - start)
+        points.append((size, best / _MESSAGES * 1e6))
+    return Slope(
+        "a forwarded datagram, both relays",
+        "us",
+        "bytes",
+        tuple(points),
+        at_size,
+    )
+
+
+def record_bytes(at_size: float) -> Slope:
+    """Bytes of a batch of records with its acknowledgement."""
+    sealer = Sealer("vm-1", _relay.KEY)
+    points = []
+    for count in _BATCHES:
+        record = FlowRecord(1, "10.0.0.1", 4000, 7)
+        body = b"\0\0\0\1" + pack_records([record] * count)
+        sent = len(sealer.seal(Kind.RECORDS, body)) + _UDP_BYTES
+        ack = len(sealer.seal(Kind.RECORDS_TAKEN, body[:4])) + _UDP_BYTES
+        points.append((count, sent + ack))
+    return Slope("a batch of records", "B", "records", tuple(points), at_size)
+
+
+def connection_id_bytes(at_size: float) -> Slope:
+    """Bytes of a batch of connection ids."""
+    sealer = Sealer("vm-1", _relay.KEY)
+    points = []
+    for count in _BATCHES:
+        body = pack_connection_ids([ConnectionId(1, 2, 3)] * count)
+        sealed = sealer.seal(Kind.CONNECTION_IDS, body)
+        points.append((count, len(sealed) + _UDP_BYTES))
+    return Slope(
+        "a batch of connection ids", "B", "ids", tuple(points), at_size
+    )
+
+
+def replication_bytes(at_size: float) -> Slope:
+    """Bytes a second of replication, by new flows a second of a VM."""
+    points = []
+    for rate in _OPEN_RATES:
+        row = replication.run_one(1.0, rate)
+        points.append((rate / replication.VMS, row["bytes_per_s_a_vm"]))
+    return Slope(
+        "replication", "B/s", "new flows/s a VM", tuple(points), at_size
+    )
+
+
+def handover_bytes(at_size: float) -> Slope:
+    """Bytes that a planned stop sends, by flows handed over."""
+    points = []
+    for flows in _HANDED_FLOWS:
+        net = Net(vms=9, seed=5)
+        tags = [f"h{number}" for number in range(flows * 9)]
+        for tag in tags:
+            net.open(tag)
+        net.keep_alive(tags, 4.0)
+        core = net.relays[1]
+        held = core.table.flows
+        before = core.counters.value(c.CONTROL_BYTES, "replication")
+        net.declare_leaving(1)
+        net.advance(2.0)
+        sent = core.counters.value(c.CONTROL_BYTES, "replication") - before
+        points.append((held, sent))
+    return Slope("a planned stop", "B", "flows held", tuple(points), at_size)
--- /dev/null
+++ b/bench/_slopes.py
@@ -0,0 +1,76 @@
+"""Straight lines through measured points, and what they say at a size."""
+
+import attrs
+
+
+@attrs.frozen
+class Slope:
+    """A least-squares line through points.
+
+    Attributes:
+        name: What was measured.
+        unit: Unit of the measured value.
+        of: What the size counts.
+        points: (size, value) as measured.
+        at_size: The size that is asked for.
+        command: The command that measures it.
+    """
+
+    name: str
+    unit: str
+    of: str
+    points: tuple[tuple[float, float], ...]
+    at_size: float
+    command: str = "python -m bench run capacity"
+
+    @property
+    def slope(self) -> float:
+        """Units for each further one of the size."""
+        mean_x, mean_y = self._means()
+        spread = sum((x - mean_x) ** 2 for x, _ in self.points)
+        both = sum((x - mean_x) * (y - mean_y) for x, y in self.points)
+        return both / spread
+
+    @property
+    def intercept(self) -> float:
+        """Units at size zero."""
+        mean_x, mean_y = self._means()
+        return mean_y - self.slope * mean_x
+
+    @property
+    def value(self) -> float:
+        """Units at the size that is asked for."""
+        return self.intercept + self.slope * self.at_size
+
+    @property
+    def misfit(self) -> float:
+        """Greatest distance of a point from the line, over the greatest value.
+
+        A line through points that do not lie on one says little beyond them.
+        """
+        most = max(abs(y) for _, y in self.points) or 1.0
+        return max(abs(self._at(x) - y) for x, y in self.points) / most
+
+    def _at(self, x: float) -> float:
+        return self.intercept + self.slope * x
+
+    def _means(self) -> tuple[float, float]:
+        count = len(self.points)
+        return (
+            sum(x for x, _ in self.points) / count,
+            sum(y for _, y in self.points) / count,
+        )
+
+    def row(self) -> dict:
+        """Returns the line as a table's cells."""
+        points = ", ".join(f"{x:,.0f}: {y:,.4g}" for x, y in self.points)
+        return {
+            "what": self.name,
+            "unit": self.unit,
+            "points": f"{self.of} {points}",
+            "intercept": f"{self.intercept:.4g}",
+            "slope": f"{self.slope:.4g}",
+            "misfit": f"{self.misfit:.0%}",
+            "at": f"{self.at_size:,.0f}",
+            "value": f"{self.value:,.4g}",
+        }
--- a/bench/replication.py
+++ b/bench/replication.py
@@ -10,7 +10,7 @@
 NAME = "replication"
 DESCRIPTION = "Broken flows of a killed VM against control bytes, by age."
 
-_VMS = 9
+VMS = 9
 _OPENED_PER_S = 60
 _SECONDS = 20
 _SHORT_SHARE = 0.7
@@ -32,10 +32,10 @@
     ends_s: float
 
 
-def _callers(rng: random.Random) -> list[_Caller]:
+def _callers(rng: random.Random, opened_per_s: int) -> list[_Caller]:
     callers = []
-    for number in range(_OPENED_PER_S * _SECONDS):
-        opens = number / _OPENED_PER_S
+    for number in range(opened_per_s * _SECONDS):
+        opens = number / opened_per_s
         short = rng.random() < _SHORT_SHARE
         lives = rng.uniform(*_SHORT_S) if short else _LONG_S
         callers.append(_Caller(f"r{number}", opens, opens + lives))
@@ -70,9 +70,10 @@
     return sum(flow.off_default for flow in flows) / len(flows)
 
 
-def _run_one(age_s: float) -> dict:
-    net = Net(vms=_VMS, seed=_SEED, replicate_after_s=age_s)
-    callers = _callers(random.Random(_SEED))
+def run_one(age_s: float, opened_per_s: int = _OPENED_PER_S) -> dict:
+    """Returns the figures of one age, with one VM killed at the end."""
+    net = Net(vms=VMS, seed=_SEED, replicate_after_s=age_s)
+    callers = _callers(random.Random(_SEED), opened_per_s)
     _play(net, callers)
     sent = sum(
         core.counters.value(c.CONTROL_BYTES, "replication")
@@ -93,7 +94,7 @@
         "held_by_killed": len(held),
         "broken": len(broken),
         "off_default": off_default,
-        "bytes_per_s_a_vm": sent / _SECONDS / _VMS,
+        "bytes_per_s_a_vm": sent / _SECONDS / VMS,
         "bytes_a_flow_opened": sent / len(callers),
     }
 
@@ -103,5 +104,5 @@
     return {
         "seed": _SEED,
         "opened_per_s": _OPENED_PER_S,
-        "curve": [_run_one(age_s) for age_s in _AGES_S],
+        "curve": [run_one(age_s) for age_s in _AGES_S],
     }
--- a/src/pollenmast/relay/_upkeep.py
+++ b/src/pollenmast/relay/_upkeep.py
@@ -25,6 +25,10 @@
 """Flows looked at in a tick of 20 ms: 200,000 flows in 2 s, at about 1 ms of
 processor a slice."""
 
+PASS_S = 0.5
+"""Least time from one pass to the next. What a pass looks for takes seconds to
+come about; a small table need not be walked at every tick."""
+
 CHECKED_SLICE = 200
 """The same while each flow's owner or default is computed anew, after a change
 of members or of the manifest: 5 to 15 microseconds a flow."""
@@ -57,6 +61,7 @@
         self._counters = counters
         self._repaths = TokenBucket(PER_SECOND, BURST)
         self._pending: list[Flow] = []
+        self._next_pass = 0.0
         self._owners_at = 0.0
         self._check_backups = False
         self._new_defaults = False
@@ -72,10 +77,14 @@
         """From the next pass on, hands every flow to its owner."""
         self._draining = True
         self._pending = []
+        self._next_pass = 0.0
 
     def tick(self, now: float, tick: int) -> None:
         """Looks at the next slice of flows."""
         if not self._pending:
+            if now < self._next_pass:
+                return
+            self._next_pass = now + PASS_S
             self._begin_pass()
         size = CHECKED_SLICE if self._checks else SLICE
         flows = self._pending[-size:]
