Let a joining relay wait for a report of every endpoint

Cause: a VM that joins has the manifest at once but learns within a second or two which endpoints drain by their own report. Change: not ready until every endpoint is reported, three seconds at most. Ruled out: taking an endpoint without a report for down (an endpoint that a manifest has just added would start late on every VM). Shown: two tests of the relay core; the first fails without the wait.

--- a/bench/_relay.py
+++ b/bench/_relay.py
@@ -13,6 +13,7 @@
     Settings,
     VmSettings,
 )
+from tests.fakes import reports_of
 
 KEY = bytes(range(32))
 SERVICE = 1
@@ -80,7 +81,8 @@
 def view(text: bytes, vms: int = 1) -> messages.FleetView:
     """Returns the agent's view of a manifest and so many VMs."""
     members = tuple(vm(number) for number in range(1, vms + 1))
-    return messages.FleetView(1, text, 1, "", members, (), wake_seen=1)
+    reports = reports_of(text)
+    return messages.FleetView(1, text, 1, "", members, reports, wake_seen=1)
 
 
 def core(wire: Wire, text: bytes, now: float, vms: int = 1) -> RelayCore:
--- a/src/pollenmast/relay/_core.py
+++ b/src/pollenmast/relay/_core.py
@@ -36,6 +36,12 @@
 An agent sends one each second; a relay without news for three of them may be
 cut off from its agent, or may itself have been frozen."""
 
+FIRST_REPORTS_S = 3.0
+"""Longest wait of a starting relay for a report of every endpoint, in seconds:
+six probe intervals. A VM that has just joined knows the manifest at once but
+not which endpoints drain by their own report; opening flows there gave a
+leaving upstream new work."""
+
 FROZEN_S = 1.0
 """A gap between two ticks from which the process counts as frozen: 50 ticks of
 20 ms, more than a garbage collection or a busy host takes."""
@@ -102,6 +108,8 @@
         self._manifest: manifests.Manifest | None = None
         self._last_tick = now
         self._last_view = now - 2 * LEASE_S
+        self._informed = False
+        self._informed_by = now + FIRST_REPORTS_S
         self._wake = 1
         self._draining = False
         self._handlers = {
@@ -144,7 +152,13 @@
     def ready(self, now: float) -> bool:
         """Returns whether this relay may open flows."""
         fresh = now - self._last_view <= LEASE_S
-        return self._manifest is not None and fresh and not self._draining
+        informed = self._informed or now >= self._informed_by
+        return (
+            self._manifest is not None
+            and informed
+            and fresh
+            and not self._draining
+        )
 
     def drained(self) -> bool:
         """Returns whether nothing of any flow depends on this relay."""
@@ -363,10 +377,22 @@
         self._dispatcher.set_fleet(max(1, len(self._fleet.owners)))
         for report in view.reports:
             self._dispatcher.on_report(report, now)
+        self._informed = self._informed or self._names_all(view.reports)
         if view.fresh and view.wake_seen == self._wake:
             self._last_view = now
         return failed
 
+    def _names_all(self, reports: tuple[messages.EndpointReport, ...]) -> bool:
+        """Whether there is a report of every endpoint of the manifest."""
+        if self._manifest is None:
+            return False
+        reported = {(report.service, report.endpoint) for report in reports}
+        return all(
+            (service.number, endpoint.name) in reported
+            for service in self._manifest.services
+            for endpoint in service.endpoints
+        )
+
     def _take_manifest(self, data: bytes, now: float) -> list[str]:
         parsed = manifests.parse(data)
         if parsed.is_err():
@@ -380,6 +406,8 @@
         ):
             self.counters.add(c.MANIFESTS, c.ManifestOutcome.OLDER)
             return []
+        if self._manifest is None:
+            self._informed_by = now + FIRST_REPORTS_S
         self._manifest = manifest
         self._dispatcher.set_manifest(manifest, now)
         self._upkeep.on_manifest()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -142,6 +142,21 @@
     )
 
 
+def reports_of(text: bytes) -> tuple[messages.EndpointReport, ...]:
+    """Returns a good report of every endpoint of a manifest."""
+    return tuple(
+        messages.EndpointReport(
+            service=service["number"],
+            endpoint=endpoint["name"],
+            sequence=1,
+            healthy=True,
+            uptime_s=500.0,
+        )
+        for service in json.loads(text)["services"]
+        for endpoint in service["endpoints"]
+    )
+
+
 class FakeListener(Listener):
     """A service's port whose answers the network keeps."""
 
@@ -269,7 +284,7 @@
             version=1,
             digest="",
             vms=tuple(self.vms.values()),
-            reports=(),
+            reports=reports_of(self.manifest),
             wake_seen=core.report(self.now).wake,
         )
 
--- a/tests/relay_core_test.py
+++ b/tests/relay_core_test.py
@@ -1,16 +1,22 @@
 """Tests of relay._core: what callers and upstreams meet through relays."""
 
+from random import Random
+
+import attrs
 from parameterized import parameterized
 from testtools import TestCase
 
 from pollenmast import counters as c
 from pollenmast.callers import PacketType, read_packet
+from pollenmast.relay._core import RelayCore
 from tests.fakes import (
     BARCODES,
+    FakeWire,
     Net,
     early_data,
     initial,
     manifest,
+    settings,
     short,
 )
 
@@ -153,6 +159,32 @@
         self.assertEqual(["1"], net.sessions["c1"].ran)
         self.assertEqual(1, net.dropped(c.DROPS, c.DropReason.NOT_READY))
 
+    def test_joining_knows_reports(self):
+        """A VM that has just joined has the manifest but no reports yet.
+
+        An upstream that drains by its own report would get new sessions from
+        it. It opens nothing until every endpoint is reported, or for at most
+        three seconds.
+        """
+        net = Net(vms=1)
+        core = net.relays[1]
+        told = net.view(core)
+        joining = RelayCore(settings(3), FakeWire(net, 3), Random(3), net.now)
+        joining.on_view(attrs.evolve(told, reports=()), net.now)
+        self.assertFalse(joining.ready(net.now))
+        joining.on_view(told, net.now)
+        self.assertTrue(joining.ready(net.now))
+
+    def test_joining_waits_no_longer(self):
+        """An endpoint whose report never comes does not keep a VM idle."""
+        net = Net(vms=1)
+        view = attrs.evolve(net.view(net.relays[1]), reports=())
+        joining = RelayCore(settings(3), FakeWire(net, 3), Random(3), net.now)
+        joining.on_view(view, net.now)
+        joining.tick(net.now + 0.9)
+        joining.on_view(view, net.now + 3.1)
+        self.assertTrue(joining.ready(net.now + 3.1))
+
     def test_draining_endpoint(self):
         """An endpoint that drains gets no new flow and keeps its open ones."""
         net = Net(vms=3)
