Sessions without reports: count own flows instead of what was placed

With the probes cut, what a VM placed since the last report only grew, so that a service whose sessions come and go was closed after some 2,000 of them an endpoint.

--- a/src/pollenmast/decisions/_capacity.py
+++ b/src/pollenmast/decisions/_capacity.py
@@ -7,9 +7,10 @@
 """
 
 import abc
+import math
 
 from pollenmast.decisions._fleet_part import FleetPart
-from pollenmast.decisions._trust import Verdict
+from pollenmast.decisions._trust import STALE_S, Verdict
 from pollenmast.manifest import Endpoint
 from pollenmast.peers._messages import EndpointReport
 
@@ -65,6 +66,7 @@
         self._part = part
         self._connections = endpoint.connections
         self._reported = 0
+        self._reported_at = -math.inf
         self._open = 0
         self._since = 0.0
 
@@ -84,6 +86,7 @@
 
         An endpoint that always says empty would draw all new sessions.
         """
+        self._reported_at = now
         if verdict is Verdict.BELIEVED:
             self._reported = report.connections
         else:
@@ -91,7 +94,14 @@
         self._since *= SHOWN
 
     def has_room(self, now: float, share: float) -> bool:
-        """Whether this VM's part of the free connections is not used up."""
+        """Whether this VM's part of the free connections is not used up.
+
+        Without reports it counts its own flows, which it sees end. What it
+        placed since the last one only grows: a service whose probes are cut
+        would close although its sessions come and go.
+        """
+        if now - self._reported_at > STALE_S:
+            return self._open < self._connections * self._part.value
         free = self._connections - self._reported
         return self._since < free * self._part.value
 
--- a/tests/decisions_capacity_test.py
+++ b/tests/decisions_capacity_test.py
@@ -129,6 +129,20 @@
         capacity.on_report(full, 0.0, Verdict.BELIEVED)
         self.assertFalse(capacity.has_room(0.0, 1.0))
 
+    def test_reports_stop(self):
+        """The probes are cut for an hour while sessions come and go.
+
+        Counted from the last report, what was placed would only grow, until
+        every new session is refused.
+        """
+        capacity = SessionCapacity(_ENDPOINT, _part(2))
+        capacity.on_report(_report(1), 0.0, Verdict.BELIEVED)
+        for second in range(10, 3600):
+            self.assertTrue(capacity.has_room(second, 1.0))
+            capacity.on_placed(second)
+            capacity.on_open(-1)
+        self.assertEqual(50, _fill(capacity, 3600.0))
+
     def test_lying_report(self):
         """An endpoint says that it is empty and is not believed."""
         capacity = SessionCapacity(_ENDPOINT, _part(4))
