--- a/src/pollenmast/decisions/_fairness.py
+++ b/src/pollenmast/decisions/_fairness.py
@@ -38,8 +38,11 @@
     """Returns the caller's network, which is its fairness key."""
     if ":" not in caller:
         return caller.rpartition(".")[0]
-    packed = ipaddress.IPv6Address(caller.partition("%")[0]).packed
-    return packed[:8].hex()
+    address = ipaddress.IPv6Address(caller.partition("%")[0])
+    if address.ipv4_mapped is not None:
+        # All of them share one /64, so all IPv4 callers would count as one.
+        return network_of(str(address.ipv4_mapped))
+    return address.packed[:8].hex()
 
 
 @attrs.define(eq=False)
--- a/tests/decisions_fairness_test.py
+++ b/tests/decisions_fairness_test.py
@@ -32,6 +32,8 @@
             ("ipv4_other", "10.1.2.3", "10.1.3.3", False),
             ("ipv6", "2001:db8:0:1::1", "2001:db8:0:1:ff::", True),
             ("ipv6_other", "2001:db8:0:1::1", "2001:db8:0:2::1", False),
+            ("ipv4_mapped", "::ffff:10.1.2.3", "10.1.2.9", True),
+            ("ipv4_mapped_other", "::ffff:10.1.2.3", "::ffff:9.9.9.9", False),
             ("ipv6_scope", "fe80::1%eth0", "fe80::2", True),
         ]
     )
