Record every flow on a port that was given away

Cause: nobody guesses the default endpoint of a packet on a port that served another service before, but the flows there counted as computable, so they had no record. When the relay that carried one died, the session hung for good. Found by the proof's machine; kept as test_killed_later.

Ruled out: guessing there after all (a packet would reach another service).

Before: test_killed_later fails (its last request did not run). After: it passes, with all of tests/proof_*_test.py and tests/relay_c*_test.py.

--- a/src/pollenmast/relay/_openings.py
+++ b/src/pollenmast/relay/_openings.py
@@ -231,7 +231,9 @@
             return
         opening.tried = (*opening.tried, placed.endpoint)
         opening.sent = now
-        opening.flow.off_default = placed.off_default
+        opening.flow.off_default = (
+            placed.off_default or not self._table.may_guess(listener)
+        )
         for data in opening.datagrams:
             opening.flow.path.send(data, target.address)
         self._note(opening, placed.endpoint, placed.why, now)
--- a/src/pollenmast/relay/_upkeep.py
+++ b/src/pollenmast/relay/_upkeep.py
@@ -179,7 +179,8 @@
         # belong to another service.
         service = flow.listener.service.number
         default = self._dispatcher.default_endpoint(service, flow.key)
-        flow.off_default = (service, default) != (
+        computed = self._table.may_guess(flow.listener)
+        flow.off_default = not computed or (service, default) != (
             flow.target.service,
             flow.target.name,
         )
--- a/tests/proof_agents_test.py
+++ b/tests/proof_agents_test.py
@@ -1,6 +1,6 @@
 """The proof's fixed part for agents: the same run each time."""
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 
 from tests.proof._agents import AgentsMachine
 
@@ -12,5 +12,6 @@
     database=None,
     deadline=None,
     suppress_health_check=list(HealthCheck),
+    phases=[Phase.explicit, Phase.generate],
     print_blob=False,
 )
--- a/tests/proof_fleet_test.py
+++ b/tests/proof_fleet_test.py
@@ -1,6 +1,6 @@
 """The proof's fixed part: a fleet under faults, the same run each time."""
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 
 from tests.proof._machine import FleetMachine
 
@@ -12,5 +12,6 @@
     database=None,
     deadline=None,
     suppress_health_check=list(HealthCheck),
+    phases=[Phase.explicit, Phase.generate],
     print_blob=False,
 )
--- a/tests/proof_found_test.py
+++ b/tests/proof_found_test.py
@@ -58,6 +58,21 @@
         state.stop(which=0)
         state.teardown()
 
+    def test_killed_later(self):
+        """A relay dies that carries a session on a port given away before.
+
+        Nobody may guess there, so the session needs a record although its
+        endpoint is its default; it had none, and hung.
+        """
+        state = _begin(3)
+        state.swap_ports(pair=(1, 2))
+        state.calm()
+        state.open(count=1, early=False, service=_REGISTRY, to=0)
+        state.calm()
+        state.calm()
+        state.kill(which=1)
+        state.teardown()
+
     def test_joined_before(self):
         """A relay joins just before the port is given away."""
         state = _begin(4)
