Proof: fuzz the parsers; commands for the longer search and the mutations

The agents' machine let agents that had never been on the platform's list look for each other; at its end the list now has caught up, as it does in truth.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,10 @@
 bench: $(VENV)/.installed
 	$(RUN) -m bench run all --json out/bench.json
 
+search: $(VENV)/.installed
+	$(RUN) -m tests.proof teeth
+	$(RUN) -m tests.proof search
+
 binary: $(VENV)/.installed
 	$(RUN) -m packing
 
--- a/tests/proof/_agents.py
+++ b/tests/proof/_agents.py
@@ -88,6 +88,13 @@
         usable = peer is not None and not peer.ended and not peer.paused
         return usable and not self.apart(node, peer)
 
+    def show_list(self) -> None:
+        """The platform's list has caught up, and every agent reads it."""
+        listed = [node.membership.own for node in self.running()]
+        for node in self.running():
+            sends = node.membership.introduce(listed, self.now)
+            self.send(node, sends)
+
     def running(self) -> list[Node]:
         """Returns the agents that have not ended."""
         return [node for node in self.nodes.values() if not node.ended]
@@ -223,6 +230,7 @@
             return
         group.island, group.losses, group.twice = None, 0, False
         group.late_s = lambda: 0.0
+        group.show_list()
         group.run(SETTLE_S)
         _check_agreement(group)
 
--- /dev/null
+++ b/tests/proof_parsers_test.py
@@ -0,0 +1,219 @@
+"""The proof for parsers: nothing from outside makes one raise or grow."""
+
+import json
+
+from hypothesis import HealthCheck, example, given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from pollenmast import manifest as manifests
+from pollenmast.callers import LONG_HEADER, read_packet, without_early_data
+from pollenmast.peers import _codec, _gossip
+from pollenmast.peers._envelope import MOST_BYTES, Opener, Sealer
+from pollenmast.peers._kinds import Kind
+from pollenmast.peers._records import (
+    MOST_RECORDS,
+    Forwarded,
+    pack_forwarded,
+    unpack_connection_ids,
+    unpack_forwarded,
+    unpack_found,
+    unpack_records,
+)
+from tests import fakes
+from tests.proof import _traffic as traffic
+from tests.proof._world import World
+
+_FIXED = settings(
+    max_examples=150,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+_BOUNDARIES = (0, 1, 2, 3, 15, 20, 21, 22, 1199, 1200, 1201, 9216, MOST_BYTES)
+_GENUINE = [
+    traffic.initial(traffic.Sent("f1", 1)),
+    traffic.initial(traffic.Sent("f1", 1), traffic.Sent("f1", 2, "r")),
+    traffic.handshake(traffic.Sent("f1", 1)),
+    traffic.short(traffic.Sent("f1", 3, "r")),
+    traffic.early_data(traffic.Sent("f1", 2, "r")),
+]
+
+_lengths = st.one_of(st.sampled_from(_BOUNDARIES), st.integers(0, MOST_BYTES))
+_heads = st.binary(max_size=60)
+
+
+@st.composite
+def _noise(draw) -> bytes:
+    """A datagram of any length, with an arbitrary beginning."""
+    length, head = draw(_lengths), draw(_heads)
+    return (head + bytes([draw(st.integers(0, 255))]) * length)[:length]
+
+
+@st.composite
+def _bent(draw, genuine: list[bytes]) -> bytes:
+    """A genuine message, cut off or with some bytes changed."""
+    data = bytearray(draw(st.sampled_from(genuine)))
+    for _ in range(draw(st.integers(0, 4))):
+        data[draw(st.integers(0, len(data) - 1))] = draw(st.integers(0, 255))
+    return bytes(data[: draw(st.integers(0, len(data)))])
+
+
+_datagrams = st.one_of(_noise(), _bent(_GENUINE))
+
+
+class DatagramTest(TestCase):
+    """What callers may send."""
+
+    @_FIXED
+    @given(_datagrams)
+    def test_read(self, data):
+        """Reading a datagram never raises, and its packet ends within it."""
+        packet = read_packet(data)
+        if packet.is_ok():
+            self.assertLessEqual(packet.unwrap().end, len(data))
+        stripped, _ = without_early_data(data)
+        self.assertEqual(len(data), len(stripped))
+
+    @_FIXED
+    @given(_datagrams)
+    def test_without_early_data(self, data):
+        """What is left of a datagram holds no 0-RTT that can be found."""
+        stripped, _ = without_early_data(data)
+        self.assertEqual(0, without_early_data(stripped)[1])
+
+    @settings(_FIXED, max_examples=25)
+    @given(st.lists(st.tuples(_datagrams, st.integers(1, 9)), max_size=40))
+    @example([(bytes(size), 1) for size in _BOUNDARIES])
+    @example([(b"\xc0" * size, 1) for size in _BOUNDARIES])
+    def test_relay(self, datagrams):
+        """A relay takes any datagrams, and keeps at most one flow for each."""
+        world = World(vms=2)
+        world.told = lambda *args: None
+        core = world.nodes[1].core
+        (listener, *_) = core.table.listeners
+        world.upstreams.take = lambda *args: None
+        for data, number in datagrams:
+            caller = ("10.0.0.1", 1000 + number)
+            core.on_caller(listener, data, caller, world.now)
+            world.deliver()
+        flows = sum(node.core.table.flows for node in world.nodes.values())
+        self.assertLessEqual(flows, 2 * len(datagrams))
+        world.advance(7.0)
+        self.assertEqual(0, core.table.flows)
+
+    def test_every_length(self):
+        """No length of a datagram from 0 to 65,507 bytes makes one raise."""
+        long, short = bytes([LONG_HEADER]) * MOST_BYTES, bytes(MOST_BYTES)
+        for size in range(0, MOST_BYTES + 1, 7):
+            read_packet(long[:size])
+            read_packet(short[:size])
+
+
+class EnvelopeTest(TestCase):
+    """What other VMs, or strangers in their name, may send."""
+
+    @_FIXED
+    @given(
+        st.one_of(
+            _noise(),
+            _bent([Sealer("vm-2", fakes.KEY).seal(Kind.RECORDS, b"abc")]),
+        )
+    )
+    def test_strangers(self, data):
+        """Nothing that the fleet did not seal is opened."""
+        genuine = Sealer("vm-2", fakes.KEY).seal(Kind.RECORDS, b"abc")
+        opener = Opener(bytes(32))
+        self.assertTrue(opener.open(data, 0.0).is_err())
+        self.assertTrue(opener.open(genuine, 0.0).is_err())
+        self.assertEqual(0, len(opener._windows))
+
+    @settings(_FIXED, max_examples=60)
+    @given(
+        st.lists(
+            st.tuples(st.integers(0, 255), st.binary(max_size=200)),
+            max_size=30,
+        )
+    )
+    def test_bodies(self, messages):
+        """A genuine envelope with any body neither raises nor plants flows."""
+        world = World(vms=2)
+        core = world.nodes[1].core
+        sealer = Sealer("vm-2", fakes.KEY)
+        world.upstreams.take = lambda *args: None
+        for kind, body in messages:
+            core.on_peer(sealer.seal(kind, body), world.now)
+        self.assertLessEqual(core.table.flows, len(messages))
+        world.advance(7.0)
+        self.assertLessEqual(core.table.flows, len(messages))
+
+    @_FIXED
+    @given(st.binary(max_size=1500))
+    def test_unpack(self, body):
+        """Records and forwarded bodies are read or refused, within bounds."""
+        records = unpack_records(body)
+        if records.is_ok():
+            self.assertLessEqual(len(records.unwrap()), MOST_RECORDS)
+        for unpack in (unpack_forwarded, unpack_found, unpack_connection_ids):
+            unpack(body)
+
+    @_FIXED
+    @given(st.ip_addresses(), st.integers(0, 65535), st.binary(max_size=1400))
+    def test_forwarded_whole(self, ip, port, data):
+        """A forwarded datagram arrives as it was sent."""
+        sent = Forwarded(4001, str(ip), port, 1, data, 7, 9)
+        self.assertEqual(sent, unpack_forwarded(pack_forwarded(sent)).unwrap())
+
+    @_FIXED
+    @given(st.integers(0, 255), st.binary(max_size=400))
+    def test_control_messages(self, tag, data):
+        """The link's codec and gossip's return an error for nonsense."""
+        _codec.decode(bytes([tag]) + data)
+        _codec.decode(data)
+        _gossip.decode(data)
+
+
+_values = st.recursive(
+    st.one_of(
+        st.none(),
+        st.booleans(),
+        st.integers(),
+        st.floats(),
+        st.text(max_size=8),
+    ),
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=3),
+        st.dictionaries(st.text(max_size=6), inner, max_size=3),
+    ),
+    max_leaves=8,
+)
+
+
+class ManifestTest(TestCase):
+    """What the platform may serve."""
+
+    @_FIXED
+    @given(st.one_of(st.binary(max_size=300), _bent([traffic.Plan().text()])))
+    def test_any_bytes(self, data):
+        """Bytes are a manifest or a list of faults, never an exception."""
+        parsed = manifests.parse(data)
+        if parsed.is_err():
+            self.assertGreater(len(parsed.unwrap_err()), 0)
+
+    @_FIXED
+    @given(st.lists(st.integers(0, 9), max_size=6), _values)
+    def test_any_value(self, path, value):
+        """A value of any kind anywhere in a manifest is no exception."""
+        whole = json.loads(traffic.Plan().text())
+        place, keys = whole, path or [0]
+        for step in keys:
+            names = (
+                list(place) if isinstance(place, dict) else range(len(place))
+            )
+            name = list(names)[step % len(names)]
+            if step == keys[-1] or not isinstance(place[name], (dict, list)):
+                break
+            place = place[name]
+        place[name] = value
+        manifests.parse(json.dumps(whole).encode())
