Bench: write docs/MEASUREMENTS.md and plots from the JSON of runs

`python -m bench measurements FILES` merges runs by measurement, computes each aim's verdict from the figures, lists what was missed at the top and draws small plots. A run notes the machine's load, since other programs share it.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,9 +12,12 @@
 import typer
 
 import bench
+from bench import _capacity_page, _run_note
 
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 _ALL = "all"
+_MEASUREMENTS_PAGE = pathlib.Path("docs/MEASUREMENTS.md")
+_CAPACITY_PAGE = pathlib.Path("docs/CAPACITY.md")
 
 
 def measurements() -> dict[str, types.ModuleType]:
@@ -78,12 +81,35 @@
     results = {}
     for each, module in chosen.items():
         print(f"== {each}: {module.DESCRIPTION}")
+        note = _run_note.RunNote()
         results[each] = module.run()
+        results[each][_run_note.NOTE] = note.end()
         print_table(results[each])
     if json_file is not None:
         json_file.parent.mkdir(parents=True, exist_ok=True)
         json_file.write_text(json.dumps(results, indent=1) + "\n")
 
 
+@app.command()
+def page(results: pathlib.Path) -> None:
+    """Writes docs/CAPACITY.md from the JSON of a run of `capacity`."""
+    result = json.loads(results.read_text())["capacity"]
+    _CAPACITY_PAGE.write_text(_capacity_page.page(result))
+    print(_CAPACITY_PAGE)
+
+
+@app.command("measurements")
+def write_measurements(results: list[pathlib.Path]) -> None:
+    """Writes docs/MEASUREMENTS.md and its plots from the JSON of runs."""
+    # Matplotlib takes a second to import and fonts from the disk; a run of a
+    # measurement needs neither.
+    from bench import _measurements_page
+
+    folder = _MEASUREMENTS_PAGE.parent / "plots"
+    merged = _measurements_page.merge(results)
+    _MEASUREMENTS_PAGE.write_text(_measurements_page.page(merged, folder))
+    print(_MEASUREMENTS_PAGE)
+
+
 if __name__ == "__main__":
     app()
--- /dev/null
+++ b/bench/_aims.py
@@ -0,0 +1,312 @@
+"""What issues #3 and #4 ask of each measurement, beside what a run gave."""
+
+from collections.abc import Callable
+
+import attrs
+
+from bench import _load_measures
+from bench._slopes import Slope
+from pollenmast.settings import RelaySettings
+
+NO_FIGURE = "no figure asked"
+
+_PACKET_RATIO = 2.0
+_FLOWS_PER_S = 5_000
+_BYTES_A_FLOW = 400
+_FLAT = 1.10
+_MANIFEST_S = 2.0
+_PLATFORM_CALLS_PER_S = 2_000
+_OPEN_SESSIONS = 2_000
+_GOODPUT = 0.9
+_AT_ONCE = 1.0
+_ZEROS = ("broken_flows", "cut", "doubled", "wrong_service")
+_REST = ("lost", "late_refusals")
+
+
+@attrs.frozen
+class Aim:
+    """One aim and what a run gave.
+
+    Attributes:
+        aim: What is asked, in the issue's words or close to them.
+        reached: The figures of the run.
+        verdict: "yes", "no", "partial", or that no figure is asked.
+    """
+
+    aim: str
+    reached: str
+    verdict: str
+
+
+def judged(aim: str, reached: str, *met: bool) -> Aim:
+    """Returns an aim that is met in all, in some or in no respect."""
+    some = "partial" if any(met) else "no"
+    return Aim(aim, reached, "yes" if all(met) else some)
+
+
+def shown(aim: str, reached: str) -> Aim:
+    """Returns an aim that asks to show something, with no bound."""
+    return Aim(aim, reached, NO_FIGURE)
+
+
+def _seconds(value: float | None) -> str:
+    return "never" if value is None else f"{value:.3g} s"
+
+
+def _packet_path(result: dict) -> list[Aim]:
+    packet, flows = result["per_packet"], result["new_flows"]
+    small, large = result["table"][0], result["table"][-1]
+    most = max(row["bytes_a_flow"] for row in result["table"])
+    growth = {
+        key: large[key] / small[key] for key in ("busy_1000_us", "all_busy_us")
+    }
+    ratio = packet["ratio_to_upstream"]
+    return [
+        judged(
+            "a packet at its owner at most 2 times a bare loop",
+            f"{ratio:.2f} times towards the upstream, "
+            f"{packet['ratio_to_caller']:.2f} towards the caller",
+            ratio <= _PACKET_RATIO,
+            packet["ratio_to_caller"] <= _PACKET_RATIO,
+        ),
+        judged(
+            "5,000 new flows a second",
+            f"{flows['flows_per_s']:,.0f}",
+            flows["flows_per_s"] >= _FLOWS_PER_S,
+        ),
+        judged(
+            "a held flow takes at most 400 bytes",
+            f"at most {most:.0f}",
+            most <= _BYTES_A_FLOW,
+        ),
+        judged(
+            "cost a packet flat within 10% from "
+            f"{small['flows']:,} to {large['flows']:,} flows",
+            f"{growth['busy_1000_us']:.2f} times with 1,000 busy flows, "
+            f"{growth['all_busy_us']:.2f} times with all busy",
+            *(value <= _FLAT for value in growth.values()),
+        ),
+        shown(
+            "a refusal's cost",
+            f"{flows['refusal_us']:.0f} us of processor, "
+            f"{flows['refusal_bytes']} bytes",
+        ),
+    ]
+
+
+def _ownership(result: dict) -> list[Aim]:
+    small, large = result["sizes"][0], result["sizes"][-1]
+    growth = large["owner_us"] / small["owner_us"]
+    table = large["rendezvous_table_ms"] / large["change_ms"]
+    return [
+        shown(
+            "an owner at constant cost a packet",
+            f"{growth:.2f} times from {small['vms']} to {large['vms']} VMs "
+            f"({small['owner_us']:.2f} to {large['owner_us']:.2f} us)",
+        ),
+        shown(
+            "the direction (a table by rendezvous hashing) measured",
+            f"at {large['vms']} VMs a change of the ring takes "
+            f"{large['change_ms']:.1f} ms, a table's rebuild "
+            f"{table:,.0f} times that",
+        ),
+    ]
+
+
+def _replication(result: dict) -> list[Aim]:
+    age = RelaySettings().replicate_after_s
+    chosen = next(row for row in result["curve"] if row["age_s"] == age)
+    never = result["curve"][-1]
+    return [
+        shown(
+            "age chosen from a curve of broken flows against control bytes",
+            f"default {age:g} s: {chosen['broken']} of "
+            f"{chosen['held_by_killed']} broken at "
+            f"{chosen['bytes_per_s_a_vm']:.0f} bytes a second a VM; never: "
+            f"{never['broken']} of {never['held_by_killed']} at "
+            f"{never['bytes_per_s_a_vm']:.0f}",
+        )
+    ]
+
+
+def _planned_change(result: dict) -> list[Aim]:
+    tally = result["result"]
+    found = ", ".join(f"{tally[key]} {key}" for key in (*_ZEROS, *_REST))
+    return [
+        judged(
+            "at least 2,000 open flows",
+            f"{result['open_sessions']:,}",
+            result["open_sessions"] >= _OPEN_SESSIONS,
+        ),
+        judged(
+            "0 broken, 0 cut, 0 doubled, 0 wrong service",
+            found.replace("_", " "),
+            *(tally[key] == 0 for key in _ZEROS),
+        ),
+        shown("the latest alert", _seconds(result["latest_alert_s"])),
+    ]
+
+
+def _loss(result: dict) -> list[Aim]:
+    on, off = result["kills"]
+    never = [row["never_allowed"] for row in (on, off)]
+    return [
+        judged(
+            "one of 9 VMs killed: fewer broken than with replication off",
+            f"{on['broken_flows']} broken of {on['held_by_killed']} held with "
+            f"replication, {off['broken_flows']} of {off['held_by_killed']} "
+            "without",
+            on["broken_flows"] < off["broken_flows"],
+        ),
+        shown(
+            "the longest silence",
+            f"latest alert {_seconds(on['latest_alert_s'])} with replication, "
+            f"{_seconds(off['latest_alert_s'])} without",
+        ),
+        judged(
+            "nothing broken beyond the loss, nothing doubled, to the wrong "
+            "service or refused late",
+            f"{never[0]} with replication, {never[1]} without",
+            *(count == 0 for count in never),
+        ),
+    ]
+
+
+def _control(result: dict) -> list[Aim]:
+    nine, changes = result["cost"]["9"], result["nine"]
+    times = [*changes["manifest_s"], changes["manifest_large_s"]]
+    met = [value is not None and value < _MANIFEST_S for value in times]
+    small = ", ".join(_seconds(value) for value in times[:-1])
+    single = changes["single_peer_s"]["s"]
+    kills = [kill and kill["last"] for kill in changes["killed_s"]]
+    calls = max(row["platform_calls_per_s"] for row in result["cost"].values())
+    return [
+        judged(
+            "a manifest in force on 9 VMs in under 2 s, platform up",
+            f"{small}; one of 0.9 MB: {_seconds(times[-1])}",
+            *met,
+        ),
+        judged(
+            "from a single peer with the platform down",
+            f"all 9 after {_seconds(single)}, process start included; one "
+            "restarted VM after "
+            f"{_seconds(changes['restart_platform_down_s'])}",
+            single is not None,
+        ),
+        shown(
+            "control a node at 9 VMs",
+            f"{nine['bytes_per_s_mean']:,} bytes a second, "
+            f"{nine['cpu_percent_mean']} % of a core, "
+            f"{nine['rss_mb_greatest']} MB resident",
+        ),
+        shown(
+            "a killed VM is no longer believed in",
+            "by the last VM after " + ", ".join(map(_seconds, kills)),
+        ),
+        judged(
+            "reads of the platform within 2,000 a second",
+            f"at most {calls} a second",
+            calls <= _PLATFORM_CALLS_PER_S,
+        ),
+    ]
+
+
+def control_slopes(result: dict) -> list[Slope]:
+    """Returns what control costs a VM, as lines over the fleet's size."""
+    return [
+        Slope(
+            name,
+            unit,
+            "VMs",
+            tuple((int(size), row[key]) for size, row in rows(result)),
+            max(int(size) for size in result["cost"]),
+        )
+        for name, unit, key in (
+            ("control sent", "B/s", "bytes_per_s_mean"),
+            ("processor", "% core", "cpu_percent_mean"),
+            ("memory", "MB", "rss_mb_greatest"),
+        )
+    ]
+
+
+def rows(result: dict) -> list[tuple[str, dict]]:
+    """Returns the costs of control by the size of the fleet."""
+    return list(result["cost"].items())
+
+
+def _on(rows_: list[dict]) -> dict:
+    return next(row for row in rows_ if row["variant"] == "all on")
+
+
+def _steady(result: dict, pattern: str, kind: str) -> Aim:
+    row = _on(result[pattern])
+    keys = ("whole", "window_median", "window_most")
+    ratios = [row[f"{kind}_{key}"] for key in keys]
+    return judged(
+        f"imbalance in steady load at most {_load_measures.EVEN} ({pattern})",
+        f"{ratios[0]} over all the time; in windows of "
+        f"{_load_measures.WINDOW_S:g} s {ratios[1]} at the median and "
+        f"{ratios[2]} at most",
+        *(ratio <= _load_measures.EVEN for ratio in ratios),
+    )
+
+
+def _return(result: dict, pattern: str, what: str) -> Aim:
+    row, base = _on(result[pattern]), result[pattern][0]
+    return judged(
+        f"time to return to it after {what} ({pattern})",
+        f"{_seconds(row['to_even_s'])}; baseline {_seconds(base['to_even_s'])}",
+        row["to_even_s"] is not None,
+    )
+
+
+def _refused(result: dict, pattern: str) -> Aim:
+    row = _on(result[pattern])
+    return judged(
+        f"every refusal's answer given at once ({pattern})",
+        f"{row['at_once']:.2%} within 5 ms, the last {row['told_most_ms']} ms "
+        "after its packet",
+        row["at_once"] >= _AT_ONCE,
+    )
+
+
+def _overload(result: dict) -> list[Aim]:
+    five = _on(result["overload 5"])
+    base = result["overload 5"][0]
+    left = _on(result["leaves"])["last_new_work_s"]
+    return [
+        _steady(result, "steady", "placed"),
+        _steady(result, "sessions", "used"),
+        _return(result, "leaves", "an upstream leaves"),
+        _return(result, "cold start", "one starts cold"),
+        _return(result, "session leaves", "an upstream leaves"),
+        _return(result, "session cold", "one starts cold"),
+        judged(
+            "no new work for a leaving upstream after 3 s",
+            f"the last after {left} s",
+            left <= 3.0,
+        ),
+        judged(
+            "goodput at 5 times overload at least 90% of capacity",
+            f"{five['goodput']:.1%}; baseline {base['goodput']:.1%}",
+            five["goodput"] >= _GOODPUT,
+        ),
+        _refused(result, "overload 2"),
+        _refused(result, "overload 5"),
+    ]
+
+
+AIMS: dict[str, Callable[[dict], list[Aim]]] = {
+    "packet_path": _packet_path,
+    "ownership": _ownership,
+    "replication": _replication,
+    "planned_change": _planned_change,
+    "loss": _loss,
+    "control": _control,
+    "overload": _overload,
+}
+
+
+def table(name: str, result: dict) -> list[dict]:
+    """Returns the aims of a measurement as rows of a table."""
+    return [attrs.asdict(aim) for aim in AIMS[name](result)]
--- /dev/null
+++ b/tests/bench_measurements_page_test.py
@@ -0,0 +1,133 @@
+"""Tests of bench._measurements_page and its aims and plots."""
+
+import json
+import pathlib
+import tempfile
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from bench import _aims, _measurements_page, _plots
+
+_MOST_BYTES = 60_000
+
+
+def _row(age_s, broken: int, sent: float) -> dict:
+    return {
+        "age_s": age_s,
+        "held_by_killed": 50,
+        "broken": broken,
+        "bytes_per_s_a_vm": sent,
+    }
+
+
+def _replication() -> dict:
+    return {
+        "seed": 7,
+        "curve": [
+            _row(0.0, 0, 300.5),
+            _row(1.0, 2, 120.5),
+            _row("never", 9, 0),
+        ],
+    }
+
+
+def _kill(broken: int) -> dict:
+    return {
+        "held_by_killed": 70,
+        "broken_flows": broken,
+        "latest_alert_s": 2.5,
+        "never_allowed": 0,
+    }
+
+
+def _ownership() -> dict:
+    row = {
+        "owner_us": 1.0,
+        "change_ms": 2.0,
+        "build_ms": 3.0,
+        "rendezvous_table_ms": 90.0,
+    }
+    return {"sizes": [{"vms": 9, **row}, {"vms": 100, **row}]}
+
+
+class AimsTest(TestCase):
+    """A verdict is computed from the run; nobody types it in."""
+
+    @parameterized.expand(
+        [
+            ("all", (True, True), "yes"),
+            ("some", (True, False), "partial"),
+            ("none", (False, False), "no"),
+        ]
+    )
+    def test_judged(self, _, met, verdict):
+        """An aim met in some respects only is never called reached."""
+        self.assertEqual(verdict, _aims.judged("aim", "1", *met).verdict)
+
+    @parameterized.expand([("fewer", 3, "yes"), ("as many", 9, "no")])
+    def test_loss(self, _, broken, verdict):
+        """Replication that saves no flow is reported as missing its aim."""
+        kills = [
+            {"replication": "on", **_kill(broken)},
+            {"replication": "off", **_kill(9)},
+        ]
+        first = _aims.table("loss", {"kills": kills})[0]
+        self.assertEqual(verdict, first["verdict"])
+
+
+class PageTest(TestCase):
+    """The page says what the JSON says, and what was not run."""
+
+    def setUp(self):
+        """Makes a folder for the pictures."""
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+
+    def _page(self, **results) -> str:
+        return _measurements_page.page(results, self.folder)
+
+    def test_figures(self):
+        """Figures, seed, machine and the default's age come from the JSON."""
+        note = {"python": "3.11.0", "load_before": 8.25}
+        page = self._page(replication={**_replication(), "machine": note})
+        self.assertIn("| 1 | 50 | 2 | 120.5 |", page)
+        self.assertIn("Seeds: 7.", page)
+        self.assertIn("| replication | 3.11.0 | 8.25 |", page)
+        self.assertIn("default 1 s: 2 of 50 broken", page)
+
+    def test_not_run(self):
+        """A measurement without a result is said not to have run."""
+        page = self._page(replication=_replication())
+        others = len(_measurements_page.SECTIONS) - 1
+        self.assertEqual(others, page.count("\nNot run.\n"))
+
+    def test_missed(self):
+        """An aim that was missed stands at the top as well."""
+        kills = [
+            {"replication": each, **_kill(5), "never_allowed": 1}
+            for each in ("on", "off")
+        ]
+        page = self._page(loss={"kills": kills})
+        top = page[: page.index("## Packet path")]
+        self.assertEqual(2, top.count("| loss |"))
+
+    def test_merge(self):
+        """Of two runs of a measurement the later file's is shown."""
+        files = [self.folder / "a.json", self.folder / "b.json"]
+        files[0].write_text(json.dumps({"loss": 1, "control": 1}))
+        files[1].write_text(json.dumps({"loss": 2}))
+        merged = _measurements_page.merge(files)
+        self.assertEqual({"loss": 2, "control": 1}, merged)
+
+    @parameterized.expand(
+        [("replication", _replication()), ("ownership", _ownership())]
+    )
+    def test_plots(self, name, result):
+        """A picture is a small PNG."""
+        for plot in _plots.write(name, result, self.folder):
+            data = (self.folder / plot.file).read_bytes()
+            self.assertEqual(b"\x89PNG", data[:4])
+            self.assertLess(len(data), _MOST_BYTES)
