Capacity: the cost of sharing out probes; a replication budget within 4 KB/s

Cause: the agent's gossip (2.3 KB/s at most) and probes with 2,000 B/s of replication exceed the users' 4 KB/s; 1,400 B/s stay within. Ruled out: less gossip (load in the views would grow older still).

--- a/bench/_capacity_control.py
+++ b/bench/_capacity_control.py
@@ -11,7 +11,7 @@
 
 from bench._slopes import Slope
 from pollenmast import manifest as manifests
-from pollenmast.decisions import Dispatcher
+from pollenmast.decisions import Dispatcher, _probing
 from pollenmast.decisions._membership import Membership
 from pollenmast.peers import _codec, _gossip
 from pollenmast.peers import _messages as messages
@@ -19,6 +19,7 @@
 ENDPOINTS_PER_SERVICE = 4.4
 _MANIFEST_SIZES = (100, 1_000, 4_000)
 _VIEW_SIZES = ((9, 10), (100, 800), (400, 3_200))
+_SHARED_SIZES = ((9, 100), (50, 400), (100, 800))
 _MEMBER_SIZES = (50, 200, 800)
 _REPORT_COUNTS = (1, 4, 8)
 _REPEATS = 3
@@ -217,6 +218,28 @@
     return Slope("heartbeats", "% core", "VMs", tuple(points), at_size)
 
 
+def sharing_cost(at_size: float) -> Slope:
+    """Processor time to share out the probes, by VMs times endpoints."""
+    points = []
+    for vms, endpoints in _SHARED_SIZES:
+        members = tuple(_vm(number) for number in range(vms))
+        text = manifest_text(endpoints)
+        services = manifests.parse(text).unwrap().services
+        spent = _least_s(
+            lambda services=services, members=members: _probing.assignments(
+                services, members
+            )
+        )
+        points.append((vms * endpoints, spent * 1e3))
+    return Slope(
+        "sharing out the probes",
+        "ms",
+        "VMs x endpoints",
+        tuple(points),
+        at_size,
+    )
+
+
 def report_news_bytes(at_size: float) -> Slope:
     """Bytes of endpoints' load in a message, by reports in it."""
     report = messages.EndpointReport(
--- a/bench/_capacity_page.py
+++ b/bench/_capacity_page.py
@@ -77,6 +77,13 @@
             1.6,
             "% core",
         ),
+        _row(
+            "sharing out the probes at changes of members",
+            "of 1.6 % core",
+            value["sharing out the probes"] * result["ring_changes_per_s"] / 10,
+            1.6,
+            "% core",
+        ),
         _row(
             "load of all endpoints known everywhere",
             "every 5 s within 4 KB/s",
@@ -173,6 +180,9 @@
   would carry it: relays get the load of their own zone's endpoints, and those
   of a subset of the others; the default endpoint and a relay's own evidence,
   which cost nothing, do the rest. Health changes (few) do fit.
+- *Sharing out the probes* ranks every VM for every endpoint at each change of
+  members. A ring a zone, changed in place like the ring of owners, would carry
+  it.
 - *Control processor*: where it is over, the agent's fixed part (two heartbeats
   a second, probes, the link, operators) decides, not the fleet's size.
 
@@ -241,9 +251,9 @@
 question to two VMs). A remaining VM notices a death after about 1.4 s
 (docs/MEMBERSHIP.md). With a rack or a zone nothing is lost of what was
 replicated, since a record lies in another availability zone than its holder.
-When a region is cut off, its VMs are dead for the others until the cut heals; at 4 KB/s this news
-alone takes the seconds in the table, there and back, and until then packets
-are sent to VMs that do not answer. What would carry it: VMs of other regions
-kept out of the ring (a flow's owner in its own region), so that a cut between
-regions changes no owner. Today's ring does not do this.
+When a region is cut off, its VMs are dead for the others until the cut heals;
+at 4 KB/s this news alone takes the seconds in the table, there and back, and
+until then packets are sent to VMs that do not answer. What would carry it: VMs
+of other regions kept out of the ring (a flow's owner in its own region), so
+that a cut between regions changes no owner. Today's ring does not do this.
 """
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -38,6 +38,7 @@
             control.member_memory(_SIZE.vms).row(),
             control.heartbeat_cost(_SIZE.vms).row(),
             control.report_news_bytes(8).row(),
+            control.sharing_cost(_SIZE.vms * _SIZE.endpoints).row(),
         ],
     }
 
--- a/src/pollenmast/settings/_model.py
+++ b/src/pollenmast/settings/_model.py
@@ -38,7 +38,8 @@
         most_flows: Flows carried at the most.
         idle_s: A flow without a packet for so long has ended, in seconds.
         replicate_after_s: Age at which a flow is replicated, in seconds.
-        replication_bytes_per_s: Budget for replication, in bytes a second.
+        replication_bytes_per_s: Budget for replication, in bytes a second;
+            with the agent's 2,600 it stays within 4 KB/s.
         grace_s: Longest graceful shutdown, in seconds.
         drain_quiet_s: How long a graceful shutdown waits for a flow's caller
             to use its new path, in seconds. It must be above the callers'
@@ -50,7 +51,7 @@
     most_flows: int = 250_000
     idle_s: float = 120.0
     replicate_after_s: float = 1.0
-    replication_bytes_per_s: int = 2_000
+    replication_bytes_per_s: int = 1_400
     grace_s: float = 60.0
     drain_quiet_s: float = 15.0
 
--- a/tests/settings_load_test.py
+++ b/tests/settings_load_test.py
@@ -73,7 +73,8 @@
             "seeds = 127.0.1.2:7003, 127.0.1.3:7003\n"
             "[relay]\npeer_port = 1\nlink_port = 2\nmost_flows = 3\n"
             "idle_s = 4\nreplicate_after_s = 5\nreplication_bytes_per_s = 6\n"
-            "grace_s = 7\ndrain_quiet_s = 7.5\n[agent]\ngossip_port = 8\nfetch_port = 9\n"
+            "grace_s = 7\ndrain_quiet_s = 7.5\n"
+            "[agent]\ngossip_port = 8\nfetch_port = 9\n"
             "operators_port = 10\nheartbeat_s = 11\nprobe_s = 12.5\n"
         )
         loaded = self.load(text).unwrap()
