Believe the keeper over a restarted holder, and a holder over a guess

Cause, found by reading: (1) a relay that crashed and was back before anybody missed it asks the keeper of a record whose holder is itself; the keeper took that for an answer and asked on, so only the connection id saved the session. (2) an owner that had guessed a flow's endpoint told the flow's true holder to release it, and the session stayed with an endpoint that had never heard of it. Change: a holder that asks has lost its flow and is told; a guess yields to any record of the flow. Ruled out: not guessing at all (flows at their default would be lost with their holder). Shown: test_guess_yields fails without its fix. test_relay_restarted passes without the first one as well, by the connection ids; it holds both ways.

--- a/src/pollenmast/relay/_custody.py
+++ b/src/pollenmast/relay/_custody.py
@@ -133,6 +133,17 @@
         else:
             self._replicas.keep(record, sender)
 
+    def _known(self, flow: Flow | None, now: float) -> Flow | None:
+        """Drops a flow that was only guessed here: the record knows better.
+
+        Were the guess held against the holder that reports the flow, the
+        session would stay with an endpoint that does not know it.
+        """
+        if flow is not None and flow.state is FlowState.GUESSED:
+            self._carrier.table.end(flow, now)
+            return None
+        return flow
+
     def _take_over(self, record: FlowRecord, sender: int, now: float) -> None:
         listener = self._carrier.table.at_port(record.service_port)
         if listener is None:
--- a/src/pollenmast/relay/_routing.py
+++ b/src/pollenmast/relay/_routing.py
@@ -165,7 +165,7 @@
             self._custody.tell_keeper(flow, forwarded.asker)
             return
         replica = self._custody.replicas.find(forwarded.service_port, caller)
-        if replica is not None and replica.holder != forwarded.asker:
+        if replica is not None:
             self._answer_from_replica(replica, forwarded)
             return
         self._ask_next(forwarded)
@@ -173,7 +173,9 @@
     def _answer_from_replica(
         self, replica: Replica, forwarded: Forwarded
     ) -> None:
-        if self._fleet.carries(replica.holder):
+        # A holder that asks has lost the flow: its relay was restarted.
+        lost = replica.holder == forwarded.asker
+        if self._fleet.carries(replica.holder) and not lost:
             passed = attrs.evolve(forwarded, asker=0, next_asked=0, hops=2)
             self._counters.add(c.FORWARDS, c.ForwardReason.HOLDER)
             body = pack_forwarded(passed)
--- a/tests/relay_custody_test.py
+++ b/tests/relay_custody_test.py
@@ -186,6 +186,37 @@
         _say_all(net, "after")
         self.assertEqual({}, _unlike(net, *["before", "joined", "after"]))
 
+    def test_relay_restarted(self):
+        """A relay crashes and is back before anyone has missed it.
+
+        It still owns its flows but knows none of them. The keepers of their
+        records, and of their connection ids, tell it.
+        """
+        net = _opened()
+        net.keep_alive(_CALLERS, _REPLICATED_S)
+        net.kill(1)
+        net.start(1)
+        _say_all(net, "after")
+        self.assertEqual({}, _unlike(net, "before", "after"))
+
+    def test_guess_yields(self):
+        """An owner guessed a flow's endpoint; then its holder reports it.
+
+        The holder knows where the session is. Held against it, the guess
+        would leave the caller at an endpoint that has never heard of it.
+        """
+        net = Net(vms=2)
+        net.open("c1")
+        (holder,) = net.holders("c1")
+        flow = net.flow("c1")
+        other = net.relays[3 - holder]
+        listener = other.table.listener(REGISTRY)
+        arrival = other.read(listener, flow.caller, short("c1"), 0, 0)
+        other.guess(arrival, net.now)
+        net.relays[holder].custody.replicate(flow, 3 - holder)
+        net.advance(1.0)
+        self.assertEqual([holder], net.holders("c1"))
+
 
 class ChangeTest(TestCase):
     """Flows open while the fleet changes are neither lost nor opened twice."""
