--- a/src/pollenmast/relay/_custody.py
+++ b/src/pollenmast/relay/_custody.py
@@ -116,10 +116,7 @@
         self._post.send(opened.sender, Kind.RECORDS_TAKEN, number)
 
     def _take_record(self, record: FlowRecord, sender: int, now: float) -> None:
-        listener = self._carrier.table.at_port(record.service_port)
-        flow = (
-            listener.flows.get((record.ip, record.port)) if listener else None
-        )
+        flow = self._known(self._flow(record), now)
         if record.flags == RecordFlag.FORGET:
             self._replicas.forget(record, sender)
         elif record.flags == RecordFlag.RELEASE:
--- a/tests/relay_custody_test.py
+++ b/tests/relay_custody_test.py
@@ -205,17 +205,26 @@
         The holder knows where the session is. Held against it, the guess
         would leave the caller at an endpoint that has never heard of it.
         """
-        net = Net(vms=2)
-        net.open("c1")
-        (holder,) = net.holders("c1")
-        flow = net.flow("c1")
-        other = net.relays[3 - holder]
-        listener = other.table.listener(REGISTRY)
-        arrival = other.read(listener, flow.caller, short("c1"), 0, 0)
-        other.guess(arrival, net.now)
-        net.relays[holder].custody.replicate(flow, 3 - holder)
+        net = _opened(vms=2)
+        net.start(3)
+        owner = net.relays[3]
+        listener = owner.table.listener(REGISTRY)
+        tag = next(
+            tag
+            for tag in _CALLERS
+            if owner.fleet.owns(
+                Arrival(listener, address_of(tag), None, b"").key
+            )
+        )
+        (holder,) = net.holders(tag)
+        caller = address_of(tag)
+        arrival = owner.read(listener, caller, short(tag), 0, 0)
+        net.silent_upstreams.update(t.address for t in owner.table.targets)
+        owner.guess(arrival, net.now)
+        flow = net.relays[holder].table.listener(REGISTRY).flows[caller]
+        net.relays[holder].custody.replicate(flow, owner.fleet.me.number)
         net.advance(1.0)
-        self.assertEqual([holder], net.holders("c1"))
+        self.assertEqual([holder], net.holders(tag))
 
 
 class ChangeTest(TestCase):
