--- a/bench/_aims.py
+++ b/bench/_aims.py
@@ -7,6 +7,7 @@
 from bench import _load_measures
 from bench._slopes import Slope
 from pollenmast.settings import RelaySettings
+from standins._session import LATE_S
 
 NO_FIGURE = "no figure asked"
 
@@ -54,6 +55,12 @@
     return "never" if value is None else f"{value:.3g} s"
 
 
+def _alert(result: dict) -> str:
+    # Callers note an alert's age from a bound on; 0 is that of none.
+    late_s = result["latest_alert_s"]
+    return _seconds(late_s) if late_s else f"none later than {LATE_S:g} s"
+
+
 def _packet_path(result: dict) -> list[Aim]:
     packet, flows = result["per_packet"], result["new_flows"]
     small, large = result["table"][0], result["table"][-1]
@@ -144,7 +151,7 @@
             found.replace("_", " "),
             *(tally[key] == 0 for key in _ZEROS),
         ),
-        shown("the latest alert", _seconds(result["latest_alert_s"])),
+        shown("the latest alert", _alert(result)),
     ]
 
 
@@ -161,8 +168,7 @@
         ),
         shown(
             "the longest silence",
-            f"latest alert {_seconds(on['latest_alert_s'])} with replication, "
-            f"{_seconds(off['latest_alert_s'])} without",
+            f"latest alert: {_alert(on)} with replication, {_alert(off)} without",
         ),
         judged(
             "nothing broken beyond the loss, nothing doubled, to the wrong "
--- a/bench/_measurements_page.py
+++ b/bench/_measurements_page.py
@@ -215,9 +215,10 @@
         "load does not enter. `goodput` is answers in time as a part of the "
         "capacity. `placed` and `used` are imbalances (greatest over mean) of "
         "the work placed and of the endpoints' fullness; the time to return "
-        "is by the former, with sessions by the latter, and 0 s where the first "
-        "window after the change was even already. A mechanism off is a figure "
-        "or function replaced for one run; the product has no such switches.",
+        "is by the former, with sessions by the latter, and 0 s where the "
+        "first window after the change was even already. A mechanism off is a "
+        "figure or function replaced for one run; the product has no such "
+        "switches.",
         f"{overload.SEED} for each pattern, {_load_sizes.SEED} for the sizes",
         _overload_tables,
     ),
