--- a/tests/relay_custody_test.py
+++ b/tests/relay_custody_test.py
@@ -170,6 +170,33 @@
         _say_all(net, "after")
         self.assertEqual({}, _unlike(net, "before", "after"))
 
+    def test_half_lost(self):
+        """Half of the fleet dies at once, over all zones.
+
+        Only a flow that is off its default endpoint and whose holder and
+        keeper are both gone may break; every other one goes on, and none
+        runs anything twice.
+        """
+        net = _opened(vms=6)
+        net.keep_alive(_CALLERS, _REPLICATED_S)
+        lost = (1, 2, 3)
+        numbers = {net.relays[number].fleet.me.number for number in lost}
+        excused = {
+            tag
+            for tag in _CALLERS
+            if net.holders(tag)[0] in lost
+            and net.flow(tag).off_default
+            and net.flow(tag).backup in numbers
+        }
+        for number in lost:
+            net.kill(number)
+        for number in lost:
+            net.declare_dead(number)
+        _say_all(net, "after")
+        broken = set(_unlike(net, "before", "after"))
+        self.assertEqual(set(), broken - excused)
+        self.assertLess(len(excused), len(_CALLERS) / 4)
+
     def test_joined_then_killed(self):
         """A VM joins, so flows are held off their owner; then a holder dies.
 
