--- a/bench/_aims.py
+++ b/bench/_aims.py
@@ -168,7 +168,8 @@
         ),
         shown(
             "the longest silence",
-            f"latest alert: {_alert(on)} with replication, {_alert(off)} without",
+            f"latest alert: {_alert(on)} with replication, "
+            f"{_alert(off)} without",
         ),
         judged(
             "nothing broken beyond the loss, nothing doubled, to the wrong "
