Try a port again that did not open; close a withdrawn service's port

Cause, found by reading: a service whose port another program held for a while had no port until the next manifest, so this VM lost its packets; a withdrawn service's port was never closed, as the code for it had no caller. Change: the table tends its ports at every view of the agent. Ruled out: a timer of its own (views come at least each second). Shown: tests/relay_table_test.py, 2 passed; each fails without `tend`, which it calls.

--- a/src/pollenmast/relay/_core.py
+++ b/src/pollenmast/relay/_core.py
@@ -47,7 +47,6 @@
     ):
         self.tick_now = int(now * TICKS_PER_S)
         self.counters = c.Counters()
-        self._settings = settings
         self._fleet = Fleet(settings.vm.name, settings.vm.zone)
         self._table = FlowTable(wire, settings.relay.most_flows)
         self._dispatcher = Dispatcher(settings.vm.zone, rng)
@@ -121,11 +120,6 @@
         """The flows that open."""
         return self._openings
 
-    @property
-    def draining(self) -> bool:
-        """Whether this relay hands over its flows."""
-        return self._draining
-
     def ready(self, now: float) -> bool:
         """Returns whether this relay may open flows."""
         known = self._manifest is not None and not self._draining
@@ -299,14 +293,10 @@
         flow = self._adopt(listener, caller, endpoint, FlowState.ADOPTED, now)
         if flow is not None:
             self.counters.add(c.REPATHS, reason)
+            service = listener.service.name
+            text = f"taken over, {reason.value}"
             self._history.note(
-                Decision(
-                    now,
-                    caller,
-                    listener.service.name,
-                    flow.target.name,
-                    f"taken over, {reason.value}",
-                )
+                Decision(now, caller, service, flow.target.name, text)
             )
         return flow
 
@@ -339,36 +329,33 @@
 
     # What the agent and the clock bring.
 
-    def on_view(self, view: messages.FleetView, now: float) -> list[str]:
-        """Takes the agent's view; returns services whose port did not open."""
-        failed: list[str] = []
+    def on_view(self, view: messages.FleetView, now: float) -> None:
+        """Takes the agent's view."""
         if view.manifest is not None:
-            failed = self._take_manifest(view.manifest, now)
+            self._take_manifest(view.manifest, now)
+        self._table.tend()
         self._fleet.update(view.vms, now)
         self._dispatcher.set_fleet(max(1, len(self._fleet.owners)))
         for report in view.reports:
             self._dispatcher.on_report(report, now)
         self._readiness.on_view(view, self._manifest, now)
-        return failed
 
-    def _take_manifest(self, data: bytes, now: float) -> list[str]:
+    def _take_manifest(self, data: bytes, now: float) -> None:
         parsed = manifests.parse(data)
         if parsed.is_err():
             self.counters.add(c.MANIFESTS, c.ManifestOutcome.INVALID)
-            return []
+            return
         manifest = parsed.unwrap()
         known = self._manifest
-        if known and (manifest.version, manifest.digest) < (
-            known.version,
-            known.digest,
-        ):
+        key = (manifest.version, manifest.digest)
+        if known and key < (known.version, known.digest):
             self.counters.add(c.MANIFESTS, c.ManifestOutcome.OLDER)
-            return []
+            return
         self._manifest = manifest
         self._dispatcher.set_manifest(manifest, now)
         self._upkeep.on_manifest()
         self.counters.add(c.MANIFESTS, c.ManifestOutcome.ACCEPTED)
-        return self._table.set_manifest(manifest)
+        self._table.set_manifest(manifest)
 
     def drain(self) -> None:
         """Begins a planned stop: no new flows, every flow handed over."""
--- a/src/pollenmast/relay/_openings.py
+++ b/src/pollenmast/relay/_openings.py
@@ -298,12 +298,7 @@
     def _note(
         self, opening: Opening, endpoint: str, text: str, now: float
     ) -> None:
+        service = opening.listener.service.name
         self._history.note(
-            Decision(
-                now,
-                opening.caller,
-                opening.listener.service.name,
-                endpoint,
-                text,
-            )
+            Decision(now, opening.caller, service, endpoint, text)
         )
--- a/src/pollenmast/relay/_table.py
+++ b/src/pollenmast/relay/_table.py
@@ -34,6 +34,7 @@
         self._listeners: dict[int, Listener] = {}
         self._services: dict[int, Listener] = {}
         self._targets: dict[int, Target] = {}
+        self._unopened: dict[int, Service] = {}
         self._reused: set[int] = set()
         self._flows = 0
         self._moved: dict[tuple[int, str, int], Flow] = {}
@@ -63,31 +64,44 @@
         """The local ports towards upstreams."""
         return self._pool
 
-    def set_manifest(self, manifest: Manifest) -> list[str]:
-        """Takes a manifest; returns the services whose port did not open."""
-        failed = [
-            service.name
-            for service in manifest.services
-            if not self._set_service(service)
-        ]
+    def set_manifest(self, manifest: Manifest) -> None:
+        """Takes a manifest."""
+        self._unopened = {}
+        for service in manifest.services:
+            self._set_service(service)
         numbers = {service.number for service in manifest.services}
         for number in set(self._services) - numbers:
             del self._services[number]
         self._set_targets(manifest)
-        return failed
 
-    def _set_service(self, service: Service) -> bool:
+    def tend(self) -> None:
+        """Opens what did not open before, and closes what nobody needs.
+
+        A port may be taken for a while by a program that ends; were it not
+        tried again, this VM would lose a service's packets until the next
+        manifest.
+        """
+        for service in list(self._unopened.values()):
+            self._set_service(service)
+        for port, listener in list(self._listeners.items()):
+            gone = listener.service.number not in self._services
+            if gone and not listener.flows:
+                listener.close()
+                del self._listeners[port]
+
+    def _set_service(self, service: Service) -> None:
         listener = self._listeners.get(service.port)
         if listener is None:
             listener = self._wire.open_listener(service)
             if listener is None:
-                return False
+                self._unopened[service.port] = service
+                return
+            self._unopened.pop(service.port, None)
             self._listeners[service.port] = listener
         if listener.service.number != service.number:
             self._reused.add(service.port)
         listener.service = service
         self._services[service.number] = listener
-        return True
 
     def _set_targets(self, manifest: Manifest) -> None:
         for target in self._targets.values():
@@ -204,14 +218,6 @@
             flow for path in self._pool.paths for flow in path.flows.values()
         ]
 
-    def close_unused(self, numbers: set[int]) -> None:
-        """Closes the ports of services that are gone and carry no flow."""
-        for port, listener in list(self._listeners.items()):
-            if listener.service.number in numbers or listener.flows:
-                continue
-            listener.close()
-            del self._listeners[port]
-
     def close(self) -> None:
         """Closes every port."""
         for listener in self._listeners.values():
--- /dev/null
+++ b/tests/relay_table_test.py
@@ -0,0 +1,64 @@
+"""Tests of relay._table: ports towards callers."""
+
+from testtools import TestCase
+
+from pollenmast import manifest as manifests
+from pollenmast.relay._flows import FlowState
+from pollenmast.relay._table import FlowTable
+from tests.fakes import BARCODES, REGISTRY, FakeWire, Net, manifest
+
+
+class _StubbornWire(FakeWire):
+    """A wire on which another program holds some ports for a while."""
+
+    taken: tuple[int, ...] = ()
+
+    def open_listener(self, service):
+        """Opens a fake port, unless it is taken."""
+        if service.port in self.taken:
+            return None
+        return super().open_listener(service)
+
+
+def _manifest(*numbers: int) -> manifests.Manifest:
+    whole = manifests.parse(manifest()).unwrap()
+    services = [each for each in whole.services if each.number in numbers]
+    return manifests.Manifest(1, tuple(services), "")
+
+
+class PortsTest(TestCase):
+    """Each service of the manifest has its port, and no other keeps one."""
+
+    def _table(self) -> FlowTable:
+        self.wire = _StubbornWire(Net(vms=1), 1)
+        return FlowTable(self.wire, 100)
+
+    def test_taken_port(self):
+        """Another program holds a service's port and ends later.
+
+        The fabric's packets for that service are lost at this VM until the
+        port opens; it is tried again without a new manifest.
+        """
+        table = self._table()
+        self.wire.taken = (4000 + REGISTRY,)
+        table.set_manifest(_manifest(REGISTRY, BARCODES))
+        self.assertIsNone(table.listener(REGISTRY))
+        self.wire.taken = ()
+        table.tend()
+        self.assertIsNotNone(table.listener(REGISTRY))
+
+    def test_withdrawn_service(self):
+        """A withdrawn service's port closes once its last flow has ended."""
+        table = self._table()
+        table.set_manifest(_manifest(REGISTRY, BARCODES))
+        listener = table.listener(REGISTRY)
+        target = next(t for t in table.targets if t.service == REGISTRY)
+        flow = table.open(
+            listener, ("10.0.0.1", 1), target, FlowState.CARRIED, 0, 0.0
+        )
+        table.set_manifest(_manifest(BARCODES))
+        table.tend()
+        self.assertEqual(2, len(table.listeners))
+        table.end(flow, 1.0)
+        table.tend()
+        self.assertEqual(1, len(table.listeners))
