--- a/tests/proof/_agents.py
+++ b/tests/proof/_agents.py
@@ -71,7 +71,7 @@
         acceptance = self.accepted[node.name]
         acceptance.offer(parsed.unwrap(), text, self.now)
         key = acceptance.key
-        self.oracle.in_force(id(acceptance), key.version, key.digest)
+        self.oracle.in_force(acceptance, key.version, key.digest)
         node.key = key
         node.membership.set_in_force(key)
 
--- a/tests/proof/_node.py
+++ b/tests/proof/_node.py
@@ -163,7 +163,7 @@
         if offer.outcome is ManifestOutcome.ACCEPTED:
             self.agent_leaves = self._leaves(self.agent_leaves, now)
             self.world.oracle.in_force(
-                ("agent", self.number, id(self.acceptance)),
+                ("agent", self.number, self.acceptance),
                 *attrs.astuple(self.acceptance.key),
             )
 
@@ -197,7 +197,7 @@
         key = (report.version, report.digest)
         if key == self.told:
             return
-        self.world.oracle.in_force(("relay", id(self.core)), *key)
+        self.world.oracle.in_force(("relay", self.number, self.core), *key)
         self.told = key
         in_force = self.acceptance.in_force
         if in_force is None or in_force.key != ManifestKey(*key):
--- a/tests/proof/_oracle.py
+++ b/tests/proof/_oracle.py
@@ -232,11 +232,15 @@
     # Line 8.
 
     def in_force(self, who: object, version: int, digest: str) -> None:
-        """A process says which manifest it has in force."""
+        """A process says which manifest it has in force.
+
+        `who` is or holds the process's own object, not its `id`, which
+        another object may have once it is gone.
+        """
         before = self.keys.get(who, (0, ""))
         if (version, digest) < before:
             raise ViolationError(
-                Line.NO_REVERT, f"{who} went from {before} to {version}"
+                Line.NO_REVERT, f"went from {before} to {version}"
             )
         self.keys[who] = (version, digest)
 
