Tell the owner of a flow that opened while owners changed

A flow that opened during a heal with two joins was never told; its new owner asked two VMs that did not know it and took the session's packet to the default endpoint. Change: a flow whose upstream answers first is told to its owner if that is another VM. Changes of the ring are counted, not dated: two in one instant looked like one.

--- a/bench/_capacity_relay.py
+++ b/bench/_capacity_relay.py
@@ -65,7 +65,7 @@
         for _ in range(_UPKEEP_TICKS):
             now += 0.02
             core._upkeep._checks = False
-            core._upkeep._owners_at = core.fleet.changed_at
+            core._upkeep._changes_seen = core.fleet.changes
             core._upkeep._new_defaults = False
             core._upkeep.tick(now, int(now * 10))
         spent = time.process_time() - start
--- a/src/pollenmast/relay/_core.py
+++ b/src/pollenmast/relay/_core.py
@@ -138,7 +138,7 @@
     def on_caller(
         self, listener: Listener, data: bytes, caller: tuple[str, int], now
     ) -> None:
-        """Takes what the packet path does not pass on by itself."""
+        """Takes what the packet path does not pass on."""
         flow = listener.flows.get(caller)
         if flow is not None:
             self.carry(flow, data, now)
@@ -222,6 +222,7 @@
             self._custody.answered_anew(flow)
         if flow.state is not FlowState.MOVED:
             flow.state = FlowState.CARRIED
+            self._custody.tell_owner(flow)
 
     # What other relays send.
 
--- a/src/pollenmast/relay/_custody.py
+++ b/src/pollenmast/relay/_custody.py
@@ -62,6 +62,16 @@
         if backup:
             self._outbox.add(backup, record_of(flow, RecordFlag.KEEP))
 
+    def tell_owner(self, flow: Flow) -> None:
+        """Tells the owner of a flow that opened here while the owner changed.
+
+        The walk that tells owners after a change passes over flows that are
+        still opening. Untold, an owner that asks the wrong two VMs would take
+        the session's packets to its default endpoint.
+        """
+        if not self._fleet.owns(flow.key):
+            self.replicate(flow, self._fleet.backup(flow.key))
+
     def tell_keeper(self, flow: Flow, asker: int) -> None:
         """Has an owner that asked keep the record, so that it asks once."""
         if flow.backup != asker and asker:
--- a/src/pollenmast/relay/_fleet.py
+++ b/src/pollenmast/relay/_fleet.py
@@ -23,6 +23,7 @@
         self._owners = Ring()
         self._holders = Ring()
         self._changed_at = 0.0
+        self._changes = 0
 
     @property
     def me(self) -> Member:
@@ -34,6 +35,11 @@
         """When the ring of owners last changed, on the runtime's clock."""
         return self._changed_at
 
+    @property
+    def changes(self) -> int:
+        """How often the ring of owners has changed."""
+        return self._changes
+
     @property
     def owners(self) -> tuple[Member, ...]:
         """The VMs that own flows."""
@@ -50,6 +56,7 @@
             return False
         self._owners = self._owners.changed(owners)
         self._changed_at = now
+        self._changes += 1
         return True
 
     def vm(self, number: int) -> Vm | None:
--- a/src/pollenmast/relay/_upkeep.py
+++ b/src/pollenmast/relay/_upkeep.py
@@ -62,7 +62,7 @@
         self._repaths = TokenBucket(PER_SECOND, BURST)
         self._pending: list[Flow] = []
         self._next_pass = 0.0
-        self._owners_at = 0.0
+        self._changes_seen = 0
         self._check_backups = False
         self._new_defaults = False
         self._check_defaults = False
@@ -104,8 +104,8 @@
 
     def _begin_pass(self) -> None:
         self._pending = self._table.every_flow()
-        self._check_backups = self._owners_at != self._fleet.changed_at
-        self._owners_at = self._fleet.changed_at
+        self._check_backups = self._changes_seen != self._fleet.changes
+        self._changes_seen = self._fleet.changes
         self._check_defaults = self._new_defaults
         self._new_defaults = False
         self._checks = (
--- a/tests/proof_found_test.py
+++ b/tests/proof_found_test.py
@@ -84,3 +84,25 @@
         for _ in range(3):
             state.all_say()
         state.teardown()
+
+
+class OpeningTest(TestCase):
+    """Flows open while the owners change."""
+
+    def test_owner_changes_meanwhile(self):
+        """A flow opens while a cut heals and two VMs join at once.
+
+        Its relay told owners of their flows while this one was opening, and
+        not again; the new owner asked two VMs that did not know it and took
+        the session to its default endpoint. Seed 2059 of the search.
+        """
+        state = FleetMachine()
+        state.begin(seed=0, vms=2, keep_alive=False)
+        state.cut_or_heal(zone="zone-b")
+        state.restart_agent(which=0)
+        state.wait(seconds=0.4)
+        state.open(count=1, early=False, service=_REGISTRY, to=0)
+        state.cut_or_heal(zone="zone-a")
+        state.join(number=3)
+        state.join(number=4)
+        state.teardown()
