Rest a port that changed its service, and a path that fell silent

Such a port opens no flow for 30 s now (drops, port_reused). Cause 2: a path on which a flow had fallen silent was used again after 10 s for the same upstream, where the next flow hung; it rests 600 s now. Ruled out: refusing such Initials (their caller may have a live session).

--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -19,6 +19,7 @@
     NO_OWNER = "no_owner"
     NOT_READY = "not_ready"
     STRANGER = "stranger"
+    PORT_REUSED = "port_reused"
     SEND_FAILED = "send_failed"
     FLOW_TABLE_FULL = "flow_table_full"
     CALLER_SILENT = "caller_silent"
--- a/src/pollenmast/relay/_core.py
+++ b/src/pollenmast/relay/_core.py
@@ -61,12 +61,9 @@
         )
         budget = settings.relay.replication_bytes_per_s
         self._custody = Custody(self._fleet, self, post, budget, self.counters)
+        age_s = settings.relay.replicate_after_s
         self._directory = Directory(
-            self._fleet,
-            self,
-            post,
-            settings.relay.replicate_after_s,
-            self.counters,
+            self._fleet, self, post, age_s, self.counters
         )
         self._routing = Routing(
             self._fleet,
@@ -246,6 +243,9 @@
         if not self.ready(now):
             self.counters.add(c.DROPS, c.DropReason.NOT_READY)
             return
+        if self._table.rests(arrival.listener, now):
+            self.counters.add(c.DROPS, c.DropReason.PORT_REUSED)
+            return
         idempotent = arrival.listener.service.idempotent
         data, early = self._without_early_data(idempotent, arrival.data)
         self._openings.begin(
@@ -334,7 +334,7 @@
         """Takes the agent's view."""
         if view.manifest is not None:
             self._take_manifest(view.manifest, now)
-        self._table.tend()
+        self._table.tend(now)
         self._fleet.update(view.vms, now)
         self._dispatcher.set_fleet(max(1, len(self._fleet.owners)))
         for report in view.reports:
@@ -356,7 +356,7 @@
         self._dispatcher.set_manifest(manifest, now)
         self._upkeep.on_manifest()
         self.counters.add(c.MANIFESTS, c.ManifestOutcome.ACCEPTED)
-        self._table.set_manifest(manifest)
+        self._table.set_manifest(manifest, now)
 
     def drain(self) -> None:
         """Begins a planned stop: no new flows, every flow handed over."""
--- a/src/pollenmast/relay/_table.py
+++ b/src/pollenmast/relay/_table.py
@@ -7,6 +7,11 @@
 from pollenmast.relay._flows import Flow, FlowState, Listener, Target
 from pollenmast.upstreams._paths import Path, PathPool
 
+REUSED_REST_S = 30.0
+"""Time for which a port that was given to another service opens no flows. A
+caller's library gives up a handshake by then, so no Initial for the service
+before is sent any more."""
+
 
 class Wire(abc.ABC):
     """The sockets of a relay, behind what its decisions need of them."""
@@ -35,7 +40,7 @@
         self._services: dict[int, Listener] = {}
         self._targets: dict[int, Target] = {}
         self._unopened: dict[int, Service] = {}
-        self._reused: set[int] = set()
+        self._reused: dict[int, float] = {}
         self._flows = 0
         self._moved: dict[tuple[int, str, int], Flow] = {}
 
@@ -64,17 +69,17 @@
         """The local ports towards upstreams."""
         return self._pool
 
-    def set_manifest(self, manifest: Manifest) -> None:
+    def set_manifest(self, manifest: Manifest, now: float) -> None:
         """Takes a manifest."""
         self._unopened = {}
         for service in manifest.services:
-            self._set_service(service)
+            self._set_service(service, now)
         numbers = {service.number for service in manifest.services}
         for number in set(self._services) - numbers:
             del self._services[number]
         self._set_targets(manifest)
 
-    def tend(self) -> None:
+    def tend(self, now: float) -> None:
         """Opens what did not open before, and closes what nobody needs.
 
         A port may be taken for a while by a program that ends; were it not
@@ -82,14 +87,14 @@
         manifest.
         """
         for service in list(self._unopened.values()):
-            self._set_service(service)
+            self._set_service(service, now)
         for port, listener in list(self._listeners.items()):
             gone = listener.service.number not in self._services
             if gone and not listener.flows:
                 listener.close()
                 del self._listeners[port]
 
-    def _set_service(self, service: Service) -> None:
+    def _set_service(self, service: Service, now: float) -> None:
         listener = self._listeners.get(service.port)
         if listener is None:
             listener = self._wire.open_listener(service)
@@ -99,7 +104,7 @@
             self._unopened.pop(service.port, None)
             self._listeners[service.port] = listener
         if listener.service.number != service.number:
-            self._reused.add(service.port)
+            self._reused[service.port] = now
         listener.service = service
         self._services[service.number] = listener
 
@@ -144,6 +149,16 @@
         """
         return listener.service.port not in self._reused
 
+    def rests(self, listener: Listener, now: float) -> bool:
+        """Returns whether a port has just been given to another service.
+
+        The network may still repeat the Initial of a session with the service
+        before. It would open a flow at the new one, and the session's packets
+        would follow it there.
+        """
+        since = self._reused.get(listener.service.port)
+        return since is not None and now - since < REUSED_REST_S
+
     def open(
         self,
         listener: Listener,
@@ -165,9 +180,18 @@
         self._flows += 1
         return flow
 
-    def move(self, flow: Flow, target: Target, tick: int, now: float) -> bool:
+    def move(
+        self,
+        flow: Flow,
+        target: Target,
+        tick: int,
+        now: float,
+        lost: bool = False,
+    ) -> bool:
         """Gives a flow a new path, to the same endpoint or another.
 
+        `lost` says that the old one seems lost, and must rest for longer.
+
         The new path is taken before the old one is given back, so that the
         flow cannot be handed the path that it is to leave.
         """
@@ -175,7 +199,7 @@
         path = target.paths.take(flow, now)
         if path is None:
             return False
-        old_target.paths.give_back(old_path, now)
+        old_target.paths.give_back(old_path, now, lost)
         old_target.flows -= 1
         target.flows += 1
         flow.path, flow.target = path, target
--- a/src/pollenmast/relay/_upkeep.py
+++ b/src/pollenmast/relay/_upkeep.py
@@ -217,5 +217,5 @@
         # Dated ahead, so that the flow is found silent again only after the
         # time of the next try.
         until = tick + int((NEXT_TRY_S - SILENT_S) * TICKS_PER_S)
-        if self._table.move(flow, flow.target, until, now):
+        if self._table.move(flow, flow.target, until, now, lost=True):
             self._counters.add(c.REPATHS, c.RepathReason.SILENT)
--- a/src/pollenmast/upstreams/_paths.py
+++ b/src/pollenmast/upstreams/_paths.py
@@ -24,6 +24,12 @@
 would throw them away but count them against the path."""
 
 
+LOST_REST_S = 600.0
+"""The same for a path on which a flow fell silent, in seconds. What lost track
+of it may go on losing it, and the next flow there would hang as well; firewalls
+forget an unused UDP flow within some minutes."""
+
+
 class Path(abc.ABC):
     """One local port towards upstreams.
 
@@ -82,7 +88,7 @@
 class PathChooser:
     """Chooses a path for each new flow to one endpoint."""
 
-    __slots__ = ("_next", "_pool", "_resting", "_upstream")
+    __slots__ = ("_lost", "_next", "_pool", "_resting", "_upstream")
 
     def __init__(self, pool: PathPool, upstream: tuple[str, int]):
         self._pool = pool
@@ -91,6 +97,7 @@
         self._resting: collections.deque[tuple[float, Path]] = (
             collections.deque()
         )
+        self._lost: collections.deque[tuple[float, Path]] = collections.deque()
 
     def take(self, flow: "Flow", now: float) -> Path | None:
         """Returns a path of the flow's own, or None when all are used."""
@@ -104,12 +111,21 @@
             path.flows[self._upstream] = flow
         return path
 
-    def give_back(self, path: Path, now: float) -> None:
-        """Lets a path rest after its flow has ended or moved."""
+    def give_back(self, path: Path, now: float, lost: bool = False) -> None:
+        """Lets a path rest after its flow has ended or moved.
+
+        Args:
+            path: The path.
+            now: The runtime's clock, in seconds.
+            lost: Whether the flow left it because it had fallen silent.
+        """
         del path.flows[self._upstream]
-        self._resting.append((now, path))
+        resting = self._lost if lost else self._resting
+        resting.append((now, path))
 
     def _rested(self, now: float) -> Path | None:
         if self._resting and now - self._resting[0][0] >= REST_S:
             return self._resting.popleft()[1]
+        if self._lost and now - self._lost[0][0] >= LOST_REST_S:
+            return self._lost.popleft()[1]
         return None
--- a/tests/relay_core_test.py
+++ b/tests/relay_core_test.py
@@ -1,5 +1,6 @@
 """Tests of relay._core: what callers and upstreams meet through relays."""
 
+import json
 from random import Random
 
 import attrs
@@ -210,6 +211,34 @@
         )
 
 
+class ReusedPortTest(TestCase):
+    """A port that is given to another service leads nobody astray."""
+
+    def test_repeated_initial(self):
+        """A session's VM dies, its port is given away, its Initial comes again.
+
+        The network may repeat a datagram. Taken for a new flow of the service
+        that has the port now, it would draw the session's packets there.
+        """
+        net = Net(vms=2)
+        net.open("c1")
+        (holder,) = net.holders("c1")
+        net.kill(holder)
+        net.declare_dead(holder)
+        swapped = json.loads(manifest(version=2))
+        first, second = swapped["services"]
+        first["port"], second["port"] = second["port"], first["port"]
+        net.manifest = json.dumps(swapped).encode()
+        net.publish()
+        net.send("c1", initial("c1"), service=BARCODES)
+        net.send("c1", short("c1", "1"), service=BARCODES)
+        net.advance(1.0)
+        reached = {net.sessions["c1"].upstream, *dict(net.strangers).values()}
+        self.assertEqual({"127.0.2.1"}, {ip[:9] for ip, _ in reached})
+        reason = c.DropReason.PORT_REUSED
+        self.assertGreater(net.dropped(c.DROPS, reason), 0)
+
+
 class SilenceTest(TestCase):
     """A flow whose path is lost gets another."""
 
--- a/tests/relay_table_test.py
+++ b/tests/relay_table_test.py
@@ -41,24 +41,24 @@
         """
         table = self._table()
         self.wire.taken = (4000 + REGISTRY,)
-        table.set_manifest(_manifest(REGISTRY, BARCODES))
+        table.set_manifest(_manifest(REGISTRY, BARCODES), 0.0)
         self.assertIsNone(table.listener(REGISTRY))
         self.wire.taken = ()
-        table.tend()
+        table.tend(0.0)
         self.assertIsNotNone(table.listener(REGISTRY))
 
     def test_withdrawn_service(self):
         """A withdrawn service's port closes once its last flow has ended."""
         table = self._table()
-        table.set_manifest(_manifest(REGISTRY, BARCODES))
+        table.set_manifest(_manifest(REGISTRY, BARCODES), 0.0)
         listener = table.listener(REGISTRY)
         target = next(t for t in table.targets if t.service == REGISTRY)
         flow = table.open(
             listener, ("10.0.0.1", 1), target, FlowState.CARRIED, 0, 0.0
         )
-        table.set_manifest(_manifest(BARCODES))
-        table.tend()
+        table.set_manifest(_manifest(BARCODES), 0.0)
+        table.tend(0.0)
         self.assertEqual(2, len(table.listeners))
         table.end(flow, 1.0)
-        table.tend()
+        table.tend(0.0)
         self.assertEqual(1, len(table.listeners))
