--- a/bench/_capacity_relay.py
+++ b/bench/_capacity_relay.py
@@ -19,7 +19,7 @@
     unpack_forwarded,
 )
 from pollenmast.relay._replicas import Replicas
-from tests.fakes import Net
+from standins.memory import Net
 
 _REPEATS = 3
 _MESSAGES = 3_000
--- a/bench/_relay.py
+++ b/bench/_relay.py
@@ -13,7 +13,7 @@
     Settings,
     VmSettings,
 )
-from tests.fakes import reports_of
+from standins.memory import reports_of
 
 KEY = bytes(range(32))
 SERVICE = 1
--- a/bench/replication.py
+++ b/bench/replication.py
@@ -5,7 +5,7 @@
 import attrs
 
 from pollenmast import counters as c
-from tests.fakes import REGISTRY, Net, manifest
+from standins.memory import REGISTRY, Net, manifest
 
 NAME = "replication"
 DESCRIPTION = "Broken flows of a killed VM against control bytes, by age."
--- a/src/pollenmast/decisions/_membership.py
+++ b/src/pollenmast/decisions/_membership.py
@@ -5,7 +5,8 @@
 megabytes a second on heartbeats; if the list were trusted, flows would go to
 dead VMs for as long as it lags. So each VM pings one other per interval (the
 SWIM protocol), asks three more before it suspects one, and tells news on
-messages that go out anyway.
+messages that go out anyway. One class of some length: its parts that stand
+alone (heartbeats, introductions, freshness, members) are modules already.
 """
 
 import random
@@ -290,16 +291,16 @@
         return [self._heartbeats.ping(vm, now) for vm in asked]
 
     def _ask_page(self, vm: Vm, after: str) -> Send:
-        to = gossip_address(vm)
-        return Send(to, Act.SYNC_REQUEST, self._fresh.number, after)
+        number = self._fresh.number
+        return Send(gossip_address(vm), Act.SYNC_REQUEST, number, after)
 
     def _page(self, message: Gossip, source: Address) -> Send:
         page, last = self._members.page(message.target, figures.PAGE_BYTES)
         return Send(source, Act.SYNC, message.sequence, last, tuple(page))
 
     def _paged(self, message: Gossip) -> list[Send]:
+        # Another number lay in the socket through a freeze: as old as that.
         if message.sequence != self._fresh.number:
-            # It lay in the socket through a freeze and is as old as that.
             return []
         if message.target:
             return [self._ask_page(message.sender, message.target)]
--- a/src/pollenmast/relay/_core.py
+++ b/src/pollenmast/relay/_core.py
@@ -59,9 +59,9 @@
         post = Post(
             self._fleet, wire, Sealer(settings.vm.name, key), self.counters
         )
+        age_s = settings.relay.replicate_after_s
         budget = settings.relay.replication_bytes_per_s
         self._custody = Custody(self._fleet, self, post, budget, self.counters)
-        age_s = settings.relay.replicate_after_s
         self._directory = Directory(
             self._fleet, self, post, age_s, self.counters
         )
@@ -248,17 +248,13 @@
             return
         idempotent = arrival.listener.service.idempotent
         data, early = self._without_early_data(idempotent, arrival.data)
-        self._openings.begin(
-            arrival.listener, arrival.caller, arrival.packet, data, early, now
-        )
+        self._openings.begin(arrival, data, early, now)
 
     def without_owner(self, arrival: Arrival, now: float) -> None:
         """Refuses a new flow of a leaving relay that knows no other."""
         del now
         if arrival.opens and self._draining:
-            self._openings.refuse_draining(
-                arrival.listener, arrival.caller, arrival.packet, COME_BACK_MS
-            )
+            self._openings.refuse_draining(arrival, COME_BACK_MS)
             return
         self.counters.add(c.DROPS, c.DropReason.NO_OWNER)
 
--- a/src/pollenmast/relay/_openings.py
+++ b/src/pollenmast/relay/_openings.py
@@ -16,8 +16,8 @@
     Placed,
     Refused,
 )
-from pollenmast.decisions._ownership import flow_hash
 from pollenmast.peers._records import endpoint_id
+from pollenmast.relay._carrier import Arrival
 from pollenmast.relay._flows import (
     TICKS_PER_S,
     Flow,
@@ -122,31 +122,29 @@
             opening.datagrams.append(data)
 
     def begin(
-        self,
-        listener: Listener,
-        caller: tuple[str, int],
-        packet: Packet,
-        data: bytes,
-        early_data: bool,
-        now: float,
+        self, arrival: Arrival, data: bytes, early_data: bool, now: float
     ) -> None:
-        """Decides about a new flow and carries the decision out."""
+        """Decides about a new flow and carries the decision out.
+
+        Args:
+            arrival: The caller's first datagram.
+            data: What of it may be passed on.
+            early_data: Whether that holds 0-RTT.
+            now: The runtime's clock, in seconds.
+        """
         if len(self._by_ticket) >= MOST_OPENINGS:
             self._counters.add(c.DROPS, c.DropReason.FLOW_TABLE_FULL)
             return
         self._ticket += 1
-        service = listener.service.number
+        service = arrival.listener.service.number
         request = FlowRequest(
-            self._ticket,
-            service,
-            caller[0],
-            flow_hash(listener.service.port, *caller),
+            self._ticket, service, arrival.caller[0], arrival.key
         )
         opening = Opening(
             request,
-            listener,
-            caller,
-            packet,
+            arrival.listener,
+            arrival.caller,
+            arrival.packet,
             [data],
             now,
             now,
@@ -159,16 +157,11 @@
             return
         self._settle(opening, outcome, now)
 
-    def refuse_draining(
-        self,
-        listener: Listener,
-        caller: tuple[str, int],
-        packet: Packet,
-        retry_after_ms: int,
-    ) -> None:
+    def refuse_draining(self, arrival: Arrival, retry_after_ms: int) -> None:
         """Refuses a new flow: this relay leaves and knows no other."""
         self._counters.add(c.REFUSALS, c.RefusalReason.DRAINING)
-        listener.send(refusal(packet, retry_after_ms), caller)
+        data = refusal(arrival.packet, retry_after_ms)
+        arrival.listener.send(data, arrival.caller)
 
     def answered(self, flow: Flow, now: float) -> None:
         """Notes the upstream's first answer: the flow no longer opens."""
--- a/tests/fakes.py
+++ b/standins/memory.py
@@ -1,7 +1,8 @@
-"""Small fakes at the relay's interfaces: wires, upstreams, callers.
+"""A fleet's relays in memory: small stand-ins at the relay's interfaces.
 
-Everything is in memory and in order unless a test says otherwise; time is a
-number that the test advances.
+Wires, upstreams and callers; all is delivered in order unless a test says
+otherwise, and time is a number that the test advances. Tests and bench share
+it. One file of some length, since its small parts all know the same network.
 """
 
 import hashlib
--- a/tests/proof/_node.py
+++ b/tests/proof/_node.py
@@ -14,7 +14,7 @@
 from pollenmast.relay._flows import Listener
 from pollenmast.relay._table import Wire
 from pollenmast.upstreams._paths import Path
-from tests import fakes
+from standins import memory as fakes
 from tests.proof import _traffic as traffic
 
 IDLE_S = 60.0
--- a/tests/proof/_scenarios.py
+++ b/tests/proof/_scenarios.py
@@ -3,7 +3,7 @@
 from pollenmast.peers._envelope import MOST_SENDERS, Opener, Sealer
 from pollenmast.peers._kinds import Kind
 from pollenmast.peers._records import FlowRecord, RecordFlag, pack_records
-from tests import fakes
+from standins import memory as fakes
 from tests.proof import _traffic as traffic
 from tests.proof._machine import FleetMachine
 from tests.proof._oracle import Line, Stage, ViolationError
--- a/tests/proof/_world.py
+++ b/tests/proof/_world.py
@@ -1,9 +1,12 @@
-"""The fleet under proof: real relays on a fake network with a paused clock."""
+"""The fleet under proof: real relays on a fake network with a paused clock.
+
+Long, since every rule of the machine acts on this one world.
+"""
 
 import random
 
 from pollenmast.peers import _messages as messages
-from tests import fakes
+from standins import memory as fakes
 from tests.proof import _traffic as traffic
 from tests.proof._node import Node
 from tests.proof._oracle import (
--- a/tests/proof_parsers_test.py
+++ b/tests/proof_parsers_test.py
@@ -20,7 +20,7 @@
     unpack_found,
     unpack_records,
 )
-from tests import fakes
+from standins import memory as fakes
 from tests.proof import _traffic as traffic
 from tests.proof._world import World
 
--- a/tests/relay_core_test.py
+++ b/tests/relay_core_test.py
@@ -10,7 +10,7 @@
 from pollenmast import counters as c
 from pollenmast.callers import PacketType, read_packet
 from pollenmast.relay._core import RelayCore
-from tests.fakes import (
+from standins.memory import (
     BARCODES,
     FakeWire,
     Net,
--- /dev/null
+++ b/tests/relay_crowd.py
@@ -0,0 +1,32 @@
+"""Many callers with open sessions, as several tests of the relay use them."""
+
+from standins.memory import Net
+
+CALLERS = [f"c{n}" for n in range(60)]
+REPLICATED_S = 4.0
+
+
+def opened(vms: int = 3, **settings) -> Net:
+    """Returns some VMs through which every caller has opened and spoken."""
+    net = Net(vms=vms, **settings)
+    for tag in CALLERS:
+        net.open(tag)
+        net.say(tag, "before")
+    return net
+
+
+def say_all(net: Net, text: str) -> None:
+    """Has every caller say something."""
+    for tag in CALLERS:
+        net.say(tag, text)
+
+
+def unlike(net: Net, *expected: str) -> dict[str, list[str]]:
+    """Returns the callers whose session ran anything else, and what."""
+    ran = {tag: net.sessions[tag].ran for tag in CALLERS}
+    return {tag: texts for tag, texts in ran.items() if texts != [*expected]}
+
+
+def not_last(net: Net, expected: str) -> list[str]:
+    """Returns the callers whose session ran something else last."""
+    return [t for t in CALLERS if net.sessions[t].ran[-1] != expected]
--- a/tests/relay_custody_test.py
+++ b/tests/relay_custody_test.py
@@ -1,42 +1,26 @@
-"""Tests of relay._custody and relay._routing: flows outlive their relay."""
+"""Tests of relay._custody: flows outlive their relay."""
 
 from parameterized import parameterized
 from testtools import TestCase
 
 from pollenmast import counters as c
-from pollenmast.peers._envelope import Sealer
-from pollenmast.peers._kinds import Kind
-from pollenmast.peers._messages import VmState
-from pollenmast.peers._records import FlowRecord, RecordFlag, pack_records
 from pollenmast.relay._carrier import Arrival
-from tests.fakes import KEY, REGISTRY, Net, address_of, manifest, short, vm
-
-_CALLERS = [f"c{n}" for n in range(60)]
-_REPLICATED_S = 4.0
-
-
-def _opened(vms: int = 3, **settings) -> Net:
-    net = Net(vms=vms, **settings)
-    for tag in _CALLERS:
-        net.open(tag)
-        net.say(tag, "before")
-    return net
-
-
-def _say_all(net: Net, text: str) -> None:
-    for tag in _CALLERS:
-        net.say(tag, text)
-
-
-def _unlike(net: Net, *expected: str) -> dict[str, list[str]]:
-    """Returns the callers whose session ran anything else, and what."""
-    ran = {tag: net.sessions[tag].ran for tag in _CALLERS}
-    return {tag: texts for tag, texts in ran.items() if texts != [*expected]}
-
-
-def _not_last(net: Net, expected: str) -> list[str]:
-    """Returns the callers whose session ran something else last."""
-    return [t for t in _CALLERS if net.sessions[t].ran[-1] != expected]
+from standins.memory import (
+    REGISTRY,
+    Net,
+    address_of,
+    manifest,
+    short,
+    vm,
+)
+from tests.relay_crowd import (
+    CALLERS,
+    REPLICATED_S,
+    not_last,
+    opened,
+    say_all,
+    unlike,
+)
 
 
 class PlannedStopTest(TestCase):
@@ -44,25 +28,25 @@
 
     def test_handover(self):
         """Every flow goes on by another VM, and the leaving one drains."""
-        net = _opened()
-        net.keep_alive(_CALLERS, _REPLICATED_S)
+        net = opened()
+        net.keep_alive(CALLERS, REPLICATED_S)
         net.declare_leaving(1)
         net.advance(2.0)
-        _say_all(net, "after")
+        say_all(net, "after")
         net.advance(2.0)
-        self.assertEqual({}, _unlike(net, "before", "after"))
+        self.assertEqual({}, unlike(net, "before", "after"))
         self.assertEqual([], net.strangers)
         self.assertTrue(net.relays[1].drained())
 
     def test_young_flows(self):
         """Flows opened a moment before the stop are handed over as well."""
-        net = _opened()
+        net = opened()
         net.declare_leaving(2)
         net.advance(1.0)
         net.kill(2)
         net.declare_dead(2)
-        _say_all(net, "after")
-        self.assertEqual({}, _unlike(net, "before", "after"))
+        say_all(net, "after")
+        self.assertEqual({}, unlike(net, "before", "after"))
 
     def test_answers_meanwhile(self):
         """An upstream that still answers by the old path is not cut off.
@@ -70,10 +54,10 @@
         It learns the new path only from its caller's next packet; until then
         its alerts arrive at the leaving relay, which passes them on.
         """
-        net = _opened()
+        net = opened()
         net.declare_leaving(1)
         net.advance(1.0)
-        moved = [t for t in _CALLERS if net.sessions[t].path.number == 1]
+        moved = [t for t in CALLERS if net.sessions[t].path.number == 1]
         before = {tag: len(net.answers_to(tag)) for tag in moved}
         for tag in moved:
             net.answer(tag, "alert")
@@ -88,25 +72,25 @@
         Nothing shows that they ended, and their paths would be kept until
         they count as idle; operators would wait minutes for each VM.
         """
-        net = _opened()
+        net = opened()
         net.declare_leaving(1)
         net.advance(20.0)
         self.assertTrue(net.relays[1].drained())
 
     def test_rolling_replacement(self):
         """All VMs are replaced one after the other; no flow breaks."""
-        net = _opened()
+        net = opened()
         for old, new in ((1, 4), (2, 5), (3, 6)):
             net.start(new)
             net.advance(1.0)
             net.declare_leaving(old)
             net.advance(1.0)
-            _say_all(net, f"without {old}")
+            say_all(net, f"without {old}")
             net.advance(1.0)
             net.kill(old)
             net.declare_dead(old)
         self.assertEqual(
-            {}, _unlike(net, *["before", "without 1", "without 2", "without 3"])
+            {}, unlike(net, *["before", "without 1", "without 2", "without 3"])
         )
 
     def test_new_flow_without_other_vm(self):
@@ -129,12 +113,12 @@
         Between the kill and its discovery packets are lost; afterwards each
         flow reaches the endpoint that knows it.
         """
-        net = _opened(vms)
-        net.keep_alive(_CALLERS, _REPLICATED_S)
+        net = opened(vms)
+        net.keep_alive(CALLERS, REPLICATED_S)
         net.kill(1)
         net.declare_dead(1)
-        _say_all(net, "after")
-        self.assertEqual({}, _unlike(net, "before", "after"))
+        say_all(net, "after")
+        self.assertEqual({}, unlike(net, "before", "after"))
         self.assertEqual([], net.strangers)
 
     def test_without_records(self):
@@ -143,14 +127,12 @@
         Flows at their default endpoint are found by computation; this is why
         they need no record. Only flows that load had placed elsewhere break.
         """
-        net = _opened(replicate_after_s=1e9)
-        placed_elsewhere = {
-            tag for tag in _CALLERS if net.flow(tag).off_default
-        }
+        net = opened(replicate_after_s=1e9)
+        placed_elsewhere = {tag for tag in CALLERS if net.flow(tag).off_default}
         net.kill(1)
         net.declare_dead(1)
-        _say_all(net, "after")
-        broken = set(_unlike(net, "before", "after"))
+        say_all(net, "after")
+        broken = set(unlike(net, "before", "after"))
         self.assertEqual(set(), broken - placed_elsewhere)
 
     def test_zone_lost(self):
@@ -159,16 +141,16 @@
         Records are kept in another zone, so no flow loses both its holder
         and its record.
         """
-        net = _opened(vms=6)
+        net = opened(vms=6)
         net.manifest = manifest(version=2, endpoints=4)
         net.publish()
-        net.keep_alive(_CALLERS, _REPLICATED_S)
+        net.keep_alive(CALLERS, REPLICATED_S)
         for number in (3, 6):
             net.kill(number)
         for number in (3, 6):
             net.declare_dead(number)
-        _say_all(net, "after")
-        self.assertEqual({}, _unlike(net, "before", "after"))
+        say_all(net, "after")
+        self.assertEqual({}, unlike(net, "before", "after"))
 
     def test_half_lost(self):
         """Half of the fleet dies at once, over all zones.
@@ -177,13 +159,13 @@
         keeper are both gone may break; every other one goes on, and none
         runs anything twice.
         """
-        net = _opened(vms=6)
-        net.keep_alive(_CALLERS, _REPLICATED_S)
+        net = opened(vms=6)
+        net.keep_alive(CALLERS, REPLICATED_S)
         lost = (1, 2, 3)
         numbers = {net.relays[number].fleet.me.number for number in lost}
         excused = {
             tag
-            for tag in _CALLERS
+            for tag in CALLERS
             if net.holders(tag)[0] in lost
             and net.flow(tag).off_default
             and net.flow(tag).backup in numbers
@@ -192,10 +174,10 @@
             net.kill(number)
         for number in lost:
             net.declare_dead(number)
-        _say_all(net, "after")
-        broken = set(_unlike(net, "before", "after"))
+        say_all(net, "after")
+        broken = set(unlike(net, "before", "after"))
         self.assertEqual(set(), broken - excused)
-        self.assertLess(len(excused), len(_CALLERS) / 4)
+        self.assertLess(len(excused), len(CALLERS) / 4)
 
     def test_joined_then_killed(self):
         """A VM joins, so flows are held off their owner; then a holder dies.
@@ -203,15 +185,15 @@
         The owner keeps the record of such a flow, as it is the one that will
         be asked for it.
         """
-        net = _opened()
-        net.keep_alive(_CALLERS, _REPLICATED_S)
+        net = opened()
+        net.keep_alive(CALLERS, REPLICATED_S)
         net.start(4)
-        net.keep_alive(_CALLERS, _REPLICATED_S)
-        _say_all(net, "joined")
+        net.keep_alive(CALLERS, REPLICATED_S)
+        say_all(net, "joined")
         net.kill(1)
         net.declare_dead(1)
-        _say_all(net, "after")
-        self.assertEqual({}, _unlike(net, *["before", "joined", "after"]))
+        say_all(net, "after")
+        self.assertEqual({}, unlike(net, *["before", "joined", "after"]))
 
     def test_relay_restarted(self):
         """A relay crashes and is back before anyone has missed it.
@@ -219,12 +201,12 @@
         It still owns its flows but knows none of them. The keepers of their
         records, and of their connection ids, tell it.
         """
-        net = _opened()
-        net.keep_alive(_CALLERS, _REPLICATED_S)
+        net = opened()
+        net.keep_alive(CALLERS, REPLICATED_S)
         net.kill(1)
         net.start(1)
-        _say_all(net, "after")
-        self.assertEqual({}, _unlike(net, "before", "after"))
+        say_all(net, "after")
+        self.assertEqual({}, unlike(net, "before", "after"))
 
     def test_guess_yields(self):
         """An owner guessed a flow's endpoint; then its holder reports it.
@@ -232,13 +214,13 @@
         The holder knows where the session is. Held against it, the guess
         would leave the caller at an endpoint that has never heard of it.
         """
-        net = _opened(vms=2)
+        net = opened(vms=2)
         net.start(3)
         owner = net.relays[3]
         listener = owner.table.listener(REGISTRY)
         tag = next(
             tag
-            for tag in _CALLERS
+            for tag in CALLERS
             if owner.fleet.owns(
                 Arrival(listener, address_of(tag), None, b"").key
             )
@@ -254,42 +236,6 @@
         self.assertEqual([holder], net.holders(tag))
 
 
-class ChangeTest(TestCase):
-    """Flows open while the fleet changes are neither lost nor opened twice."""
-
-    def test_join(self):
-        """Flows that open while a VM joins stay where they are."""
-        net = _opened()
-        net.start(4)
-        _say_all(net, "after")
-        self.assertEqual({}, _unlike(net, "before", "after"))
-        self.assertEqual([], net.strangers)
-
-    def test_second_flight(self):
-        """A VM joins between the two flights of a handshake.
-
-        The second flight is an Initial as well. Opened anew at another
-        endpoint it would be a stranger there, and the handshake would hang.
-        """
-        net = Net(vms=3)
-        for tag in _CALLERS:
-            net.open(tag)
-        net.manifest = manifest(version=2, endpoints=5)
-        net.start(4)
-        for tag in _CALLERS:
-            net.open(tag)
-        self.assertEqual([], net.strangers)
-
-    def test_partial_knowledge(self):
-        """Only some VMs have heard of a join; packets still find their flow."""
-        net = _opened()
-        net.vms[4] = vm(4)
-        net.start(4)
-        net.publish(only=(1, 4))
-        _say_all(net, "after")
-        self.assertEqual({}, _unlike(net, "before", "after"))
-
-
 class SplitTest(TestCase):
     """Both sides of a cut serve; one owner is left when it heals."""
 
@@ -300,8 +246,8 @@
         reach it. When the cut heals, each flow is left with one relay, and
         none of them breaks.
         """
-        net = _opened()
-        net.keep_alive(_CALLERS, _REPLICATED_S)
+        net = opened()
+        net.keep_alive(CALLERS, REPLICATED_S)
         everybody = dict(net.vms)
         net.cut = lambda source, target: (source == 1) != (target == 1)
         for number, core in net.relays.items():
@@ -312,16 +258,16 @@
             }
             core.on_view(net.view(core), net.now)
         for number in (1, 2, 1, 3):
-            for tag in _CALLERS:
+            for tag in CALLERS:
                 net.say(tag, f"by {number}", to=number)
         net.cut = lambda source, target: False
         net.vms = everybody
         net.publish()
         net.advance(6.0)
-        _say_all(net, "after")
+        say_all(net, "after")
         self.assertEqual([], net.strangers)
-        self.assertEqual([], _not_last(net, "after"))
-        self.assertEqual({1}, {len(net.holders(tag)) for tag in _CALLERS})
+        self.assertEqual([], not_last(net, "after"))
+        self.assertEqual({1}, {len(net.holders(tag)) for tag in CALLERS})
 
 
 class FreezeTest(TestCase):
@@ -333,23 +279,23 @@
         It opens nothing until its agent has answered it anew, and goes on
         passing what it knows; no flow breaks.
         """
-        net = _opened()
-        net.keep_alive(_CALLERS, _REPLICATED_S)
+        net = opened()
+        net.keep_alive(CALLERS, REPLICATED_S)
         frozen = net.relays.pop(1)
         net.declare_dead(1)
-        _say_all(net, "meanwhile")
+        say_all(net, "meanwhile")
         net.advance(10.0)
         net.relays[1] = frozen
         frozen.tick(net.now)
         self.assertFalse(frozen.ready(net.now))
-        for tag in _CALLERS:
+        for tag in CALLERS:
             net.say(tag, "woken", to=1)
         net.vms[1] = vm(1)
         net.publish()
         net.advance(6.0)
-        _say_all(net, "after")
+        say_all(net, "after")
         self.assertEqual([], net.strangers)
-        self.assertEqual([], _not_last(net, "after"))
+        self.assertEqual([], not_last(net, "after"))
 
     def test_old_view_after_waking(self):
         """A view that was sent before the freeze is no fresh one.
@@ -366,102 +312,3 @@
         self.assertFalse(core.ready(net.now))
         core.on_view(net.view(core), net.now)
         self.assertTrue(core.ready(net.now))
-
-
-class TrustTest(TestCase):
-    """Only the fleet can plant or take flows."""
-
-    def test_forged_record(self):
-        """A stranger sends a record that would lead a caller elsewhere."""
-        net = Net(vms=2)
-        record = FlowRecord(REGISTRY, *address_of("c1"), 7, RecordFlag.KEEP)
-        body = b"\0\0\0\1" + pack_records([record])
-        data = Sealer("vm-2", bytes(32)).seal(Kind.RECORDS, body)
-        net.relays[1].on_peer(data, net.now)
-        self.assertEqual(0, len(net.relays[1].custody.replicas))
-        faults = c.EnvelopeFault
-        self.assertEqual(1, net.dropped(c.ENVELOPE_FAULTS, faults.UNKNOWN_KEY))
-
-    def test_hops_bounded(self):
-        """Two VMs each believe that the other owns a flow.
-
-        Their packets must not circle and fill the network; after the hops
-        allowed they are dropped and counted.
-        """
-        net = Net(vms=3)
-        core = net.relays[1]
-        listener = core.table.listener(REGISTRY)
-        far = next(
-            f"c{n}"
-            for n in range(99)
-            if not core.fleet.owns(
-                Arrival(listener, address_of(f"c{n}"), None, b"").key
-            )
-        )
-        arrival = core.read(
-            listener, address_of(far), short(far), hops=3, via=99
-        )
-        core.on_datagram(arrival, net.now)
-        reason = c.DropReason.TOO_MANY_HOPS
-        self.assertEqual(1, net.dropped(c.DROPS, reason))
-
-    @parameterized.expand(
-        [("leaving", VmState.LEAVING), ("alive", VmState.ALIVE)]
-    )
-    def test_garbage_body(self, _, state):
-        """A genuine envelope with a body of nonsense changes nothing."""
-        net = Net(vms=2)
-        net.vms[2] = vm(2, state=state)
-        net.publish()
-        sealer = Sealer("vm-2", KEY)
-        for kind in Kind:
-            net.relays[1].on_peer(sealer.seal(kind, b"\xff" * 50), net.now)
-        self.assertEqual(0, net.relays[1].table.flows)
-        self.assertEqual(0, len(net.relays[1].custody.replicas))
-
-
-class MovedCallerTest(TestCase):
-    """A caller whose address changes in mid-session finds its endpoint."""
-
-    def _moved(self, net: Net) -> list[str]:
-        for tag in _CALLERS:
-            new = ("10.9.9.9", address_of(tag)[1])
-            net.send(tag, short(tag, "moved"), caller=new)
-        return _not_last(net, "moved")
-
-    def test_router_forgot(self):
-        """Every caller's router forgets it and gives it another address.
-
-        The new address belongs to another owner and computes to another
-        endpoint; without the connection id the session would hang until its
-        timeout.
-        """
-        net = _opened(vms=5)
-        net.keep_alive(_CALLERS, _REPLICATED_S)
-        self.assertEqual([], self._moved(net))
-        self.assertEqual([], net.strangers)
-
-    @parameterized.expand([("killed", False), ("replaced", True)])
-    def test_after_loss(self, _, planned):
-        """A VM goes before the callers move; the second keeper remembers."""
-        net = _opened(vms=5)
-        net.keep_alive(_CALLERS, _REPLICATED_S)
-        if planned:
-            net.declare_leaving(2)
-            net.advance(2.0)
-        net.kill(2)
-        net.declare_dead(2)
-        _say_all(net, "still here")
-        self.assertEqual([], self._moved(net))
-
-    def test_unknown_id(self):
-        """A stranger's connection id leads to the default endpoint at most.
-
-        No session is there, so nothing runs, and the guess is forgotten.
-        """
-        net = _opened()
-        net.keep_alive(_CALLERS, _REPLICATED_S)
-        net.send("x900", short("x900", "?"), caller=("10.9.9.9", 7))
-        net.advance(8.0)
-        self.assertEqual([], net.holders("x900"))
-        self.assertEqual({}, _unlike(net, "before"))
--- /dev/null
+++ b/tests/relay_routing_test.py
@@ -0,0 +1,101 @@
+"""Tests of relay._routing: packets find their flow, and nothing circles."""
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast import counters as c
+from pollenmast.peers._envelope import Sealer
+from pollenmast.peers._kinds import Kind
+from pollenmast.peers._messages import VmState
+from pollenmast.peers._records import FlowRecord, RecordFlag, pack_records
+from pollenmast.relay._carrier import Arrival
+from standins.memory import KEY, REGISTRY, Net, address_of, manifest, short, vm
+from tests.relay_crowd import CALLERS, opened, say_all, unlike
+
+
+class ChangeTest(TestCase):
+    """Flows open while the fleet changes are neither lost nor opened twice."""
+
+    def test_join(self):
+        """Flows that open while a VM joins stay where they are."""
+        net = opened()
+        net.start(4)
+        say_all(net, "after")
+        self.assertEqual({}, unlike(net, "before", "after"))
+        self.assertEqual([], net.strangers)
+
+    def test_second_flight(self):
+        """A VM joins between the two flights of a handshake.
+
+        The second flight is an Initial as well. Opened anew at another
+        endpoint it would be a stranger there, and the handshake would hang.
+        """
+        net = Net(vms=3)
+        for tag in CALLERS:
+            net.open(tag)
+        net.manifest = manifest(version=2, endpoints=5)
+        net.start(4)
+        for tag in CALLERS:
+            net.open(tag)
+        self.assertEqual([], net.strangers)
+
+    def test_partial_knowledge(self):
+        """Only some VMs have heard of a join; packets still find their flow."""
+        net = opened()
+        net.vms[4] = vm(4)
+        net.start(4)
+        net.publish(only=(1, 4))
+        say_all(net, "after")
+        self.assertEqual({}, unlike(net, "before", "after"))
+
+
+class TrustTest(TestCase):
+    """Only the fleet can plant or take flows."""
+
+    def test_forged_record(self):
+        """A stranger sends a record that would lead a caller elsewhere."""
+        net = Net(vms=2)
+        record = FlowRecord(REGISTRY, *address_of("c1"), 7, RecordFlag.KEEP)
+        body = b"\0\0\0\1" + pack_records([record])
+        data = Sealer("vm-2", bytes(32)).seal(Kind.RECORDS, body)
+        net.relays[1].on_peer(data, net.now)
+        self.assertEqual(0, len(net.relays[1].custody.replicas))
+        faults = c.EnvelopeFault
+        self.assertEqual(1, net.dropped(c.ENVELOPE_FAULTS, faults.UNKNOWN_KEY))
+
+    def test_hops_bounded(self):
+        """Two VMs each believe that the other owns a flow.
+
+        Their packets must not circle and fill the network; after the hops
+        allowed they are dropped and counted.
+        """
+        net = Net(vms=3)
+        core = net.relays[1]
+        listener = core.table.listener(REGISTRY)
+        far = next(
+            f"c{n}"
+            for n in range(99)
+            if not core.fleet.owns(
+                Arrival(listener, address_of(f"c{n}"), None, b"").key
+            )
+        )
+        arrival = core.read(
+            listener, address_of(far), short(far), hops=3, via=99
+        )
+        core.on_datagram(arrival, net.now)
+        reason = c.DropReason.TOO_MANY_HOPS
+        self.assertEqual(1, net.dropped(c.DROPS, reason))
+
+    @parameterized.expand(
+        [("leaving", VmState.LEAVING), ("alive", VmState.ALIVE)]
+    )
+    def test_garbage_body(self, _, state):
+        """A genuine envelope with a body of nonsense changes nothing."""
+        net = Net(vms=2)
+        net.vms[2] = vm(2, state=state)
+        net.publish()
+        sealer = Sealer("vm-2", KEY)
+        for kind in Kind:
+            net.relays[1].on_peer(sealer.seal(kind, b"\xff" * 50), net.now)
+        self.assertEqual(0, net.relays[1].table.flows)
+        self.assertEqual(0, len(net.relays[1].custody.replicas))
--- a/tests/relay_table_test.py
+++ b/tests/relay_table_test.py
@@ -5,7 +5,7 @@
 from pollenmast import manifest as manifests
 from pollenmast.relay._flows import FlowState
 from pollenmast.relay._table import FlowTable
-from tests.fakes import BARCODES, REGISTRY, FakeWire, Net, manifest
+from standins.memory import BARCODES, REGISTRY, FakeWire, Net, manifest
 
 
 class _StubbornWire(FakeWire):
