Give connection ids on only when the ring has left this VM out

Cause, found by reading: a leaving relay gave its ids to the keepers of a ring that still held itself, when the order to stop came before the view; 24 of 120 copies were lost with it in the fake fleet of five VMs, and an id with one copy left would go with the next loss. Ruled out: sending them at the end of the drain (a stop may be cut short). Shown: test_replaced fails with the code before (96 copies) and passes (120).

--- a/src/pollenmast/relay/_core.py
+++ b/src/pollenmast/relay/_core.py
@@ -112,6 +112,11 @@
         """The flow records between relays."""
         return self._custody
 
+    @property
+    def directory(self) -> Directory:
+        """The connection ids kept here."""
+        return self._directory
+
     @property
     def openings(self) -> Openings:
         """The flows that open."""
@@ -221,8 +226,6 @@
             flow.state = FlowState.CARRIED
             self._custody.tell_owner(flow)
 
-    # What other relays send.
-
     def on_peer(self, data: bytes, now: float) -> None:
         """Takes an envelope of another relay."""
         opened = self._opener.open(data, now)
@@ -359,7 +362,7 @@
         if not self._draining:
             self._draining = True
             self._upkeep.drain()
-            self._directory.hand_over()
+            self._directory.drain()
 
     def tick(self, now: float) -> None:
         """Does what time brings about; called every 20 ms."""
--- a/src/pollenmast/relay/_directory.py
+++ b/src/pollenmast/relay/_directory.py
@@ -75,6 +75,7 @@
         self._publish_after = int(publish_after_s * TICKS_PER_S)
         self._counters = counters
         self._looked_at = 0
+        self._draining = False
         self._entries: dict[tuple[int, int], int] = {}
         self._learnt: dict[Flow, int] = {}
         self._leaving: dict[int, list[ConnectionId]] = {}
@@ -100,9 +101,17 @@
             port = flow.listener.service.port
             self._keep(ConnectionId(port, cid, flow.target.number))
 
-    def hand_over(self) -> None:
-        """Gives every entry to its new keepers, for a planned stop."""
-        for (port, cid), endpoint in self._entries.items():
+    def drain(self) -> None:
+        """Has every entry given to its new keepers, for a planned stop.
+
+        That waits until the ring leaves this VM out: before, the new keepers
+        would be computed as the old ones, this VM among them.
+        """
+        self._draining = True
+
+    def _hand_over(self) -> None:
+        self._draining = False
+        for (port, cid), endpoint in list(self._entries.items()):
             self._keep(ConnectionId(port, cid, endpoint))
 
     def tick(self, tick: int) -> None:
@@ -110,6 +119,8 @@
         if tick - self._looked_at < LOOK_TICKS:
             return
         self._looked_at = tick
+        if self._draining and self._fleet.me not in self._fleet.owners:
+            self._hand_over()
         for flow in list(self._learnt):
             if flow.heard - flow.opened >= self._publish_after:
                 self.publish(flow)
--- a/tests/relay_directory_test.py
+++ b/tests/relay_directory_test.py
@@ -48,6 +48,23 @@
         say_all(net, "still here")
         self.assertEqual([], self._moved(net))
 
+    def test_replaced(self):
+        """A keeper leaves in order and gives its ids on.
+
+        Left with one keeper, an id would be lost with that one, and a caller
+        that moves afterwards would not find its endpoint. The order to stop
+        may come before the view in which the ring leaves the VM out.
+        """
+        net = opened(vms=5)
+        net.keep_alive(CALLERS, REPLICATED_S)
+        net.relays[2].drain()
+        net.advance(1.0)
+        net.declare_leaving(2)
+        net.keep_alive(CALLERS, 3.0)
+        net.kill(2)
+        kept = sum(len(core.directory) for core in net.relays.values())
+        self.assertEqual(2 * len(CALLERS), kept)
+
     def test_unknown_id(self):
         """A stranger's connection id leads to the default endpoint at most.
 
