--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -61,7 +61,6 @@
     """Why a flow's first packets were tried at another endpoint."""
 
     UNANSWERED = "unanswered"
-    UNREACHABLE = "unreachable"
 
 
 class RepathReason(str, enum.Enum):
--- a/src/pollenmast/relay/_directory.py
+++ b/src/pollenmast/relay/_directory.py
@@ -47,7 +47,7 @@
 
 MOST_ENTRIES = 200_000
 """Ids kept; the oldest fall out. Twice a VM's sessions at the size of two
-years' time, at two keepers each; about 30 MB when full."""
+years' time, at two keepers each; 35 MB when full (trial)."""
 
 LOOK_TICKS = TICKS_PER_S // 2
 """Between two looks at young flows, in ticks."""
--- a/src/pollenmast/relay/_endpoint_loads.py
+++ b/src/pollenmast/relay/_endpoint_loads.py
@@ -8,9 +8,10 @@
 from pollenmast.relay._table import FlowTable
 
 ENDPOINTS_PER_S = 200.0
-"""Endpoints that reports name in a second, on average; 20 microseconds of an
-agent's processor each (`python -m bench run capacity`). At 11,000 endpoints,
-naming all twice a second took the agent 6% of a core."""
+"""Endpoints that reports name in a second, on average; 2 to 3 microseconds
+of an agent's processor each (`python -m bench run capacity`). At 11,000
+endpoints, naming all twice a second takes the agent 5 to 6% of a core, by the
+slope of that bench."""
 
 
 class EndpointLoads:
--- a/src/pollenmast/relay/_history.py
+++ b/src/pollenmast/relay/_history.py
@@ -6,7 +6,7 @@
 
 KEPT = 4096
 """Decisions kept; at 41 new flows a second that is more than a minute and a
-half, and below 2 MB."""
+half, and 1 MB (trial)."""
 
 MOST_LINES = 50
 
--- a/src/pollenmast/relay/_openings.py
+++ b/src/pollenmast/relay/_openings.py
@@ -31,7 +31,8 @@
 MOST_OPENINGS = 20_000
 """Flows that may be opening at a time: at 41 new flows a second and 5 s to
 answer about 200 are usual, so a flood of half-opened flows meets this bound
-long before it hurts; at 1,300 bytes each it stays below 30 MB."""
+long before it hurts; with four datagrams of 1,300 bytes each it stays near 100
+MB at the worst."""
 
 MOST_DATAGRAMS = 4
 """First datagrams kept for a hold or a retry: an Initial may be split in two
--- a/src/pollenmast/relay/_readiness.py
+++ b/src/pollenmast/relay/_readiness.py
@@ -16,8 +16,7 @@
 FIRST_REPORTS_S = 3.0
 """Longest wait of a starting relay for a report of every endpoint, in seconds:
 six probe intervals. A VM that has just joined knows the manifest at once but
-not which endpoints drain by their own report; opening flows there gave a
-leaving upstream new work."""
+not which endpoints drain by their own report; it would open flows there."""
 
 FROZEN_S = 1.0
 """A gap between two ticks from which the process counts as frozen: 50 ticks of
--- a/src/pollenmast/relay/_routing.py
+++ b/src/pollenmast/relay/_routing.py
@@ -44,7 +44,9 @@
 """Questions a second to other VMs. A flood of packets of sessions that never
 were would otherwise become three times its size between the VMs. When one of
 9 VMs with 200,000 flows dies, each other one has 25,000 to ask about, which
-then takes 5 s; a question costs about 30 microseconds of processor."""
+then takes 5 s. Sealing, opening and reading one such datagram takes 7 to 12
+microseconds (`python -m bench run capacity`), and a question is passed on up
+to four times."""
 
 
 class Routing:
--- a/src/pollenmast/relay/_sockets.py
+++ b/src/pollenmast/relay/_sockets.py
@@ -1,9 +1,8 @@
 """The relay's UDP sockets, and the loops that pass packets between them.
 
 Sockets are read without waiting, in bounded batches, after the runtime says
-that one of them is readable. A socket object of the runtime's own costs 11 to
-13 microseconds a packet, this a good two more than the bare system calls
-(`python -m bench run packet_path`).
+that one of them is readable. The bench `packet_path` shows what that adds to
+the bare system calls; docs/DESIGN.md, why no socket objects of the runtime.
 """
 
 import select
@@ -26,7 +25,8 @@
 
 BATCH = 64
 """Datagrams read from one socket in a row, so that one busy socket does not
-starve the others: at 5 microseconds each, a third of a millisecond."""
+starve the others: at 2 to 5 microseconds each, at most a third of a
+millisecond."""
 
 ROUNDS = 8
 """Rounds over all readable sockets before other tasks get their turn."""
--- a/src/pollenmast/relay/_upkeep.py
+++ b/src/pollenmast/relay/_upkeep.py
@@ -22,8 +22,8 @@
 from pollenmast.settings import RelaySettings
 
 SLICE = 2_000
-"""Flows looked at in a tick of 20 ms: 200,000 flows in 2 s, at about 1 ms of
-processor a slice."""
+"""Flows looked at in a tick of 20 ms: 200,000 flows in 2 s, at some percent of
+a core (`python -m bench run capacity`)."""
 
 PASS_S = 0.5
 """Least time from one pass to the next. What a pass looks for takes seconds to
@@ -31,7 +31,7 @@
 
 CHECKED_SLICE = 200
 """The same while each flow's owner or default is computed anew, after a change
-of members or of the manifest: 5 to 15 microseconds a flow."""
+of members or of the manifest, which takes many times as long a flow."""
 
 GUESS_S = 5.0
 """Time in which the default endpoint must answer for a flow that was guessed;
