--- a/src/pollenmast/agent/_list_loop.py
+++ b/src/pollenmast/agent/_list_loop.py
@@ -5,8 +5,8 @@
 
 from pollenmast.agent._gossip_loop import GossipLoop
 from pollenmast.agent._node import Node
+from pollenmast.configuration import Platform
 from pollenmast.decisions import _readers
-from pollenmast.platform import Platform
 
 ALONE_S = 2.0
 """Between two reads while no other VM is known, in seconds."""
--- a/src/pollenmast/agent/_manifest_loop.py
+++ b/src/pollenmast/agent/_manifest_loop.py
@@ -5,12 +5,12 @@
 
 from pollenmast import events, manifest
 from pollenmast.agent._node import Node
+from pollenmast.configuration import Platform
 from pollenmast.counters import MANIFESTS, ManifestOutcome
 from pollenmast.decisions import _readers
 from pollenmast.decisions._acceptance import ManifestKey
 from pollenmast.peers._fetch import Fetcher
 from pollenmast.peers._messages import Vm
-from pollenmast.platform import Platform
 
 ROLE_CHECK_S = 1.0
 """How soon a VM notices that it has become a watcher, in seconds."""
--- a/src/pollenmast/agent/_program.py
+++ b/src/pollenmast/agent/_program.py
@@ -15,10 +15,10 @@
 from pollenmast.agent._node import Node, new_node
 from pollenmast.agent._probe_loop import ProbeLoop
 from pollenmast.agent._shutdown import Shutdown
+from pollenmast.configuration import HttpPlatform
 from pollenmast.peers._fetch import Fetcher, FetchServer
 from pollenmast.peers._gossip_socket import GossipSocket, bind
 from pollenmast.peers._link import Link
-from pollenmast.platform import HttpPlatform
 from pollenmast.settings import Settings
 
 EXIT_FAILED = 1
--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -23,6 +23,48 @@
     SEND_FAILED = "send_failed"
     FLOW_TABLE_FULL = "flow_table_full"
     CALLER_SILENT = "caller_silent"
+    MALFORMED = "malformed"
+    """Too short, or its length field does not fit."""
+
+    NO_ROUTE_YET = "no_route_yet"
+    """No route is known, by a configuration too old to say that none is."""
+
+    NO_ENDPOINT_YET = "no_endpoint_yet"
+    """No endpoint is known, by a list too old to say that there is none."""
+
+    UNKNOWN_TOKEN = "unknown_token"
+    """The packet names an endpoint that this VM does not know."""
+
+    BACKLOG = "backlog"
+    """A SYN that waited through a pause; its client has gone on."""
+
+
+class ResetReason(str, enum.Enum):
+    """Why a client was told that its flow has ended."""
+
+    NO_ROUTE = "no_route"
+    NO_ENDPOINT = "no_endpoint"
+    ENDPOINT_DOWN = "endpoint_down"
+    """Segments went unanswered and then a health check did."""
+
+    ENDPOINT_GONE = "endpoint_gone"
+    """The endpoint has left the directory and answers no more."""
+
+    ROUTE_REMOVED = "route_removed"
+
+
+class PlacementReason(str, enum.Enum):
+    """Why a new flow went where it went."""
+
+    OWN_ZONE = "own_zone"
+    OTHER_ZONE = "other_zone"
+    """The own zone has no endpoint with room."""
+
+    RETRY = "retry"
+    """A copy of a SYN: another endpoint than the one that did not answer."""
+
+    LAST_RESORT = "last_resort"
+    """Every endpoint is doubted; the least doubtful one is tried."""
 
 
 class EnvelopeFault(str, enum.Enum):
@@ -149,6 +191,18 @@
 TRANSFERS = CounterDefinition(
     "transfers", "{flow}", "Flows handed over on a planned stop."
 )
+RESETS = CounterDefinition(
+    "resets", "{flow}", "Flows ended towards the client.", _all(ResetReason)
+)
+PLACEMENTS = CounterDefinition(
+    "placements",
+    "{flow}",
+    "Flows placed by the packets' token.",
+    _all(PlacementReason),
+)
+SEGMENTS = CounterDefinition(
+    "segments", "{packet}", "Packets sent to the endpoint they name."
+)
 CONTROL_BYTES = CounterDefinition(
     "control_bytes",
     "By",
@@ -185,4 +239,7 @@
     MANIFESTS,
     PROBES,
     PLATFORM_CALLS,
+    RESETS,
+    PLACEMENTS,
+    SEGMENTS,
 )
--- /dev/null
+++ b/src/pollenmast/entry/_checks.py
@@ -0,0 +1,100 @@
+"""Asks doubted endpoints for their health, and ends the flows of dead ones."""
+
+import anyio
+import anyio.abc
+
+from pollenmast.counters import PROBES, Counters
+from pollenmast.entry._packets import PacketLoop
+from pollenmast.entry._pause import PauseWatch
+from pollenmast.entry._ports import HealthProbe
+from pollenmast.events import (
+    ENDPOINT_DOWN,
+    ENDPOINT_GONE,
+    ENDPOINT_UP,
+    EventLog,
+)
+from pollenmast.steering import CheckResult, Presence, Record, Steering
+
+TICK_S = 0.05
+"""Between two looks at which checks are due: a quarter of the clients' first
+retransmission time."""
+
+MOST_CHECKS = 16
+"""Checks under way at the same time; a whole zone of endpoints can become
+doubtful at once, and each check takes a descriptor and a little time."""
+
+
+class Checker:
+    """Makes the checks that steering asks for."""
+
+    def __init__(
+        self,
+        probe: HealthProbe,
+        steering: Steering,
+        packets: PacketLoop,
+        pauses: PauseWatch,
+        counters: Counters,
+        log: EventLog,
+    ):
+        self._probe = probe
+        self._steering = steering
+        self._packets = packets
+        self._pauses = pauses
+        self._counters = counters
+        self._log = log
+        self._under_way: set[str] = set()
+
+    async def run(self) -> None:
+        """Checks until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                now = anyio.current_time()
+                for record in self._steering.due_checks(now):
+                    self._begin(record, tasks)
+                await anyio.sleep(TICK_S)
+
+    def _begin(self, record: Record, tasks: anyio.abc.TaskGroup) -> None:
+        name = record.endpoint.name
+        if name in self._under_way or len(self._under_way) >= MOST_CHECKS:
+            return
+        self._under_way.add(name)
+        tasks.start_soon(self._check, record)
+
+    async def _check(self, record: Record) -> None:
+        endpoint = record.endpoint
+        table = self._steering.table
+        paths = table.health_paths if table is not None else {}
+        pauses = self._pauses.count
+        try:
+            result = await self._probe.check(
+                endpoint, paths.get(endpoint.service, "/")
+            )
+        finally:
+            self._under_way.discard(endpoint.name)
+        failed = result in (CheckResult.TIMEOUT, CheckResult.REFUSED)
+        self._counters.add(PROBES, "failed" if failed else "answered")
+        if result is CheckResult.TIMEOUT and self._pauses.count != pauses:
+            # This VM stood still meanwhile: its own clock ran out, which
+            # says nothing of the endpoint.
+            return
+        self._take(record, result)
+
+    def _take(self, record: Record, result: CheckResult) -> None:
+        was_down = record.health.down
+        before = record.presence
+        resets = self._steering.on_check(record, result, anyio.current_time())
+        fields = {
+            "endpoint": record.endpoint.name,
+            "service": record.endpoint.service,
+            "zone": record.endpoint.zone,
+            "check": result,
+            "presence": record.presence,
+            "flows": len(resets),
+        }
+        if record.presence is Presence.GONE and before is not Presence.GONE:
+            self._log.write(ENDPOINT_GONE, **fields)
+        elif record.health.down and not was_down:
+            self._log.write(ENDPOINT_DOWN, **fields)
+        elif was_down and not record.health.down:
+            self._log.write(ENDPOINT_UP, **fields)
+        self._packets.end(resets)
--- /dev/null
+++ b/src/pollenmast/entry/_follow.py
@@ -0,0 +1,142 @@
+"""Follows the directory of endpoints and routes.
+
+Load pattern: the directory is down, slow, loses answers, drops its history
+or turns this VM away, for seconds, and the connection to it may fall silent
+for good while new ones work. A VM that did not notice would go on placing
+flows on endpoints that have left, and callers would wait for nobody.
+
+So each watch is short and has a timeout of its own: an answer at least every
+two seconds is the proof that the beliefs are current.
+"""
+
+import anyio
+from result import Err
+
+from pollenmast.events import (
+    ENDPOINT_CHANGED,
+    ENDPOINT_LAPSED,
+    ENTRY_REFUSED,
+    HISTORY_GONE,
+    PLATFORM_BACK,
+    PLATFORM_LOST,
+    ROUTES_IN_FORCE,
+    EventLog,
+)
+from pollenmast.steering import (
+    Directory,
+    DirectoryFault,
+    Presence,
+    Steering,
+    Update,
+)
+
+WATCH_S = 2.0
+"""Length of one watch. A connection that fell silent is noticed half a second
+after that, inside the three seconds for a change of configuration."""
+
+FIRST_RETRY_S = 0.1
+"""Pause after the first failure; it doubles up to the next figure."""
+
+MOST_RETRY_S = 0.8
+"""The longest pause: the return of the directory is seen within it, and a
+thousand VMs at this pace are within its rate of reads."""
+
+
+class Follower:
+    """Keeps the beliefs of one VM up to date."""
+
+    def __init__(self, directory: Directory, steering: Steering, log: EventLog):
+        self._directory = directory
+        self._steering = steering
+        self._log = log
+        self._read = False
+        self._pause_s = 0.0
+        self._lost_at: float | None = None
+        self._scope: anyio.CancelScope | None = None
+
+    @property
+    def lost_at(self) -> float | None:
+        """Since when the directory does not answer, or None."""
+        return self._lost_at
+
+    def refresh(self) -> None:
+        """Asks again at once, over new connections."""
+        self._pause_s = 0.0
+        if self._scope is not None:
+            self._scope.cancel()
+
+    async def run(self) -> None:
+        """Follows the directory until cancelled."""
+        self._lost_at = anyio.current_time()
+        while True:
+            with anyio.CancelScope() as self._scope:
+                await self._step()
+
+    def take(self, update: Update, source: str) -> None:
+        """Takes in what the directory or a peer has told."""
+        now = anyio.current_time()
+        applied = self._steering.apply(update, now)
+        for refused in update.refused:
+            self._log.write(ENTRY_REFUSED, entry=refused, source=source)
+        if applied.table is not None:
+            self._log.write(
+                ROUTES_IN_FORCE,
+                version=applied.table.version,
+                routes=len(applied.table.routes),
+                revision=update.revision,
+                source=source,
+            )
+        for record in applied.records:
+            lapsed = record.presence is Presence.LAPSED
+            self._log.write(
+                ENDPOINT_LAPSED if lapsed else ENDPOINT_CHANGED,
+                endpoint=record.endpoint.name,
+                service=record.endpoint.service,
+                zone=record.endpoint.zone,
+                draining=record.endpoint.draining,
+                revision=record.revision,
+                source=source,
+            )
+
+    async def _step(self) -> None:
+        # The revision may be a peer's: a watch from there is complete too.
+        if self._read or self._steering.revision:
+            answer = await self._directory.watch(
+                self._steering.revision, WATCH_S
+            )
+        else:
+            answer = await self._directory.read()
+        if isinstance(answer, Err):
+            await self._on_fault(answer.err_value)
+            return
+        self._read = True
+        self._on_answer(answer.ok_value)
+
+    def _on_answer(self, update: Update) -> None:
+        now = anyio.current_time()
+        self._pause_s = 0.0
+        if self._lost_at is not None:
+            away = now - self._lost_at
+            self._lost_at = None
+            self._steering.on_return(now)
+            self._log.write(
+                PLATFORM_BACK, away_s=round(away, 3), revision=update.revision
+            )
+        self.take(update, "directory")
+        self._steering.on_confirmed(now)
+
+    async def _on_fault(self, fault: DirectoryFault) -> None:
+        if fault is DirectoryFault.HISTORY_GONE:
+            self._log.write(HISTORY_GONE, revision=self._steering.revision)
+            answer = await self._directory.read()
+            if not isinstance(answer, Err):
+                self._on_answer(answer.ok_value)
+                return
+            fault = answer.err_value
+        if self._lost_at is None:
+            self._lost_at = anyio.current_time()
+            self._log.write(PLATFORM_LOST, fault=fault)
+        self._pause_s = min(
+            max(2.0 * self._pause_s, FIRST_RETRY_S), MOST_RETRY_S
+        )
+        await anyio.sleep(self._pause_s)
--- /dev/null
+++ b/src/pollenmast/entry/_peers.py
@@ -0,0 +1,80 @@
+"""Asks other VMs for endpoints and routes while the directory is away.
+
+Load pattern: the directory is down, or turns this VM away, and many VMs are
+restarted meanwhile. Without peers a VM that has just started knows nothing
+until the directory is back, and a VM that runs falls behind the others.
+"""
+
+import anyio
+from result import Err
+
+from pollenmast import http1
+from pollenmast.entry import _snapshot as snapshot
+from pollenmast.entry._follow import Follower
+from pollenmast.entry._ports import Address
+from pollenmast.events import PEER_TOLD, EventLog
+from pollenmast.steering import Steering
+
+PATH = "/snapshot"
+
+PATIENCE_S = 0.7
+"""The directory's outage from which peers are asked: a few of its answers."""
+
+EVERY_S = 1.0
+"""Between two rounds of questions."""
+
+TIMEOUT_S = 0.4
+"""A peer in the region answers within milliseconds, or is down or cut off."""
+
+_OK = 200
+
+
+class PeerReader:
+    """Asks the seeds, one after the other."""
+
+    def __init__(
+        self,
+        seeds: tuple[Address, ...],
+        own: Address | None,
+        steering: Steering,
+        follower: Follower,
+        log: EventLog,
+    ):
+        self._seeds = [seed for seed in seeds if seed != own]
+        self._steering = steering
+        self._follower = follower
+        self._log = log
+
+    async def run(self) -> None:
+        """Asks whenever the directory is away, until cancelled."""
+        while True:
+            lost_at = self._follower.lost_at
+            now = anyio.current_time()
+            if lost_at is not None and now - lost_at >= PATIENCE_S:
+                await self._ask_all()
+            await anyio.sleep(EVERY_S if self._steering.ready else 0.2)
+
+    async def _ask_all(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            for seed in self._seeds:
+                tasks.start_soon(self._ask, seed)
+
+    async def _ask(self, seed: Address) -> None:
+        connection = http1.Connection(*seed)
+        target = f"{PATH}?after={self._steering.revision}"
+        try:
+            answer = await connection.get(target, TIMEOUT_S)
+        finally:
+            await connection.aclose()
+        if isinstance(answer, Err) or answer.ok_value.status != _OK:
+            return
+        told = snapshot.decode(answer.ok_value.body)
+        source = f"{seed[0]}:{seed[1]}"
+        if isinstance(told, Err):
+            self._log.write(PEER_TOLD, peer=source, fault=told.err_value)
+            return
+        update = told.ok_value
+        if update.revision <= self._steering.revision:
+            return
+        self._log.write(PEER_TOLD, peer=source, revision=update.revision)
+        self._follower.take(update, source)
--- /dev/null
+++ b/src/pollenmast/entry/_ports.py
@@ -0,0 +1,90 @@
+"""What the program of a VM needs from the place it runs in."""
+
+import abc
+from collections.abc import Callable
+
+import attrs
+from result import Result
+
+from pollenmast.counters import DropReason
+from pollenmast.steering import (
+    CheckResult,
+    Directory,
+    Endpoint,
+    Reset,
+    Segment,
+)
+
+Address = tuple[str, int]
+
+
+@attrs.frozen
+class EntrySettings:
+    """The settings of one VM.
+
+    Attributes:
+        vm: The VM's name.
+        zone: Its availability zone.
+        packets: Where clients' datagrams arrive.
+        ready: Where readiness is asked for, over HTTP.
+        control: Where peers and operators ask, over HTTP, or None.
+        directory: Where endpoints and routes are published.
+        seeds: Control addresses of some VMs, that may be down.
+        grace_s: Seconds from the signal to stop until the process is killed.
+        ready_path: The path at which readiness is asked for.
+    """
+
+    vm: str
+    zone: str
+    packets: Address
+    ready: Address
+    control: Address | None
+    directory: Address
+    seeds: tuple[Address, ...]
+    grace_s: float
+    ready_path: str
+
+
+class PacketFormat(abc.ABC):
+    """How clients' packets look on the wire."""
+
+    @abc.abstractmethod
+    def decode(self, datagram: bytes) -> Result[Segment, DropReason]:
+        """Returns what a client's datagram says, or why it says nothing."""
+
+    @abc.abstractmethod
+    def for_endpoint(self, segment: Segment, endpoint: Endpoint) -> bytes:
+        """Returns the datagram that carries a segment to its endpoint."""
+
+    @abc.abstractmethod
+    def for_reset(self, reset: Reset) -> tuple[bytes, Address]:
+        """Returns a reset for a client and the address that it goes to."""
+
+    @abc.abstractmethod
+    def request_id(self, segment: Segment) -> str:
+        """Returns the id of the request that a segment begins, or empty."""
+
+
+class HealthProbe(abc.ABC):
+    """How an endpoint is asked whether it lives."""
+
+    @abc.abstractmethod
+    async def check(self, endpoint: Endpoint, path: str) -> CheckResult:
+        """Asks an endpoint; `path` is its service's."""
+
+
+@attrs.frozen
+class Ports:
+    """The outside world of one VM.
+
+    Attributes:
+        packets: The format of clients' packets.
+        directory: Where endpoints and routes are read.
+        probe: How endpoints are asked.
+        load: Reads the settings again.
+    """
+
+    packets: PacketFormat
+    directory: Directory
+    probe: HealthProbe
+    load: Callable[[], Result[EntrySettings, str]]
--- /dev/null
+++ b/src/pollenmast/entry/_program.py
@@ -0,0 +1,189 @@
+"""The program of a VM: joins socket, directory, peers, checks and signals."""
+
+import contextlib
+import gc
+import os
+import random
+import signal
+import sys
+from collections.abc import AsyncIterator
+
+import anyio
+import anyio.abc
+from result import Err
+
+from pollenmast import http1
+from pollenmast.counters import Counters
+from pollenmast.entry._checks import Checker
+from pollenmast.entry._follow import Follower
+from pollenmast.entry._packets import PacketLoop
+from pollenmast.entry._pause import PauseWatch
+from pollenmast.entry._peers import PeerReader
+from pollenmast.entry._ports import EntrySettings, Ports
+from pollenmast.entry._site import Site
+from pollenmast.events import (
+    PAUSED,
+    SETTINGS_REFUSED,
+    SETTINGS_RELOADED,
+    START_FAILED,
+    STARTED,
+    STOPPED,
+    STOPPING,
+    BoundedStream,
+    EventLog,
+    write_to,
+)
+from pollenmast.steering import Steering
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+"""The settings file cannot be used."""
+
+LEAVE_S = 1.8
+"""How long a stopping VM goes on carrying packets: readiness is asked twice a
+second and two refusals take a VM out; what is under way then still arrives
+for tenths of a second."""
+
+LEAVE_PART = 0.5
+"""The same as a part of the time until the process is killed, if less."""
+
+UPKEEP_S = 0.5
+"""Between two rounds of forgetting and of writing out the log."""
+
+
+class _Program:
+    """One running VM."""
+
+    def __init__(
+        self, settings: EntrySettings, ports: Ports, counters: Counters
+    ):
+        self._settings = settings
+        self._ports = ports
+        self._stream = BoundedStream(sys.stdout.fileno())
+        write_to(self._stream)
+        self._log = EventLog("entry", settings.vm)
+        rng = random.Random(f"{settings.vm} {os.getpid()}")
+        self._steering = Steering(settings.zone, counters, rng)
+        self._site = Site(settings.ready_path, self._steering, counters)
+        self._pauses = PauseWatch()
+        self._packets = PacketLoop(
+            settings.packets,
+            ports.packets,
+            self._steering,
+            counters,
+            self._log,
+        )
+        self._follower = Follower(ports.directory, self._steering, self._log)
+        self._peers = PeerReader(
+            settings.seeds,
+            settings.control,
+            self._steering,
+            self._follower,
+            self._log,
+        )
+        self._checker = Checker(
+            ports.probe,
+            self._steering,
+            self._packets,
+            self._pauses,
+            counters,
+            self._log,
+        )
+
+    async def run(self) -> int:
+        """Runs until it is stopped; returns the exit code."""
+        signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*signals) as received:
+            self._log.write(STARTED, zone=self._settings.zone, pid=os.getpid())
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._follower.run)
+                await self._listen(tasks)
+                tasks.start_soon(self._packets.run)
+                tasks.start_soon(self._peers.run)
+                tasks.start_soon(self._checker.run)
+                tasks.start_soon(self._pauses.run, self._on_pause)
+                tasks.start_soon(self._upkeep)
+                await self._obey(received)
+                tasks.cancel_scope.cancel()
+        self._packets.close()
+        self._log.write(STOPPED, flows=len(self._steering.flows))
+        self._log.flush()
+        self._stream.flush()
+        return EXIT_OK
+
+    async def _listen(self, tasks: anyio.abc.TaskGroup) -> None:
+        addresses = {self._settings.ready}
+        if self._settings.control is not None:
+            addresses.add(self._settings.control)
+        for host, port in addresses:
+            listener = await anyio.create_tcp_listener(
+                local_host=host, local_port=port, backlog=64
+            )
+            tasks.start_soon(http1.serve, listener, self._site.answer)
+
+    async def _obey(self, received: AsyncIterator[int]) -> None:
+        """Handles signals; returns when it is time to end."""
+        async for number in received:
+            if number != signal.SIGHUP:
+                break
+            self._reload()
+        leave_s = min(LEAVE_S, LEAVE_PART * self._settings.grace_s)
+        self._site.stop()
+        self._log.write(STOPPING, leave_s=leave_s)
+        with anyio.move_on_after(leave_s):
+            async for number in received:
+                if number != signal.SIGHUP:
+                    return
+
+    def _reload(self) -> None:
+        """Reads the settings again; they only matter at the next start.
+
+        Addresses and the availability zone of a running VM do not change, so
+        the signal is answered by a check that the file is still valid.
+        """
+        loaded = self._ports.load()
+        if isinstance(loaded, Err):
+            self._log.write(SETTINGS_REFUSED, fault=loaded.err_value)
+            return
+        self._log.write(
+            SETTINGS_RELOADED, changed=loaded.ok_value != self._settings
+        )
+
+    def _on_pause(self, gap_s: float) -> None:
+        self._log.write(PAUSED, gap_s=round(gap_s, 3))
+        self._packets.on_pause()
+        self._follower.refresh()
+
+    async def _upkeep(self) -> None:
+        while True:
+            await anyio.sleep(UPKEEP_S)
+            self._steering.tick(anyio.current_time())
+            self._stream.flush()
+
+
+def run(settings: EntrySettings, ports: Ports, counters: Counters) -> int:
+    """Runs the program of a VM until it is stopped.
+
+    Returns:
+        The exit code: 0 after a graceful shutdown, 1 if it could not start.
+    """
+    # Start-up objects live as long as the process; walking them again in
+    # each collection would only delay packets.
+    gc.collect()
+    gc.freeze()
+    return anyio.run(_run, settings, ports, counters)
+
+
+async def _run(
+    settings: EntrySettings, ports: Ports, counters: Counters
+) -> int:
+    try:
+        return await _Program(settings, ports, counters).run()
+    except* OSError as group:
+        log = EventLog("entry", settings.vm)
+        for error in group.exceptions:
+            log.write(START_FAILED, error=str(error))
+        with contextlib.suppress(OSError):
+            sys.stdout.flush()
+    return EXIT_FAILED
--- /dev/null
+++ b/src/pollenmast/entry/_site.py
@@ -0,0 +1,60 @@
+"""What a VM answers over HTTP: readiness, peers' questions, metrics."""
+
+import urllib.parse
+
+from pollenmast import http1
+from pollenmast.counters import Counters
+from pollenmast.entry import _peers as peers
+from pollenmast.entry import _snapshot as snapshot
+from pollenmast.http1 import Answer, Request
+from pollenmast.steering import Steering
+
+METRICS_PATH = "/metrics"
+
+_NOT_FOUND = Answer(404, b"not found\n")
+_NOTHING_NEWER = Answer(204)
+
+
+class Site:
+    """Answers for one VM."""
+
+    def __init__(self, ready_path: str, steering: Steering, counters: Counters):
+        self._ready_path = ready_path
+        self._steering = steering
+        self._counters = counters
+        self._stopping = False
+
+    def stop(self) -> None:
+        """From now on the VM is not ready: it is about to end."""
+        self._stopping = True
+
+    async def answer(self, request: Request) -> http1.Answer:
+        """Answers one request."""
+        url = urllib.parse.urlsplit(request.target)
+        if url.path == self._ready_path:
+            return self._readiness()
+        if url.path == peers.PATH:
+            return self._snapshot(url.query)
+        if url.path == METRICS_PATH:
+            return self._metrics()
+        return _NOT_FOUND
+
+    def _readiness(self) -> Answer:
+        if self._steering.ready and not self._stopping:
+            return Answer(200, b"ready\n")
+        return Answer(503, b"not ready\n")
+
+    def _snapshot(self, query: str) -> Answer:
+        after = urllib.parse.parse_qs(query).get("after", ["0"])[0]
+        known = int(after) if after.isdecimal() else 0
+        if not self._steering.ready or self._steering.revision <= known:
+            return _NOTHING_NEWER
+        body = snapshot.encode(self._steering)
+        return Answer(200, body, "application/msgpack")
+
+    def _metrics(self) -> Answer:
+        lines = []
+        for name, reason, value in self._counters.items():
+            labels = f'{{reason="{reason}"}}' if reason else ""
+            lines.append(f"pollenmast_{name}_total{labels} {value}\n")
+        return Answer(200, "".join(lines).encode())
--- a/src/pollenmast/events/_catalogue.py
+++ b/src/pollenmast/events/_catalogue.py
@@ -149,6 +149,94 @@
     512, "relay_heard", "The relay of this VM reports again.", "Nothing."
 )
 
+PAUSED = Event(
+    108,
+    "paused",
+    "The VM stood still for `gap_s` seconds; its beliefs are read anew.",
+    "Look at the VM if this recurs.",
+)
+SETTINGS_RELOADED = Event(
+    109, "settings_reloaded", "The settings file was read again.", "Nothing."
+)
+SETTINGS_REFUSED = Event(
+    110,
+    "settings_refused",
+    "A changed settings file is invalid; the settings in force stay.",
+    "Mend the file at the named field.",
+)
+FLOW_PLACED = Event(
+    201,
+    "flow_placed",
+    "A new flow was sent to `endpoint`; `reason` says why there.",
+    "Nothing. `retry` means that the endpoints in `tried` did not answer.",
+)
+FLOW_RESET = Event(
+    202,
+    "flow_reset",
+    "A client was told that its flow has ended; `reason` says why.",
+    "Look at the endpoint, or for `no_route` at the configuration.",
+)
+SEGMENT_DROPPED = Event(
+    203,
+    "segment_dropped",
+    "A client's packet was thrown away without an answer.",
+    "Look at `reason`; `unknown_token` names an endpoint not known here.",
+)
+REQUEST_CARRIED = Event(
+    204,
+    "request_carried",
+    "A request's first packet was sent to `endpoint`.",
+    "Nothing. It joins a request's id to its flow.",
+)
+ENDPOINT_CHANGED = Event(
+    303,
+    "endpoint_changed",
+    "The directory lists an endpoint, or lists it differently.",
+    "Nothing.",
+)
+ENDPOINT_LAPSED = Event(
+    304,
+    "endpoint_lapsed",
+    "An endpoint's entry has vanished; it may come back.",
+    "Look at the endpoint, unless it was meant to stop.",
+)
+ENDPOINT_DOWN = Event(
+    305,
+    "endpoint_down",
+    "An endpoint answers neither clients nor a health check.",
+    "Look at the endpoint and the network towards it.",
+)
+ENDPOINT_UP = Event(
+    306, "endpoint_up", "An endpoint answers again.", "Nothing."
+)
+ENDPOINT_GONE = Event(
+    307,
+    "endpoint_gone",
+    "An endpoint that vanished does not answer; its flows were ended.",
+    "Nothing, if it was meant to stop.",
+)
+ROUTES_IN_FORCE = Event(
+    421, "routes_in_force", "A configuration came into force.", "Nothing."
+)
+ENTRY_REFUSED = Event(
+    422,
+    "entry_refused",
+    "An entry or configuration could not be understood; the rest holds.",
+    "Look who wrote the entry.",
+)
+HISTORY_GONE = Event(
+    423,
+    "history_gone",
+    "The directory has dropped its history; everything is read anew.",
+    "Nothing.",
+)
+PEER_TOLD = Event(
+    424,
+    "peer_told",
+    "While the directory is away a peer told what it knows.",
+    "Nothing.",
+)
+
 CATALOGUE: tuple[Event, ...] = (
     STARTED,
     STOPPING,
@@ -175,4 +263,20 @@
     REFRESH_ENDED,
     RELAY_SILENT,
     RELAY_HEARD,
+    PAUSED,
+    SETTINGS_RELOADED,
+    SETTINGS_REFUSED,
+    FLOW_PLACED,
+    FLOW_RESET,
+    SEGMENT_DROPPED,
+    REQUEST_CARRIED,
+    ENDPOINT_CHANGED,
+    ENDPOINT_LAPSED,
+    ENDPOINT_DOWN,
+    ENDPOINT_UP,
+    ENDPOINT_GONE,
+    ROUTES_IN_FORCE,
+    ENTRY_REFUSED,
+    HISTORY_GONE,
+    PEER_TOLD,
 )
--- a/src/pollenmast/events/_log.py
+++ b/src/pollenmast/events/_log.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable
-from typing import TextIO
+from typing import IO
 
 import attrs
 import eliot
@@ -77,10 +77,10 @@
         )
 
 
-_streams: list[TextIO] = []
+_streams: list[IO] = []
 
 
-def write_to(stream: TextIO) -> None:
+def write_to(stream: IO) -> None:
     """Sends the lines of this process to a stream, one JSON object a line.
 
     A second call for the same stream does nothing.
--- a/src/pollenmast/http1/_client.py
+++ b/src/pollenmast/http1/_client.py
@@ -18,6 +18,9 @@
 
     TIMEOUT = "timeout"
     UNREACHABLE = "unreachable"
+    REFUSED = "refused"
+    """Nothing listens at the address."""
+
     PROTOCOL = "protocol"
     OVERSIZED = "oversized"
 
@@ -29,10 +32,12 @@
     Attributes:
         status: The status code.
         body: The content.
+        headers: Names in lower case, and values.
     """
 
     status: int
     body: bytes
+    headers: dict[str, str] = attrs.field(factory=dict)
 
 
 class _TooLargeError(Exception):
@@ -78,6 +83,17 @@
         await self.aclose()
         return Err(HttpFault.TIMEOUT)
 
+    async def connect(self, timeout_s: float) -> Result[None, HttpFault]:
+        """Opens the connection, for callers to whom it alone says something."""
+        await self.aclose()
+        with anyio.move_on_after(timeout_s):
+            try:
+                await self._open()
+            except OSError as error:
+                return Err(_connect_fault(error))
+            return Ok(None)
+        return Err(HttpFault.TIMEOUT)
+
     async def aclose(self) -> None:
         """Closes the connection; the next request opens another."""
         stream, self._stream = self._stream, None
@@ -108,8 +124,7 @@
 
     async def _exchange(self, target: str) -> Response:
         if self._stream is None:
-            self._stream = await anyio.connect_tcp(self._address, self._port)
-            self._protocol = h11.Connection(h11.CLIENT)
+            await self._open()
         request = h11.Request(
             method="GET",
             target=target,
@@ -121,8 +136,13 @@
         await self._stream.send(data)
         return await self._read()
 
+    async def _open(self) -> None:
+        self._stream = await anyio.connect_tcp(self._address, self._port)
+        self._protocol = h11.Connection(h11.CLIENT)
+
     async def _read(self) -> Response:
         status, parts, size, begun = 0, [], 0, False
+        headers: dict[str, str] = {}
         while True:
             event = self._protocol.next_event()
             if event is h11.NEED_DATA:
@@ -135,13 +155,17 @@
                 self._protocol.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                headers = {
+                    name.decode("latin-1"): value.decode("latin-1")
+                    for name, value in event.headers
+                }
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > self._most:
                     raise _TooLargeError
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return Response(status, b"".join(parts))
+                return Response(status, b"".join(parts), headers)
             elif isinstance(event, h11.ConnectionClosed):
                 raise anyio.EndOfStream
 
@@ -157,3 +181,10 @@
             self._protocol.start_next_cycle()
         else:
             await self.aclose()
+
+
+def _connect_fault(error: OSError) -> HttpFault:
+    causes = (error, error.__cause__)
+    if any(isinstance(cause, ConnectionRefusedError) for cause in causes):
+        return HttpFault.REFUSED
+    return HttpFault.UNREACHABLE
--- a/src/pollenmast/platform/__init__.py
+++ b/src/pollenmast/platform/__init__.py
@@ -1,9 +1,7 @@
-"""Towards the platform: the manifest and the list of VMs, read and watched."""
+"""The users' platform: its packets, store, settings, and nothing else."""
 
-from pollenmast.platform._client import (
-    HttpPlatform,
-    Platform,
-    PlatformFault,
-)
+from pollenmast.platform._packet import PlatformPackets
+from pollenmast.platform._settings import read_settings
+from pollenmast.platform._store import StoreDirectory
 
-__all__ = ["HttpPlatform", "Platform", "PlatformFault"]
+__all__ = ["PlatformPackets", "StoreDirectory", "read_settings"]
--- /dev/null
+++ b/src/pollenmast/platform/_probe.py
@@ -0,0 +1,48 @@
+"""Asks an endpoint of the platform for its health."""
+
+from result import Err
+
+from pollenmast import http1
+from pollenmast.entry import HealthProbe
+from pollenmast.http1 import HttpFault
+from pollenmast.steering import CheckResult, Endpoint
+
+CONNECT_TIMEOUT_S = 0.15
+"""A connection in the region opens in about 2 ms; a lost first packet would
+be sent again only after a second, so it is no use to wait for that."""
+
+ANSWER_TIMEOUT_S = 0.6
+"""A check waits for one of the endpoint's slots behind its queue, about 0.2 s
+when it is full."""
+
+_NAME_HEADER = "x-endpoint-id"
+_OK = 200
+
+
+class EndpointProbe(HealthProbe):
+    """Asks over a connection of its own: kept ones can fall silent."""
+
+    async def check(self, endpoint: Endpoint, path: str) -> CheckResult:
+        """Asks an endpoint; `path` is its service's."""
+        connection = http1.Connection(endpoint.host, endpoint.port)
+        try:
+            return await self._ask(connection, endpoint, path)
+        finally:
+            await connection.aclose()
+
+    async def _ask(
+        self, connection: http1.Connection, endpoint: Endpoint, path: str
+    ) -> CheckResult:
+        opened = await connection.connect(CONNECT_TIMEOUT_S)
+        if isinstance(opened, Err):
+            refused = opened.err_value is HttpFault.REFUSED
+            return CheckResult.REFUSED if refused else CheckResult.TIMEOUT
+        answer = await connection.get(path, ANSWER_TIMEOUT_S)
+        if isinstance(answer, Err):
+            # Its machine took the connection: it lives, and is busy.
+            return CheckResult.UNHEALTHY
+        name = answer.ok_value.headers.get(_NAME_HEADER, endpoint.name)
+        if name != endpoint.name:
+            return CheckResult.OTHER
+        healthy = answer.ok_value.status == _OK
+        return CheckResult.ANSWERED if healthy else CheckResult.UNHEALTHY
--- /dev/null
+++ b/src/pollenmast/platform/_settings.py
@@ -0,0 +1,71 @@
+"""The platform's settings file: lines of the form a.b=value."""
+
+from result import Err, Ok, Result
+
+from pollenmast.entry import EntrySettings
+
+SETTINGS_VARIABLE = "POLLENMAST_CONFIG"
+"""The environment variable that holds the file's path."""
+
+READINESS_PATH = "/readiness"
+
+
+def read_settings(text: str) -> Result[EntrySettings, str]:
+    """Returns the settings, or what is wrong with them."""
+    fields = dict(_pairs(text))
+    try:
+        return Ok(
+            EntrySettings(
+                vm=_field(fields, "nodeId"),
+                zone=_field(fields, "zone"),
+                packets=_address(fields, "listenAddrs.datagramAddr"),
+                ready=_address(fields, "listenAddrs.ready"),
+                control=_optional_address(fields, "listenAddrs.control"),
+                directory=_address(fields, "platform.address"),
+                seeds=_seeds(fields),
+                # The SIGTERM to SIGKILL time, in whole seconds or a fraction.
+                grace_s=float(fields.get("bounds.graceS", "6")),
+                ready_path=READINESS_PATH,
+            )
+        )
+    except ValueError as error:
+        return Err(str(error))
+
+
+def _pairs(text: str) -> list[tuple[str, str]]:
+    pairs = []
+    for line in text.splitlines():
+        name, equals, value = line.partition("=")
+        if equals:
+            pairs.append((name.strip(), value.strip()))
+    return pairs
+
+
+def _field(fields: dict[str, str], name: str) -> str:
+    value = fields.get(name, "")
+    if not value:
+        raise ValueError(f"{name} is missing")
+    return value
+
+
+def _address(fields: dict[str, str], name: str) -> tuple[str, int]:
+    return _split(_field(fields, name), name)
+
+
+def _optional_address(
+    fields: dict[str, str], name: str
+) -> tuple[str, int] | None:
+    value = fields.get(name, "")
+    return _split(value, name) if value else None
+
+
+def _seeds(fields: dict[str, str]) -> tuple[tuple[str, int], ...]:
+    listed = fields.get("seedNodes", "").split(",")
+    return tuple(_split(each, "seedNodes") for each in listed if each)
+
+
+def _split(text: str, name: str) -> tuple[str, int]:
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit():
+        raise ValueError(f"{name}: {text!r} is no address")
+    return host, int(port)
--- /dev/null
+++ b/src/pollenmast/platform/_store.py
@@ -0,0 +1,201 @@
+"""Reads and watches the platform's metadata store."""
+
+import base64
+import binascii
+import json
+import urllib.parse
+from typing import Any
+
+from result import Err, Ok, Result
+
+from pollenmast import http1
+from pollenmast.counters import CONTROL_BYTES, PLATFORM_CALLS, Counters
+from pollenmast.platform._entries import (
+    CONFIGURATION_KEY,
+    ENDPOINT_PREFIX,
+    parse_configuration,
+    parse_endpoint,
+)
+from pollenmast.steering import (
+    Change,
+    Directory,
+    DirectoryFault,
+    EndpointAnnounced,
+    EndpointRemoved,
+    RoutesPublished,
+    Update,
+)
+
+READ_TIMEOUT_S = 1.0
+"""The store answers in 4 ms; a second without an answer means that it is away
+or that the connection has been lost on the way, in seconds."""
+
+WATCH_MARGIN_S = 0.5
+"""How much longer than the asked wait a watch is given to answer."""
+
+MOST_BODY_BYTES = 2 << 20
+"""A page holds a megabyte of items, a third more as base64 text."""
+
+MOST_PAGES = 200
+"""Pages read in one go, 500 items each; far above the users' 11,000."""
+
+_EVERYTHING = ""
+"""Prefix of both the configuration and the endpoints; a watch of each would
+cost twice the calls."""
+
+_BUSY = (429, 503)
+_GONE = 410
+
+
+class StoreDirectory(Directory):
+    """The store, which lists the endpoints and the configuration.
+
+    Watches and reads have connections of their own, so that a read never
+    waits behind a watch.
+    """
+
+    def __init__(self, address: str, port: int, counters: Counters):
+        self._reader = http1.Connection(address, port, MOST_BODY_BYTES)
+        self._watcher = http1.Connection(address, port, MOST_BODY_BYTES)
+        self._counters = counters
+
+    async def read(self) -> Result[Update, DirectoryFault]:
+        """Returns everything that is published now.
+
+        Pages are not one snapshot: the answer is complete up to the revision
+        of the first, and a watch from there repeats what came meanwhile.
+        """
+        items: list[Any] = []
+        revision, after = None, ""
+        for _ in range(MOST_PAGES):
+            target = f"/kv-range?prefix={_EVERYTHING}{after}"
+            answer = await self._get(self._reader, target, READ_TIMEOUT_S)
+            if isinstance(answer, Err):
+                return answer
+            page = answer.ok_value
+            listed = page.get("items")
+            if not isinstance(listed, list):
+                return self._malformed()
+            items += listed
+            if revision is None:
+                revision = page.get("asOf")
+            if page.get("morePages") is not True:
+                break
+            last = listed[-1].get("key") if listed else None
+            if not isinstance(last, str):
+                return self._malformed()
+            after = f"&after={urllib.parse.quote(last, safe='')}"
+        return self._update(items, revision, whole=True)
+
+    async def watch(
+        self, after: int, wait_s: float
+    ) -> Result[Update, DirectoryFault]:
+        """Returns what changed after a revision, or nothing in time."""
+        target = (
+            f"/kv-watch?prefix={_EVERYTHING}"
+            f"&after={after}&waitMs={int(wait_s * 1000)}"
+        )
+        answer = await self._get(self._watcher, target, wait_s + WATCH_MARGIN_S)
+        if isinstance(answer, Err):
+            return answer
+        events = answer.ok_value.get("events")
+        if not isinstance(events, list):
+            return self._malformed()
+        return self._update(events, answer.ok_value.get("asOf"), whole=False)
+
+    def _update(
+        self, items: list[Any], revision: Any, *, whole: bool
+    ) -> Result[Update, DirectoryFault]:
+        if not isinstance(revision, int):
+            return self._malformed()
+        changes, refused = [], []
+        for item in items:
+            parsed = _change(item)
+            if isinstance(parsed, Ok):
+                if parsed.ok_value is not None:
+                    changes.append(parsed.ok_value)
+                continue
+            refused.append(parsed.err_value)
+            removed = _unusable(item)
+            if removed is not None:
+                changes.append(removed)
+        return Ok(Update(tuple(changes), revision, whole, tuple(refused)))
+
+    def _malformed(self) -> Err[DirectoryFault]:
+        self._counters.add(PLATFORM_CALLS, "malformed")
+        return Err(DirectoryFault.MALFORMED)
+
+    async def _get(
+        self, connection: http1.Connection, target: str, timeout_s: float
+    ) -> Result[dict[str, Any], DirectoryFault]:
+        before = connection.sent_bytes
+        response = await connection.get(target, timeout_s)
+        self._counters.add(
+            CONTROL_BYTES, "platform", connection.sent_bytes - before
+        )
+        if isinstance(response, Err):
+            self._counters.add(PLATFORM_CALLS, "failed")
+            return Err(DirectoryFault.UNREACHABLE)
+        if response.ok_value.status != 200:
+            self._counters.add(PLATFORM_CALLS, "failed")
+            return Err(_fault(response.ok_value.status))
+        try:
+            body = json.loads(response.ok_value.body)
+        except (ValueError, RecursionError):
+            return self._malformed()
+        if not isinstance(body, dict):
+            return self._malformed()
+        self._counters.add(PLATFORM_CALLS, "answered")
+        return Ok(body)
+
+
+def _fault(status: int) -> DirectoryFault:
+    if status == _GONE:
+        return DirectoryFault.HISTORY_GONE
+    if status in _BUSY:
+        return DirectoryFault.BUSY
+    return DirectoryFault.STATUS
+
+
+def _key(item: Any) -> str | None:
+    if not isinstance(item, dict):
+        return None
+    key, revision = item.get("key"), item.get("revision")
+    known = isinstance(key, str) and isinstance(revision, int)
+    return key if known else None
+
+
+def _change(item: Any) -> Result[Change | None, str]:
+    """Returns an item's change, None for keys that say nothing to us."""
+    key = _key(item)
+    if key is None:
+        return Err("item without key or revision")
+    revision = item["revision"]
+    is_endpoint = key.startswith(ENDPOINT_PREFIX)
+    name = key.removeprefix(ENDPOINT_PREFIX)
+    if not is_endpoint and key != CONFIGURATION_KEY:
+        return Ok(None)
+    if item.get("deleted") is True:
+        gone = EndpointRemoved(name, revision) if is_endpoint else None
+        return Ok(gone)
+    try:
+        value = base64.b64decode(item.get("value"), validate=True)
+    except (TypeError, ValueError, binascii.Error):
+        return Err(f"{key}: value is not base64")
+    if is_endpoint:
+        endpoint = parse_endpoint(name, value)
+        return endpoint.map(lambda known: EndpointAnnounced(known, revision))
+    table = parse_configuration(value)
+    return table.map(lambda known: RoutesPublished(known, revision))
+
+
+def _unusable(item: Any) -> EndpointRemoved | None:
+    """Returns the removal of an endpoint whose entry became unreadable.
+
+    The entry no longer names an endpoint to use, so new flows stay away; its
+    open flows go on while it answers.
+    """
+    key = _key(item)
+    if key is None or not key.startswith(ENDPOINT_PREFIX):
+        return None
+    return EndpointRemoved(key.removeprefix(ENDPOINT_PREFIX), item["revision"])
--- /dev/null
+++ b/src/pollenmast/steering/__init__.py
@@ -0,0 +1,50 @@
+"""Carries packets that name their endpoint by a token; no network here."""
+
+from pollenmast.steering._catalog import Catalog, Presence, Record
+from pollenmast.steering._changes import (
+    Change,
+    Directory,
+    DirectoryFault,
+    EndpointAnnounced,
+    EndpointRemoved,
+    RoutesPublished,
+    Update,
+)
+from pollenmast.steering._core import Applied, Steering
+from pollenmast.steering._health import CheckResult, Health
+from pollenmast.steering._model import (
+    Endpoint,
+    FlowKey,
+    Route,
+    RouteTable,
+    Segment,
+    Split,
+)
+from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
+
+__all__ = [
+    "Applied",
+    "Catalog",
+    "Change",
+    "CheckResult",
+    "Directory",
+    "DirectoryFault",
+    "Drop",
+    "Endpoint",
+    "EndpointAnnounced",
+    "EndpointRemoved",
+    "FlowKey",
+    "Forward",
+    "Health",
+    "Outcome",
+    "Presence",
+    "Record",
+    "Reset",
+    "Route",
+    "RouteTable",
+    "RoutesPublished",
+    "Segment",
+    "Split",
+    "Steering",
+    "Update",
+]
--- /dev/null
+++ b/src/pollenmast/steering/_catalog.py
@@ -0,0 +1,183 @@
+"""Which endpoints there are, and how surely.
+
+An entry can vanish while its endpoint lives: the directory forgets entries
+while it is down or cut off from the endpoints, and they are back within
+about two seconds. Taken at its word it would empty a service, and callers
+would be refused by the thousand. So an entry that vanished counts as lapsed
+at first: its endpoint takes new flows only where no other can, and keeps its
+open ones. What is still missing after the lapse is gone, once a health check
+confirms it; only then are its flows ended.
+"""
+
+import enum
+
+import attrs
+
+from pollenmast.steering._changes import (
+    EndpointAnnounced,
+    EndpointRemoved,
+    Update,
+)
+from pollenmast.steering._health import Health
+from pollenmast.steering._model import Endpoint
+
+LAPSE_S = 2.3
+"""How long a vanished entry may come back: the directory promises about two
+seconds, and a new flow may reach a leaving endpoint for three."""
+
+FORGET_S = 90.0
+"""How long an endpoint that is gone is remembered, for the tokens of flows
+to it: flows are at most a minute old."""
+
+
+class Presence(str, enum.Enum):
+    """How surely an endpoint exists."""
+
+    LISTED = "listed"
+    LAPSED = "lapsed"
+    GONE = "gone"
+
+
+@attrs.define(eq=False)
+class Record:
+    """One endpoint and what this VM believes of it.
+
+    Attributes:
+        endpoint: Its latest announcement.
+        revision: The directory's revision of that.
+        announced_at: When this VM learned of it, in seconds.
+        presence: How surely it exists.
+        lapsed_at: When its entry vanished.
+        health: What passed by.
+    """
+
+    endpoint: Endpoint
+    revision: int
+    announced_at: float
+    presence: Presence = Presence.LISTED
+    lapsed_at: float = 0.0
+    health: Health = attrs.field(factory=Health)
+
+    def warmth(self, now: float) -> float:
+        """Returns its share of new flows, less while it is cold."""
+        left = self.endpoint.warm_in_s - (now - self.announced_at)
+        return COLD_SHARE if left > 0.0 else 1.0
+
+
+COLD_SHARE = 0.6
+"""Share of new flows of an endpoint that has just started: it is about 1.6
+times slower for some seconds, and its flows stay with it for long."""
+
+
+class Catalog:
+    """The endpoints by name, token and service."""
+
+    def __init__(self):
+        self._records: dict[str, Record] = {}
+        self._by_token: dict[int, list[Record]] = {}
+
+    @property
+    def records(self) -> list[Record]:
+        """Every endpoint remembered, those that are gone too."""
+        return list(self._records.values())
+
+    def get(self, name: str) -> Record | None:
+        """Returns an endpoint's record."""
+        return self._records.get(name)
+
+    def by_token(self, token: int) -> Record | None:
+        """Returns the endpoint that packets with this token go to.
+
+        Where two names yield one token the least name has it on every VM;
+        `owns_token` keeps new flows from the other one.
+        """
+        records = self._by_token.get(token)
+        return records[0] if records else None
+
+    def owns_token(self, record: Record) -> bool:
+        """Whether packets with its token come to this endpoint."""
+        return self.by_token(record.endpoint.token) is record
+
+    def serving(self, service: str) -> list[Record]:
+        """Returns the endpoints that could take new flows of a service."""
+        return [
+            record
+            for record in self._records.values()
+            if record.endpoint.service == service
+            and record.presence is not Presence.GONE
+            and not record.endpoint.draining
+        ]
+
+    def apply(self, update: Update, now: float) -> list[Record]:
+        """Takes in what the directory told; returns what changed."""
+        changed = []
+        listed = set()
+        for change in update.changes:
+            if isinstance(change, EndpointAnnounced):
+                listed.add(change.endpoint.name)
+                changed += self._announce(change, now)
+            elif isinstance(change, EndpointRemoved):
+                changed += self._remove(change.name, change.revision, now)
+        if update.whole:
+            for name, record in list(self._records.items()):
+                if name not in listed and record.revision <= update.revision:
+                    changed += self._remove(name, update.revision, now)
+        return changed
+
+    def extend_lapses(self, now: float) -> None:
+        """Starts the time of every lapse anew: the directory is just back."""
+        for record in self._records.values():
+            if record.presence is Presence.LAPSED:
+                record.lapsed_at = now
+
+    def overdue(self, now: float) -> list[Record]:
+        """Returns lapsed endpoints whose entries will not come back."""
+        return [
+            record
+            for record in self._records.values()
+            if record.presence is Presence.LAPSED
+            and now - record.lapsed_at >= LAPSE_S
+        ]
+
+    def expire(self, now: float) -> None:
+        """Forgets endpoints that have been gone for long."""
+        for name, record in list(self._records.items()):
+            gone = record.presence is Presence.GONE
+            if gone and now - record.lapsed_at >= FORGET_S:
+                del self._records[name]
+                self._by_token[record.endpoint.token].remove(record)
+
+    def _announce(self, change: EndpointAnnounced, now: float) -> list[Record]:
+        endpoint = change.endpoint
+        record = self._records.get(endpoint.name)
+        if record is None:
+            record = Record(endpoint, change.revision, now)
+            self._records[endpoint.name] = record
+            sharers = self._by_token.setdefault(endpoint.token, [])
+            sharers.append(record)
+            sharers.sort(key=lambda each: each.endpoint.name)
+            return [record]
+        if change.revision <= record.revision:
+            return []
+        same = record.endpoint == endpoint
+        back = record.presence is not Presence.LISTED
+        record.endpoint = endpoint
+        record.revision = change.revision
+        record.presence = Presence.LISTED
+        if same and not back:
+            return []
+        record.announced_at = now
+        return [record]
+
+    def _remove(self, name: str, revision: int, now: float) -> list[Record]:
+        record = self._records.get(name)
+        if record is None:
+            return []
+        if revision < record.revision:
+            return []
+        record.revision = revision
+        if record.presence is not Presence.LISTED:
+            return []
+        record.presence = Presence.LAPSED
+        record.lapsed_at = now
+        return [record]
--- /dev/null
+++ b/src/pollenmast/steering/_core.py
@@ -0,0 +1,249 @@
+"""What happens to each segment of a client, without sockets.
+
+Every packet names its endpoint by a token that the endpoint's first answer
+carried, so any VM can carry any packet of any flow. A VM decides only where a
+flow's SYN goes, and when a flow has to be given up.
+"""
+
+import random
+
+import attrs
+
+from pollenmast import counters as c
+from pollenmast.counters import Counters, DropReason, ResetReason
+from pollenmast.steering._catalog import Catalog, Presence, Record
+from pollenmast.steering._changes import RoutesPublished, Update
+from pollenmast.steering._flows import FlowTable, note
+from pollenmast.steering._health import CheckResult
+from pollenmast.steering._model import Route, RouteTable, Segment
+from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
+from pollenmast.steering._placement import Placement
+
+CURRENT_S = 2.5
+"""How old a confirmed view may be to say that something does not exist. A
+watch answers at least every two seconds while the directory is in reach."""
+
+SETTLE_S = 3.0
+"""How long after the directory's return its list may still miss entries."""
+
+
+@attrs.frozen
+class Applied:
+    """What an update changed.
+
+    Attributes:
+        records: Endpoints that came, changed or vanished.
+        table: The configuration, if a newer one came into force.
+    """
+
+    records: list[Record]
+    table: RouteTable | None
+
+
+class Steering:
+    """The beliefs of one VM and what follows from them."""
+
+    def __init__(self, zone: str, counters: Counters, rng: random.Random):
+        self._counters = counters
+        self._catalog = Catalog()
+        self._flows = FlowTable()
+        self._placement = Placement(zone, self._catalog, self._flows, rng)
+        self._table: RouteTable | None = None
+        self._revision = 0
+        self._confirmed_at = float("-inf")
+        self._returned_at = float("-inf")
+
+    @property
+    def catalog(self) -> Catalog:
+        """The endpoints."""
+        return self._catalog
+
+    @property
+    def flows(self) -> FlowTable:
+        """The flows that passed by."""
+        return self._flows
+
+    @property
+    def table(self) -> RouteTable | None:
+        """The configuration in force."""
+        return self._table
+
+    @property
+    def revision(self) -> int:
+        """The directory's revision that the beliefs are complete up to."""
+        return self._revision
+
+    @property
+    def ready(self) -> bool:
+        """Whether routes and endpoints are known."""
+        return self._table is not None and bool(self._catalog.records)
+
+    def age_s(self, now: float) -> float:
+        """Returns how long ago the directory confirmed the beliefs."""
+        return now - self._confirmed_at
+
+    def on_confirmed(self, now: float) -> None:
+        """The directory has answered that nothing else has changed."""
+        self._confirmed_at = now
+
+    def on_return(self, now: float) -> None:
+        """The directory answers again after an outage."""
+        self._returned_at = now
+        self._catalog.extend_lapses(now)
+
+    def apply(self, update: Update, now: float) -> Applied:
+        """Takes in what the directory, or a peer, told."""
+        table = None
+        for change in update.changes:
+            if isinstance(change, RoutesPublished):
+                table = self._take(change.table) or table
+        records = self._catalog.apply(update, now)
+        for record in records:
+            if record.presence is Presence.LAPSED:
+                record.health.ask(now)
+        self._revision = max(self._revision, update.revision)
+        return Applied(records, table)
+
+    def on_segment(self, segment: Segment, now: float) -> Outcome:
+        """Decides what becomes of a client's segment."""
+        outcome = self._decide(segment, now)
+        if isinstance(outcome, Forward):
+            self._counters.add(c.SEGMENTS)
+        elif isinstance(outcome, Drop):
+            self._counters.add(c.DROPS, outcome.reason)
+        else:
+            self._counters.add(c.RESETS, outcome.reason)
+        return outcome
+
+    def on_check(
+        self, record: Record, result: CheckResult, now: float
+    ) -> list[Reset]:
+        """Takes in a health check; returns the flows to end."""
+        record.health.on_check(result, now)
+        overdue = (
+            record.presence is Presence.LAPSED
+            and record in self._catalog.overdue(now)
+        )
+        if overdue and record.health.down:
+            record.presence = Presence.GONE
+        if not record.health.down:
+            return []
+        return self._end_flows(record)
+
+    def due_checks(self, now: float) -> list[Record]:
+        """Returns the endpoints whose health is to be checked now."""
+        for record in self._catalog.overdue(now):
+            record.health.ask(now)
+        return [
+            record
+            for record in self._catalog.records
+            if record.presence is not Presence.GONE and record.health.due(now)
+        ]
+
+    def tick(self, now: float) -> None:
+        """Forgets what is old."""
+        self._flows.expire(now)
+        self._catalog.expire(now)
+
+    def _take(self, table: RouteTable) -> RouteTable | None:
+        if self._table is not None and table.version <= self._table.version:
+            return None
+        self._table = table
+        return table
+
+    def _decide(self, segment: Segment, now: float) -> Outcome:
+        if segment.syn:
+            return self._open(segment, now)
+        record = self._catalog.by_token(segment.token)
+        if record is None:
+            return Drop(DropReason.UNKNOWN_TOKEN)
+        if segment.rst:
+            self._flows.forget(segment.flow)
+            return Forward(record.endpoint)
+        ended = self._ended(segment, record)
+        if ended is not None:
+            self._flows.forget(segment.flow)
+            return self._reset(segment, ended, record.endpoint.name)
+        self._learn(segment, record, now)
+        return Forward(record.endpoint)
+
+    def _ended(self, segment: Segment, record: Record) -> ResetReason | None:
+        if record.presence is Presence.GONE:
+            return ResetReason.ENDPOINT_GONE
+        if record.health.down:
+            return ResetReason.ENDPOINT_DOWN
+        return None
+
+    def _learn(self, segment: Segment, record: Record, now: float) -> None:
+        flow = self._flows.bind(segment.flow, record.endpoint.name, now)
+        progress = note(flow, segment, now)
+        if progress.advanced:
+            record.health.on_advance(now)
+        if progress.repeated:
+            record.health.on_repeat(now)
+        if segment.fin:
+            self._flows.forget(segment.flow)
+
+    def _open(self, segment: Segment, now: float) -> Outcome:
+        route = self._route(segment)
+        current = self.age_s(now) < CURRENT_S
+        if route is None:
+            if self._table is None or not current:
+                return Drop(DropReason.NO_ROUTE_YET)
+            return self._reset(segment, ResetReason.NO_ROUTE)
+        flow = self._flows.get(segment.flow)
+        tried = flow.tried if flow is not None and not flow.opened else ()
+        for name in tried[-1:]:
+            self._doubt(name, now)
+        for service in route.services(segment.flow.digest):
+            placed = self._placement.choose(service, tried, now)
+            if placed is not None:
+                break
+        else:
+            settled = now - self._returned_at >= SETTLE_S
+            if current and settled:
+                return self._reset(segment, ResetReason.NO_ENDPOINT)
+            return Drop(DropReason.NO_ENDPOINT_YET)
+        endpoint = placed.record.endpoint
+        flow = self._flows.bind(segment.flow, endpoint.name, now)
+        flow.tried = (*tried, endpoint.name)
+        flow.opened = False
+        self._counters.add(c.PLACEMENTS, placed.reason)
+        return Forward(endpoint, placed.reason)
+
+    def _route(self, segment: Segment) -> Route | None:
+        if self._table is None:
+            return None
+        flow = segment.flow
+        return self._table.routes.get((flow.service_host, flow.service_port))
+
+    def _doubt(self, name: str, now: float) -> None:
+        record = self._catalog.get(name)
+        if record is not None:
+            record.health.on_repeat(now)
+
+    def _end_flows(self, record: Record) -> list[Reset]:
+        """Ends every known flow of an endpoint that is down or gone.
+
+        An idle client would otherwise send its next request into silence.
+        One that may not be repeated would be lost, although a flow opened
+        anew could have carried it.
+        """
+        gone = record.presence is Presence.GONE
+        reason = (
+            ResetReason.ENDPOINT_GONE if gone else ResetReason.ENDPOINT_DOWN
+        )
+        resets = []
+        for flow in self._flows.at(record.endpoint.name):
+            self._flows.forget(flow.key)
+            if flow.opened:
+                self._counters.add(c.RESETS, reason)
+                name = record.endpoint.name
+                resets.append(Reset(flow.key, flow.acknowledged, reason, name))
+        return resets
+
+    def _reset(
+        self, segment: Segment, reason: ResetReason, endpoint: str = ""
+    ) -> Reset:
+        sequence = 0 if segment.syn else segment.acknowledged
+        return Reset(segment.flow, sequence, reason, endpoint)
--- /dev/null
+++ b/src/pollenmast/steering/_health.py
@@ -0,0 +1,111 @@
+"""Whether an endpoint answers, from what passes by this VM.
+
+Load pattern: an endpoint dies, hangs or is cut off while the directory still
+lists it, for seconds. Its answers go straight to the clients, so a VM sees
+none of them. Without own evidence each request on a flow to it waits out its
+deadline, and new flows go on being placed there.
+
+Two kinds of evidence pass by. A client that acknowledges more than before has
+received something: the endpoint lives. A client that sends a SYN or data
+again has received nothing. One such repeat may be a lost packet, so it only
+asks for a health check; the check decides.
+"""
+
+import enum
+
+CALM_S = 0.15
+"""A repeat counts only where no other flow of the endpoint has advanced for
+so long: three quarters of the clients' first retransmission time of 0.2 s, so
+that a single lost packet of a busy endpoint costs no check."""
+
+FAILED_CHECKS = 2
+"""Unanswered health checks in a row that make an endpoint down. A single one
+may be a lost packet."""
+
+RECHECK_S = 0.5
+"""Between two checks of an endpoint that is down. Its return is seen within
+this; half a second is a tenth of the shortest usual outage."""
+
+RECHECK_MOST_S = 2.0
+"""The longest such pause; it doubles up to here, as each check has a cost."""
+
+
+class CheckResult(str, enum.Enum):
+    """What a health check showed."""
+
+    ANSWERED = "answered"
+    UNHEALTHY = "unhealthy"
+    """It answered that it takes no work; the process lives."""
+
+    OTHER = "other"
+    """Another process answered at its address."""
+
+    REFUSED = "refused"
+    """Nothing listens at its address."""
+
+    TIMEOUT = "timeout"
+
+
+_CERTAIN = (CheckResult.OTHER, CheckResult.REFUSED)
+
+
+class Health:
+    """What one VM has seen of one endpoint."""
+
+    def __init__(self):
+        self._advanced_at = float("-inf")
+        self._failed = 0
+        self._down = False
+        self._check_at: float | None = None
+        self._pause_s = RECHECK_S
+
+    @property
+    def down(self) -> bool:
+        """Whether it counts as dead or out of reach."""
+        return self._down
+
+    @property
+    def doubted(self) -> bool:
+        """Whether a check is due or under way."""
+        return self._check_at is not None
+
+    def on_advance(self, now: float) -> None:
+        """A client has received something from it."""
+        self._advanced_at = now
+
+    def on_repeat(self, now: float) -> None:
+        """A client has sent something to it again."""
+        if now - self._advanced_at >= CALM_S and self._check_at is None:
+            self._check_at = now
+
+    def ask(self, now: float) -> None:
+        """Has it checked, whatever passed by."""
+        if self._check_at is None:
+            self._check_at = now
+
+    def due(self, now: float) -> bool:
+        """Whether a check is to be made now."""
+        return self._check_at is not None and now >= self._check_at
+
+    def on_check(self, result: CheckResult, now: float) -> bool:
+        """Takes in a check; returns whether the belief has changed."""
+        if result in (CheckResult.ANSWERED, CheckResult.UNHEALTHY):
+            return self._on_answered(now)
+        self._failed += 1
+        if result not in _CERTAIN and self._failed < FAILED_CHECKS:
+            self._check_at = now
+            return False
+        self._check_at = now + self._pause_s
+        self._pause_s = min(2.0 * self._pause_s, RECHECK_MOST_S)
+        changed = not self._down
+        self._down = True
+        return changed
+
+    def _on_answered(self, now: float) -> bool:
+        changed = self._down
+        self._down = False
+        self._failed = 0
+        self._check_at = None
+        self._pause_s = RECHECK_S
+        self._advanced_at = now
+        return changed
--- a/tests/agent_manifest_test.py
+++ b/tests/agent_manifest_test.py
@@ -15,7 +15,7 @@
 from pollenmast.decisions._acceptance import ManifestKey
 from pollenmast.events import EventLog
 from pollenmast.manifest import parse
-from pollenmast.platform import Platform, PlatformFault
+from pollenmast.configuration import Platform, PlatformFault
 from pollenmast.settings import (
     FleetSettings,
     PlatformSettings,
--- a/tests/upstreams_probe_test.py
+++ b/tests/upstreams_probe_test.py
@@ -11,7 +11,7 @@
 
 from pollenmast.counters import PLATFORM_CALLS, PROBES, Counters
 from pollenmast.http1 import Connection, HttpFault, Response
-from pollenmast.platform import HttpPlatform, PlatformFault
+from pollenmast.configuration import HttpPlatform, PlatformFault
 from pollenmast.upstreams._probe import Load, Probe, ProbeFault, parse_load
 
 LOAD = {
