--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -35,6 +35,9 @@
     UNKNOWN_TOKEN = "unknown_token"
     """The packet names an endpoint that this VM does not know."""
 
+    DUPLICATE_SYN = "duplicate_syn"
+    """A copy that waited in a buffer with its original, just sent on."""
+
     BACKLOG = "backlog"
     """A SYN that waited through a pause; its client has gone on."""
 
--- a/src/pollenmast/entry/_packets.py
+++ b/src/pollenmast/entry/_packets.py
@@ -20,8 +20,12 @@
 BATCH = 64
 """Datagrams read in a row before other tasks get their turn, about 3 ms."""
 
-BUFFER_BYTES = 1 << 20
-"""Receive buffer: about 0.5 s of 2,000 packets of 1,200 bytes a second."""
+HOLD_S = 0.8
+"""How long packets wait for the first routes and endpoints after a start. A
+client gives a SYN up after 1.4 s; the directory answers within milliseconds,
+so that a longer wait means that it is away."""
+
+HOLD_TICK_S = 0.005
 
 _MOST_DATAGRAM_BYTES = 2048
 
@@ -31,16 +35,13 @@
 
     def __init__(
         self,
-        address: Address,
+        sock: socket.socket,
         packets: PacketFormat,
         steering: Steering,
         counters: Counters,
         log: EventLog,
     ):
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
-        self._sock.setblocking(False)
-        self._sock.bind(address)
+        self._sock = sock
         self._packets = packets
         self._steering = steering
         self._counters = counters
@@ -60,6 +61,7 @@
 
     async def run(self) -> None:
         """Carries datagrams until cancelled."""
+        await self._hold()
         while True:
             await anyio.wait_readable(self._sock)
             now = anyio.current_time()
@@ -76,6 +78,15 @@
                 self._carry(datagram, now)
             await anyio.lowlevel.checkpoint()
 
+    async def _hold(self) -> None:
+        """Leaves packets in the socket until they can be carried.
+
+        Thrown away, each would be sent again only after 0.2 to 1.6 s.
+        """
+        with anyio.move_on_after(HOLD_S):
+            while not self._steering.ready:
+                await anyio.sleep(HOLD_TICK_S)
+
     def end(self, resets: list[Reset]) -> None:
         """Tells clients that their flows have ended."""
         for reset in resets:
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -5,6 +5,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 from collections.abc import AsyncIterator
 
@@ -56,7 +57,11 @@
     """One running VM."""
 
     def __init__(
-        self, settings: EntrySettings, ports: Ports, counters: Counters
+        self,
+        settings: EntrySettings,
+        ports: Ports,
+        counters: Counters,
+        sock: socket.socket,
     ):
         self._settings = settings
         self._ports = ports
@@ -68,7 +73,7 @@
         self._site = Site(settings.ready_path, self._steering, counters)
         self._pauses = PauseWatch()
         self._packets = PacketLoop(
-            settings.packets,
+            sock,
             ports.packets,
             self._steering,
             counters,
@@ -162,9 +167,20 @@
             self._stream.flush()
 
 
-def run(settings: EntrySettings, ports: Ports, counters: Counters) -> int:
+def run(
+    settings: EntrySettings,
+    ports: Ports,
+    counters: Counters,
+    sock: socket.socket,
+) -> int:
     """Runs the program of a VM until it is stopped.
 
+    Args:
+        settings: The VM's settings.
+        ports: What the program needs from the place it runs in.
+        counters: Counted into by the ports too.
+        sock: A non-blocking UDP socket at the address of clients' packets.
+
     Returns:
         The exit code: 0 after a graceful shutdown, 1 if it could not start.
     """
@@ -172,14 +188,17 @@
     # each collection would only delay packets.
     gc.collect()
     gc.freeze()
-    return anyio.run(_run, settings, ports, counters)
+    return anyio.run(_run, settings, ports, counters, sock)
 
 
 async def _run(
-    settings: EntrySettings, ports: Ports, counters: Counters
+    settings: EntrySettings,
+    ports: Ports,
+    counters: Counters,
+    sock: socket.socket,
 ) -> int:
     try:
-        return await _Program(settings, ports, counters).run()
+        return await _Program(settings, ports, counters, sock).run()
     except* OSError as group:
         log = EventLog("entry", settings.vm)
         for error in group.exceptions:
--- a/src/pollenmast/platform/_settings.py
+++ b/src/pollenmast/platform/_settings.py
@@ -4,9 +4,6 @@
 
 from pollenmast.entry import EntrySettings
 
-SETTINGS_VARIABLE = "POLLENMAST_CONFIG"
-"""The environment variable that holds the file's path."""
-
 READINESS_PATH = "/readiness"
 
 
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -13,7 +13,7 @@
 from pollenmast.counters import Counters, DropReason, ResetReason
 from pollenmast.steering._catalog import Catalog, Presence, Record
 from pollenmast.steering._changes import RoutesPublished, Update
-from pollenmast.steering._flows import FlowTable, note
+from pollenmast.steering._flows import REPEAT_S, FlowTable, note
 from pollenmast.steering._health import CheckResult
 from pollenmast.steering._model import Route, RouteTable, Segment
 from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
@@ -193,6 +193,8 @@
             return self._reset(segment, ResetReason.NO_ROUTE)
         flow = self._flows.get(segment.flow)
         tried = flow.tried if flow is not None and not flow.opened else ()
+        if tried and now - flow.syn_at < REPEAT_S:
+            return Drop(DropReason.DUPLICATE_SYN)
         for name in tried[-1:]:
             self._doubt(name, now)
         for service in route.services(segment.flow.digest):
@@ -208,6 +210,7 @@
         flow = self._flows.bind(segment.flow, endpoint.name, now)
         flow.tried = (*tried, endpoint.name)
         flow.opened = False
+        flow.syn_at = now
         self._counters.add(c.PLACEMENTS, placed.reason)
         return Forward(endpoint, placed.reason)
 
--- a/src/pollenmast/steering/_flows.py
+++ b/src/pollenmast/steering/_flows.py
@@ -18,6 +18,10 @@
 """Flows remembered, at about 300 bytes each; twice a VM's share of the
 24 million that the users expect over 1,400 VMs."""
 
+REPEAT_S = 0.1
+"""A repeat sooner after the first try that passed by here came from a buffer,
+where both had waited: clients wait 0.2 s at the least."""
+
 _HALF = 1 << 31
 _WHOLE = 1 << 32
 
@@ -40,6 +44,7 @@
         opened: Whether the client has answered the endpoint's SYN.
         waiting_since: When the client sent what is not answered yet.
         tried: Endpoints that copies of its SYN went to.
+        syn_at: When its last SYN was sent on.
     """
 
     key: FlowKey
@@ -50,6 +55,7 @@
     opened: bool = False
     waiting_since: float | None = None
     tried: tuple[str, ...] = ()
+    syn_at: float = float("-inf")
 
 
 @attrs.frozen
@@ -144,7 +150,13 @@
     request = segment.length > 0 and fresh
     if request and flow.waiting_since is None:
         flow.waiting_since = now
-    repeated = segment.length > 0 and not fresh
+    began = flow.waiting_since
+    repeated = (
+        segment.length > 0
+        and not fresh
+        and began is not None
+        and now - began >= REPEAT_S
+    )
     # The handshake's last packet answers the endpoint's SYN+ACK.
     alive = moved or (opening and bool(flow.tried))
     return Progress(alive, repeated, request, waited)
--- a/tests/upstreams_probe_test.py
+++ b/tests/upstreams_probe_test.py
@@ -9,9 +9,9 @@
 from result import Err, Ok
 from testtools import TestCase
 
+from pollenmast.configuration import HttpPlatform, PlatformFault
 from pollenmast.counters import PLATFORM_CALLS, PROBES, Counters
 from pollenmast.http1 import Connection, HttpFault, Response
-from pollenmast.configuration import HttpPlatform, PlatformFault
 from pollenmast.upstreams._probe import Load, Probe, ProbeFault, parse_load
 
 LOAD = {
