Ask for a health check when a client does not go on after its SYN

Ruled out: the directory's entry (it lapses three heartbeats late) and lost checks (none was asked for).

--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -132,6 +132,7 @@
 
     def due_checks(self, now: float) -> list[Record]:
         """Returns the endpoints whose health is to be checked now."""
+        self._look(now)
         for record in self._catalog.overdue(now):
             record.health.ask(now)
         return [
@@ -157,6 +158,7 @@
         record = self._catalog.by_token(segment.token)
         if record is None:
             return Drop(DropReason.UNKNOWN_TOKEN)
+        record.health.on_open(segment.flow)
         if segment.rst:
             self._flows.forget(segment.flow)
             return Forward(record.endpoint)
@@ -197,6 +199,7 @@
             return Drop(DropReason.DUPLICATE_SYN)
         for name in tried[-1:]:
             self._doubt(name, now)
+        self._look(now)
         for service in route.services(segment.flow.digest):
             placed = self._placement.choose(service, tried, now)
             if placed is not None:
@@ -211,9 +214,14 @@
         flow.tried = (*tried, endpoint.name)
         flow.opened = False
         flow.syn_at = now
+        placed.record.health.on_syn(segment.flow, now)
         self._counters.add(c.PLACEMENTS, placed.reason)
         return Forward(endpoint, placed.reason)
 
+    def _look(self, now: float) -> None:
+        for record in self._catalog.records:
+            record.health.look(now)
+
     def _route(self, segment: Segment) -> Route | None:
         if self._table is None:
             return None
--- a/src/pollenmast/steering/_health.py
+++ b/src/pollenmast/steering/_health.py
@@ -5,14 +5,19 @@
 none of them. Without own evidence each request on a flow to it waits out its
 deadline, and new flows go on being placed there.
 
-Two kinds of evidence pass by. A client that acknowledges more than before has
-received something: the endpoint lives. A client that sends a SYN or data
-again has received nothing. One such repeat may be a lost packet, so it only
-asks for a health check; the check decides.
+Three kinds of evidence pass by. A client that acknowledges more than before
+has received something: the endpoint lives. A client that sends a SYN or data
+again has received nothing. A client that goes on neither way after its SYN
+was refused: where no process listens, its machine resets each SYN at once,
+the client uses up its tries within milliseconds, and no packet passes by
+that says so. One such sign may be chance, so it only asks for a health check
+and keeps new flows away until that has answered.
 """
 
 import enum
 
+from pollenmast.steering._model import FlowKey
+
 CALM_S = 0.15
 """A repeat counts only where no other flow of the endpoint has advanced for
 so long: three quarters of the clients' first retransmission time of 0.2 s, so
@@ -30,6 +35,18 @@
 """The longest such pause; it doubles up to here, as each check has a cost."""
 
 
+OPEN_S = 0.04
+"""How long the client's next packet may take after its SYN: two ways to the
+client and the endpoint are about 10 ms, the endpoint's turn some more."""
+
+TRUST_S = 0.5
+"""After an answered check no other is asked for by a SYN's silence: while the
+VMs in rotation change, a flow's second packet may pass by another VM."""
+
+MOST_PENDING = 256
+"""SYNs awaited for one endpoint; beyond that the oldest is given up."""
+
+
 class CheckResult(str, enum.Enum):
     """What a health check showed."""
 
@@ -58,6 +75,8 @@
         self._down = False
         self._check_at: float | None = None
         self._pause_s = RECHECK_S
+        self._checked_at = float("-inf")
+        self._pending: dict[FlowKey, float] = {}
 
     @property
     def down(self) -> bool:
@@ -69,6 +88,27 @@
         """Whether a check is due or under way."""
         return self._check_at is not None
 
+    def on_syn(self, flow: FlowKey, now: float) -> None:
+        """A flow's SYN was sent to it."""
+        if len(self._pending) >= MOST_PENDING:
+            del self._pending[next(iter(self._pending))]
+        self._pending.setdefault(flow, now)
+
+    def on_open(self, flow: FlowKey) -> None:
+        """A client has gone on after its SYN, or has given the flow up."""
+        self._pending.pop(flow, None)
+
+    def look(self, now: float) -> None:
+        """Asks for a check if a SYN has gone unanswered for too long."""
+        oldest = next(iter(self._pending.values()), now)
+        if now - oldest < OPEN_S:
+            return
+        self._pending = {
+            flow: at for flow, at in self._pending.items() if now - at < OPEN_S
+        }
+        if self._advanced_at < oldest and now - self._checked_at >= TRUST_S:
+            self.ask(now)
+
     def on_advance(self, now: float) -> None:
         """A client has received something from it."""
         self._advanced_at = now
@@ -108,4 +148,5 @@
         self._check_at = None
         self._pause_s = RECHECK_S
         self._advanced_at = now
+        self._checked_at = now
         return changed
--- /dev/null
+++ b/tests/steering_core_test.py
@@ -0,0 +1,242 @@
+"""Tests of steering._core: what becomes of segments."""
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast.counters import DropReason, PlacementReason, ResetReason
+from pollenmast.steering import (
+    CheckResult,
+    Drop,
+    EndpointAnnounced,
+    EndpointRemoved,
+    FlowKey,
+    Forward,
+    Presence,
+    Reset,
+    RoutesPublished,
+    Update,
+)
+from pollenmast.steering._catalog import FORGET_S, LAPSE_S
+from pollenmast.steering._core import CURRENT_S, SETTLE_S
+from tests import steering_group as group
+
+FIRST = group.endpoint(1)
+SECOND = group.endpoint(2)
+FAR = group.endpoint(3, zone=group.OTHER_ZONE)
+
+
+def _open(core, number: int, now: float):
+    """Opens a flow whose client goes on; returns its endpoint."""
+    key = group.flow(number)
+    outcome = core.on_segment(group.syn(key), now)
+    core.on_segment(group.segment(key, outcome.endpoint.token), now)
+    return outcome.endpoint
+
+
+class OpenTest(TestCase):
+    """Where SYNs go."""
+
+    def test_own_zone(self):
+        """Flows stay in the VM's zone, so that no cut of others breaks them."""
+        core = group.steering(FIRST, FAR)
+        chosen = {_open(core, number, 1.0).name for number in range(8)}
+        self.assertEqual({FIRST.name}, chosen)
+
+    def test_evenly(self):
+        """Flows are spread over the zone's endpoints."""
+        core = group.steering(FIRST, SECOND)
+        chosen = [_open(core, number, 1.0).name for number in range(8)]
+        self.assertEqual(4, chosen.count(FIRST.name))
+
+    def test_copy_goes_elsewhere(self):
+        """An endpoint does not answer a SYN; the client sends it again.
+
+        Sent to the same endpoint, the client's whole try would be lost.
+        """
+        core = group.steering(FIRST, SECOND)
+        key = group.flow()
+        first = core.on_segment(group.syn(key), 1.0)
+        copy = core.on_segment(group.syn(key, 1), 1.2)
+        self.assertNotEqual(first.endpoint, copy.endpoint)
+        self.assertEqual(PlacementReason.RETRY, copy.placed)
+
+    def test_copy_from_a_buffer(self):
+        """A VM starts late and finds a SYN and its copy in its socket.
+
+        Two endpoints would open the flow, and one of them for nobody.
+        """
+        core = group.steering(FIRST, SECOND)
+        key = group.flow()
+        core.on_segment(group.syn(key), 1.0)
+        copy = core.on_segment(group.syn(key, 1), 1.001)
+        self.assertEqual(Drop(DropReason.DUPLICATE_SYN), copy)
+
+    def test_refusing_machine_is_avoided(self):
+        """A process crashes and its machine resets each SYN at once.
+
+        The second client is placed elsewhere, before any check has ended.
+        """
+        core = group.steering(FIRST, SECOND)
+        lost = core.on_segment(group.syn(group.flow(1)), 1.0).endpoint
+        later = core.on_segment(group.syn(group.flow(2)), 1.1).endpoint
+        self.assertNotEqual(lost, later)
+        self.assertEqual(
+            [lost.name], [r.endpoint.name for r in core.due_checks(1.1)]
+        )
+
+    def test_never_emptied(self):
+        """A VM that is cut off finds every endpoint down.
+
+        Refusing everybody would outlast the cut.
+        """
+        core = group.steering(FIRST)
+        core.on_check(core.catalog.get(FIRST.name), CheckResult.REFUSED, 1.0)
+        outcome = core.on_segment(group.syn(group.flow()), 1.0)
+        self.assertEqual(PlacementReason.LAST_RESORT, outcome.placed)
+
+    @parameterized.expand(
+        [
+            ("current", 1.0, Reset),
+            ("old_view", CURRENT_S + 0.1, Drop),
+        ]
+    )
+    def test_unknown_route(self, _, now, kind):
+        """An address without a route is refused, if surely it has none.
+
+        A VM whose view is old cannot know: the route may have been added.
+        """
+        core = group.steering(FIRST)
+        key = FlowKey("100.64.0.7", 1024, group.VIP, 9999)
+        self.assertIsInstance(core.on_segment(group.syn(key), now), kind)
+
+    @parameterized.expand([("settled", SETTLE_S, Reset), ("back", 0.5, Drop)])
+    def test_no_endpoint(self, _, since_return, kind):
+        """A service without endpoints refuses at once, if that is sure.
+
+        Just after the directory's return entries are still missing.
+        """
+        core = group.steering()
+        core.on_return(10.0)
+        core.on_confirmed(10.0 + since_return)
+        outcome = core.on_segment(group.syn(group.flow()), 10.0 + since_return)
+        self.assertIsInstance(outcome, kind)
+
+    def test_draining(self):
+        """An endpoint that is leaving takes no new flows."""
+        core = group.steering(FIRST, SECOND)
+        leaving = group.endpoint(1, draining=True)
+        core.apply(Update((EndpointAnnounced(leaving, 11),), 11), 1.0)
+        chosen = {_open(core, number, 1.0).name for number in range(6)}
+        self.assertEqual({SECOND.name}, chosen)
+
+
+class CarryTest(TestCase):
+    """Where the packets of open flows go."""
+
+    def test_any_vm(self):
+        """A VM that never saw a flow carries its packets by their token."""
+        core = group.steering(FIRST, SECOND)
+        outcome = core.on_segment(
+            group.segment(group.flow(), SECOND.token, length=10), 1.0
+        )
+        self.assertEqual(Forward(SECOND), outcome)
+
+    def test_unknown_token(self):
+        """A packet for an unknown endpoint is dropped, never reset.
+
+        The endpoint may live and be listed again in a moment.
+        """
+        core = group.steering(FIRST)
+        outcome = core.on_segment(group.segment(group.flow(), 77), 1.0)
+        self.assertEqual(Drop(DropReason.UNKNOWN_TOKEN), outcome)
+
+    def test_draining_endpoint_keeps_flows(self):
+        """Long sessions outlive the announcement that an endpoint leaves."""
+        core = group.steering(FIRST)
+        _open(core, 1, 1.0)
+        leaving = group.endpoint(1, draining=True)
+        core.apply(Update((EndpointAnnounced(leaving, 11),), 11), 1.0)
+        outcome = core.on_segment(
+            group.segment(group.flow(1), FIRST.token, length=10), 1.1
+        )
+        self.assertEqual(Forward(leaving), outcome)
+
+    def test_down_ends_flows(self):
+        """An endpoint dies; its clients are told before they ask again.
+
+        A request that may not be repeated, sent into silence, is lost.
+        """
+        core = group.steering(FIRST, SECOND)
+        endpoint = _open(core, 1, 1.0)
+        record = core.catalog.get(endpoint.name)
+        resets = core.on_check(record, CheckResult.REFUSED, 2.0)
+        self.assertEqual([group.flow(1)], [reset.flow for reset in resets])
+        self.assertEqual(ResetReason.ENDPOINT_DOWN, resets[0].reason)
+        late = core.on_segment(
+            group.segment(group.flow(2), endpoint.token, length=10), 2.1
+        )
+        self.assertEqual(ResetReason.ENDPOINT_DOWN, late.reason)
+
+
+class LapseTest(TestCase):
+    """Entries vanish, and mostly come back."""
+
+    def test_entries_come_back(self):
+        """The directory was down and forgot an entry; its endpoint lives.
+
+        Ended at once, every flow to it would be cut for nothing.
+        """
+        core = group.steering(FIRST)
+        _open(core, 1, 1.0)
+        core.apply(Update((EndpointRemoved(FIRST.name, 11),), 11), 2.0)
+        record = core.catalog.get(FIRST.name)
+        self.assertEqual([record], core.due_checks(2.0))
+        self.assertEqual([], core.on_check(record, CheckResult.ANSWERED, 2.0))
+        core.apply(Update((EndpointAnnounced(FIRST, 12),), 12), 3.0)
+        self.assertIs(Presence.LISTED, record.presence)
+        outcome = core.on_segment(group.syn(group.flow(2)), 3.0)
+        self.assertEqual(PlacementReason.OWN_ZONE, outcome.placed)
+
+    def test_gone(self):
+        """An endpoint left for good; what still names it is reset."""
+        core = group.steering(FIRST)
+        core.apply(Update((EndpointRemoved(FIRST.name, 11),), 11), 2.0)
+        record = core.catalog.get(FIRST.name)
+        later = 2.0 + LAPSE_S
+        self.assertEqual([record], core.due_checks(later))
+        core.on_check(record, CheckResult.REFUSED, later)
+        self.assertIs(Presence.GONE, record.presence)
+        outcome = core.on_segment(
+            group.segment(group.flow(), FIRST.token, length=1), later
+        )
+        self.assertEqual(ResetReason.ENDPOINT_GONE, outcome.reason)
+        core.tick(later + FORGET_S)
+        self.assertIsNone(core.catalog.get(FIRST.name))
+
+    def test_missing_from_a_list(self):
+        """History was dropped; the new list lacks an endpoint."""
+        core = group.steering(FIRST, SECOND)
+        core.apply(group.listing(FIRST, revision=20), 2.0)
+        self.assertIs(Presence.LAPSED, core.catalog.get(SECOND.name).presence)
+
+    def test_older_news(self):
+        """A peer that is behind does not undo what is known."""
+        core = group.steering(FIRST)
+        leaving = group.endpoint(1, draining=True)
+        core.apply(Update((EndpointAnnounced(leaving, 11),), 11), 1.0)
+        core.apply(group.listing(FIRST, revision=5), 1.1)
+        record = core.catalog.get(FIRST.name)
+        self.assertTrue(record.endpoint.draining)
+        self.assertIs(Presence.LISTED, record.presence)
+
+
+class ConfigurationTest(TestCase):
+    """Which configuration is in force."""
+
+    @parameterized.expand([("newer", 2, 2), ("older", 0, 1)])
+    def test_version(self, _, offered, in_force):
+        """A configuration never goes back to an older one."""
+        core = group.steering(FIRST)
+        published = RoutesPublished(group.table(offered), 99)
+        core.apply(Update((published,), 99), 1.0)
+        self.assertEqual(in_force, core.table.version)
--- /dev/null
+++ b/tests/steering_group.py
@@ -0,0 +1,86 @@
+"""Endpoints, routes and segments for the tests of steering."""
+
+import random
+
+from pollenmast.counters import Counters
+from pollenmast.steering import (
+    Endpoint,
+    EndpointAnnounced,
+    FlowKey,
+    Route,
+    RoutesPublished,
+    RouteTable,
+    Segment,
+    Split,
+    Steering,
+    Update,
+)
+
+VIP = "198.18.0.1"
+PORT = 443
+ZONE = "pos-frederick"
+OTHER_ZONE = "pos-woodbrook"
+
+
+def endpoint(number: int, zone: str = ZONE, **fields) -> Endpoint:
+    """Returns an endpoint of the registry."""
+    values = {
+        "name": f"i-{number:010x}",
+        "number": number,
+        "token": number,
+        "host": f"10.1.64.{number}",
+        "port": 8301,
+        "service": "registry",
+        "zone": zone,
+    }
+    return Endpoint(**{**values, **fields})
+
+
+def table(version: int = 1, *services: str) -> RouteTable:
+    """Returns a configuration whose one route shares among services."""
+    splits = tuple(Split(name, 1) for name in services or ("registry",))
+    route = Route("feed", VIP, PORT, splits, True)
+    paths = {split.service: "/health" for split in splits}
+    return RouteTable(version, {(VIP, PORT): route}, paths, 15.0)
+
+
+def listing(*endpoints: Endpoint, revision: int = 10, routes=None) -> Update:
+    """Returns a whole list of endpoints and a configuration."""
+    changes = [EndpointAnnounced(each, revision) for each in endpoints]
+    published = RoutesPublished(routes or table(), revision)
+    return Update((published, *changes), revision, whole=True)
+
+
+def flow(number: int = 1) -> FlowKey:
+    """Returns a flow of a client."""
+    return FlowKey("100.64.0.7", 1024 + number, VIP, PORT)
+
+
+def segment(key: FlowKey, token: int = 0, **fields) -> Segment:
+    """Returns a segment in the middle of a flow."""
+    values = {
+        "flow": key,
+        "syn": False,
+        "fin": False,
+        "rst": False,
+        "token": token,
+        "sequence": 1,
+        "acknowledged": 1,
+        "syn_copies": 0,
+        "length": 0,
+        "datagram": b"",
+    }
+    return Segment(**{**values, **fields})
+
+
+def syn(key: FlowKey, copies: int = 0) -> Segment:
+    """Returns a SYN, or a copy of it."""
+    return segment(key, syn=True, syn_copies=copies)
+
+
+def steering(*endpoints: Endpoint, now: float = 0.0, zone=ZONE) -> Steering:
+    """Returns the beliefs of a VM that has read a list."""
+    core = Steering(zone, Counters(), random.Random(1))
+    core.apply(listing(*endpoints), now)
+    core.on_confirmed(now)
+    return core
--- /dev/null
+++ b/tests/steering_health_test.py
@@ -0,0 +1,137 @@
+"""Tests of steering._health."""
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast.steering._health import (
+    CALM_S,
+    FAILED_CHECKS,
+    MOST_PENDING,
+    OPEN_S,
+    RECHECK_MOST_S,
+    RECHECK_S,
+    TRUST_S,
+    CheckResult,
+    Health,
+)
+from tests import steering_group as group
+
+
+class RepeatTest(TestCase):
+    """What clients send again asks for a health check."""
+
+    def test_silent_endpoint(self):
+        """An endpoint died silently and its client sends its data again.
+
+        Without a check every client of the endpoint waits out its deadline.
+        """
+        health = Health()
+        health.on_repeat(1.0)
+        self.assertTrue(health.due(1.0))
+
+    def test_lost_packet(self):
+        """One packet was lost on the way while other clients are served.
+
+        A check for each would take the slots of a healthy endpoint.
+        """
+        health = Health()
+        health.on_advance(1.0)
+        health.on_repeat(1.0 + CALM_S / 2)
+        self.assertFalse(health.due(2.0))
+
+
+class SynTest(TestCase):
+    """A client that does not go on after its SYN asks for a check."""
+
+    def test_machine_refuses(self):
+        """An endpoint's process crashed and its machine resets each SYN.
+
+        The client uses up its tries within milliseconds and nothing that
+        passes by the VM says so; the next client would fare the same.
+        """
+        health = Health()
+        health.on_syn(group.flow(), 1.0)
+        health.look(1.0 + OPEN_S)
+        self.assertTrue(health.due(1.0 + OPEN_S))
+
+    @parameterized.expand(
+        [
+            ("opened", lambda health: health.on_open(group.flow())),
+            ("another_advanced", lambda health: health.on_advance(1.01)),
+        ]
+    )
+    def test_no_check(self, _, happens):
+        """A flow that opens, or another that advances, calls none."""
+        health = Health()
+        health.on_syn(group.flow(), 1.0)
+        happens(health)
+        health.look(1.0 + OPEN_S)
+        self.assertFalse(health.doubted)
+
+    def test_rotation_changes(self):
+        """While VMs change, second packets pass by other VMs.
+
+        Each such flow would otherwise cost a check of a healthy endpoint.
+        """
+        health = Health()
+        health.ask(1.0)
+        health.on_check(CheckResult.ANSWERED, 1.0)
+        health.on_syn(group.flow(), 1.1)
+        health.look(1.1 + OPEN_S)
+        self.assertFalse(health.doubted)
+        health.on_syn(group.flow(), 1.0 + TRUST_S)
+        health.look(1.0 + TRUST_S + OPEN_S)
+        self.assertTrue(health.doubted)
+
+    def test_flood(self):
+        """SYNs that nobody follows up do not fill the VM's memory."""
+        health = Health()
+        for number in range(2 * MOST_PENDING):
+            health.on_syn(group.flow(number), 1.0)
+        self.assertEqual(MOST_PENDING, len(health._pending))
+
+
+class CheckTest(TestCase):
+    """What health checks make of an endpoint."""
+
+    @parameterized.expand(
+        [
+            ("refused", CheckResult.REFUSED, 1),
+            ("other_process", CheckResult.OTHER, 1),
+            ("timeout", CheckResult.TIMEOUT, FAILED_CHECKS),
+        ]
+    )
+    def test_down(self, _, result, checks):
+        """A certain failure counts at once, a silent one the second time."""
+        health = Health()
+        for _ in range(checks):
+            self.assertFalse(health.down)
+            health.on_check(result, 1.0)
+        self.assertTrue(health.down)
+
+    def test_busy_endpoint(self):
+        """An endpoint that is full answers that it takes no work.
+
+        To end its flows would cut requests that it is working on.
+        """
+        health = Health()
+        for _ in range(3):
+            health.on_check(CheckResult.UNHEALTHY, 1.0)
+        self.assertFalse(health.down)
+
+    def test_return(self):
+        """A cut ends; the endpoint takes flows again within a check."""
+        health = Health()
+        health.on_check(CheckResult.REFUSED, 1.0)
+        self.assertFalse(health.due(1.0 + RECHECK_S / 2))
+        self.assertTrue(health.due(1.0 + RECHECK_S))
+        self.assertTrue(health.on_check(CheckResult.ANSWERED, 1.6))
+        self.assertFalse(health.down)
+        self.assertFalse(health.doubted)
+
+    def test_pause_is_bounded(self):
+        """An endpoint that stays down is asked ever less, up to a bound."""
+        health, now = Health(), 0.0
+        for _ in range(10):
+            health.on_check(CheckResult.REFUSED, now)
+        self.assertTrue(health.due(now + RECHECK_MOST_S))
