Share load between VMs, and leave a full zone

Ruled out: the endpoints (busiest to mean 1.42) and the restarts (the same lateness at 48 to 54 s, 10 s after them).

VMs now tell each other twice a second what they send, by UDP at the first internal port; zones tell their sum.

--- a/src/pollenmast/entry/_ports.py
+++ b/src/pollenmast/entry/_ports.py
@@ -28,6 +28,7 @@
         packets: Where clients' datagrams arrive.
         ready: Where readiness is asked for, over HTTP.
         control: Where peers and operators ask, over HTTP, or None.
+        gossip: Where reports of other VMs arrive, over UDP.
         directory: Where endpoints and routes are published.
         seeds: Control addresses of some VMs, that may be down.
         grace_s: Seconds from the signal to stop until the process is killed.
@@ -39,6 +40,7 @@
     packets: Address
     ready: Address
     control: Address | None
+    gossip: Address
     directory: Address
     seeds: tuple[Address, ...]
     grace_s: float
@@ -79,6 +81,7 @@
 
     Attributes:
         packets: The format of clients' packets.
+        gossip: Where reports of other VMs arrive, over UDP.
         directory: Where endpoints and routes are read.
         probe: How endpoints are asked.
         load: Reads the settings again.
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -17,6 +17,7 @@
 from pollenmast.counters import Counters
 from pollenmast.entry._checks import Checker
 from pollenmast.entry._follow import Follower
+from pollenmast.entry._gossip import Gossip
 from pollenmast.entry._packets import PacketLoop
 from pollenmast.entry._pause import PauseWatch
 from pollenmast.entry._peers import PeerReader
@@ -87,6 +88,16 @@
             self._follower,
             self._log,
         )
+        self._gossip = Gossip(
+            settings.vm,
+            settings.zone,
+            settings.gossip,
+            settings.seeds,
+            self._steering,
+            self._follower,
+            counters,
+            rng,
+        )
         self._checker = Checker(
             ports.probe,
             self._steering,
@@ -106,12 +117,15 @@
                 await self._listen(tasks)
                 tasks.start_soon(self._packets.run)
                 tasks.start_soon(self._peers.run)
+                tasks.start_soon(self._gossip.send)
+                tasks.start_soon(self._gossip.receive)
                 tasks.start_soon(self._checker.run)
                 tasks.start_soon(self._pauses.run, self._on_pause)
                 tasks.start_soon(self._upkeep)
                 await self._obey(received)
                 tasks.cancel_scope.cancel()
         self._packets.close()
+        self._gossip.close()
         self._log.write(STOPPED, flows=len(self._steering.flows))
         self._log.flush()
         self._stream.flush()
--- a/src/pollenmast/platform/_settings.py
+++ b/src/pollenmast/platform/_settings.py
@@ -18,6 +18,7 @@
                 packets=_address(fields, "listenAddrs.datagramAddr"),
                 ready=_address(fields, "listenAddrs.ready"),
                 control=_optional_address(fields, "listenAddrs.control"),
+                gossip=_gossip(fields),
                 directory=_address(fields, "platform.address"),
                 seeds=_seeds(fields),
                 # The SIGTERM to SIGKILL time, in whole seconds or a fraction.
@@ -56,6 +57,14 @@
     return _split(value, name) if value else None
 
 
+def _gossip(fields: dict[str, str]) -> tuple[str, int]:
+    """Returns the first of the ports that are free between VMs."""
+    first = _field(fields, "internalPorts").split(",")[0]
+    if not first.isdigit():
+        raise ValueError("internalPorts is no port")
+    return _address(fields, "listenAddrs.datagramAddr")[0], int(first)
+
+
 def _seeds(fields: dict[str, str]) -> tuple[tuple[str, int], ...]:
     listed = fields.get("seedNodes", "").split(",")
     return tuple(_split(each, "seedNodes") for each in listed if each)
--- a/src/pollenmast/steering/__init__.py
+++ b/src/pollenmast/steering/__init__.py
@@ -12,6 +12,7 @@
 )
 from pollenmast.steering._core import Applied, Steering
 from pollenmast.steering._health import CheckResult, Health
+from pollenmast.steering._load import LoadBook, Rates
 from pollenmast.steering._model import (
     Endpoint,
     FlowKey,
@@ -36,8 +37,10 @@
     "FlowKey",
     "Forward",
     "Health",
+    "LoadBook",
     "Outcome",
     "Presence",
+    "Rates",
     "Record",
     "Reset",
     "Route",
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -15,6 +15,7 @@
 from pollenmast.steering._changes import RoutesPublished, Update
 from pollenmast.steering._flows import REPEAT_S, FlowTable, note
 from pollenmast.steering._health import CheckResult
+from pollenmast.steering._load import LoadBook
 from pollenmast.steering._model import Route, RouteTable, Segment
 from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
 from pollenmast.steering._placement import Placement
@@ -47,7 +48,8 @@
         self._counters = counters
         self._catalog = Catalog()
         self._flows = FlowTable()
-        self._placement = Placement(zone, self._catalog, self._flows, rng)
+        self._load = LoadBook(zone)
+        self._placement = Placement(zone, self._catalog, self._load, rng)
         self._table: RouteTable | None = None
         self._revision = 0
         self._confirmed_at = float("-inf")
@@ -63,6 +65,11 @@
         """The flows that passed by."""
         return self._flows
 
+    @property
+    def load(self) -> LoadBook:
+        """The endpoints' load."""
+        return self._load
+
     @property
     def table(self) -> RouteTable | None:
         """The configuration in force."""
@@ -130,6 +137,17 @@
             return []
         return self._end_flows(record)
 
+    def on_reported_down(self, number: int, now: float) -> None:
+        """Another VM found an endpoint down: this one asks for itself.
+
+        Believed without a check, a VM that is cut off would turn the others
+        away from endpoints that they reach.
+        """
+        for record in self._catalog.records:
+            known_down = record.health.down
+            if record.endpoint.number == number and not known_down:
+                record.health.ask(now)
+
     def due_checks(self, now: float) -> list[Record]:
         """Returns the endpoints whose health is to be checked now."""
         self._look(now)
@@ -179,6 +197,8 @@
     def _learn(self, segment: Segment, record: Record, now: float) -> None:
         flow = self._flows.bind(segment.flow, record.endpoint.name, now)
         progress = note(flow, segment, now)
+        if progress.request:
+            self._load.on_work(record.endpoint.number, now)
         if progress.advanced:
             record.health.on_advance(now)
         if progress.repeated:
@@ -215,6 +235,9 @@
         flow.opened = False
         flow.syn_at = now
         placed.record.health.on_syn(segment.flow, now)
+        # Counts before its requests do: flows that arrive together would
+        # else all find the same endpoint the least loaded.
+        self._load.on_work(endpoint.number, now)
         self._counters.add(c.PLACEMENTS, placed.reason)
         return Forward(endpoint, placed.reason)
 
--- /dev/null
+++ b/tests/entry_report_test.py
@@ -0,0 +1,131 @@
+"""Tests of entry._report and entry._gossip."""
+
+import random
+
+import attrs
+import msgpack
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast.counters import ENVELOPE_FAULTS, Counters
+from pollenmast.entry import _gossip as gossip
+from pollenmast.entry import _report as reports
+from pollenmast.entry._report import Report
+from tests import steering_group as group
+
+REPORT = Report("vm-2", group.ZONE, 12, False, {1: 2.5}, (1,), ("127.0.0.9",))
+
+
+class ReportTest(TestCase):
+    """Reports travel whole, and nothing else is taken for one."""
+
+    def test_round_trip(self):
+        """What was told is what is heard."""
+        heard = reports.decode(reports.encode(REPORT)).ok_value
+        self.assertEqual(REPORT, heard)
+
+    def test_bounded(self):
+        """A report of a great fleet still fits one datagram."""
+        many = {n << 30: float(n) for n in range(1, 1000)}
+        told = Report("v", "z", 1, True, many, tuple(many), ("1.1.1.1",) * 99)
+        data = reports.encode(told)
+        self.assertLess(len(data), 2 * 1400)
+        self.assertIn(999 << 30, reports.decode(data).ok_value.rates)
+
+    @given(st.binary(max_size=200))
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    def test_any_bytes(self, data):
+        """No datagram raises anything."""
+        reports.decode(data)
+
+    @given(
+        st.recursive(
+            st.none() | st.integers() | st.text(max_size=3) | st.floats(),
+            lambda inner: (
+                st.lists(inner, max_size=8)
+                | st.dictionaries(st.text(max_size=2), inner, max_size=3)
+            ),
+        )
+    )
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    def test_any_fields(self, value):
+        """Well-formed msgpack of the wrong shape raises nothing."""
+        try:
+            data = msgpack.packb([1, "vm", "z", 1, False, value, value, value])
+        except (OverflowError, ValueError):
+            return
+        reports.decode(data)
+
+
+class _Follower:
+    def __init__(self):
+        self.refreshed = 0
+
+    def refresh(self):
+        self.refreshed += 1
+
+
+class GossipTest(TestCase):
+    """What a VM makes of the others' reports."""
+
+    def setUp(self):
+        """Makes the gossip of one VM."""
+        super().setUp()
+        self.core = group.steering(group.endpoint(1), group.endpoint(2))
+        self.follower = _Follower()
+        self.counters = Counters()
+        self.gossip = gossip.Gossip(
+            "vm-1",
+            group.ZONE,
+            ("127.0.0.1", 0),
+            (),
+            self.core,
+            self.follower,
+            self.counters,
+            random.Random(1),
+        )
+        self.addCleanup(self.gossip.close)
+
+    def _take(self, now: float = 1.0, **fields) -> None:
+        report = Report(**{**_values(REPORT), **fields})
+        self.gossip.take(reports.encode(report), "127.0.0.2", now)
+
+    def test_dead_endpoint(self):
+        """Another VM found an endpoint dead; this one asks for itself.
+
+        Its own clients need not find out one by one.
+        """
+        self._take()
+        due = [r.endpoint.number for r in self.core.due_checks(1.0)]
+        self.assertEqual([1], due)
+
+    def test_load(self):
+        """The load that another VM reports counts here."""
+        self._take()
+        self.assertEqual({1: 2.5}, dict(self.core.load.total(1.0)))
+
+    def test_silent_connection(self):
+        """The connection to the directory fell silent; a peer knows more.
+
+        The VM would go on with an old configuration until its own timeout.
+        """
+        self._take(1.0, revision=99)
+        self._take(1.1, revision=99)
+        self.assertEqual(0, self.follower.refreshed)
+        self._take(1.1 + gossip.BEHIND_S, revision=99)
+        self.assertEqual(1, self.follower.refreshed)
+
+    @parameterized.expand(
+        [("empty", b""), ("junk", b"\xc1\xff"), ("int", b"\x01")]
+    )
+    def test_junk(self, _, data):
+        """Junk is counted and changes nothing."""
+        self.gossip.take(data, "127.0.0.2", 1.0)
+        self.assertEqual(1, self.counters.value(ENVELOPE_FAULTS, "malformed"))
+        self.assertEqual({}, dict(self.core.load.total(1.0)))
+
+
+def _values(report: Report) -> dict[str, object]:
+    return attrs.asdict(report, recurse=False)
--- /dev/null
+++ b/tests/steering_load_test.py
@@ -0,0 +1,117 @@
+"""Tests of steering._load and of placement by it."""
+
+import random
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast.counters import PlacementReason
+from pollenmast.steering import Catalog, LoadBook
+from pollenmast.steering._load import REPORT_LIFE_S, WINDOW_S
+from pollenmast.steering._placement import (
+    ZONE_ADVANTAGE,
+    ZONE_FACTOR,
+    Placement,
+)
+from tests import steering_group as group
+
+FIRST = group.endpoint(1)
+SECOND = group.endpoint(2)
+FAR = group.endpoint(3, zone=group.OTHER_ZONE)
+
+
+class LoadBookTest(TestCase):
+    """The VMs' counts add up to an endpoint's load."""
+
+    def test_window(self):
+        """Requests count for two seconds, then no more."""
+        book = LoadBook(group.ZONE)
+        for _ in range(10):
+            book.on_work(1, 5.0)
+        self.assertEqual({1: 10 / WINDOW_S}, book.own(5.1))
+        self.assertEqual({}, book.own(5.0 + WINDOW_S + 0.5))
+
+    def test_sums(self):
+        """Own requests, the zone's other VMs and the other zones add up."""
+        book = LoadBook(group.ZONE)
+        book.on_work(1, 5.0)
+        book.on_mate("vm-2", {1: 3.0}, 5.0)
+        book.on_zone(group.OTHER_ZONE, {1: 4.0, 3: 9.0}, 5.0)
+        self.assertEqual(3.5, book.zone(5.0)[1])
+        self.assertEqual({1: 7.5, 3: 9.0}, dict(book.total(5.0)))
+
+    def test_silent_vm(self):
+        """A VM dies; what it had sent no longer counts as load.
+
+        Its endpoints would otherwise look busy and be left idle.
+        """
+        book = LoadBook(group.ZONE)
+        book.on_mate("vm-2", {1: 30.0}, 5.0)
+        self.assertEqual({}, dict(book.total(5.1 + REPORT_LIFE_S)))
+
+
+class PlacementTest(TestCase):
+    """Flows leave their zone only where that pays."""
+
+    def _choose(self, rates: dict[int, float], *endpoints, tried=()):
+        catalog = Catalog()
+        catalog.apply(group.listing(*endpoints), 0.0)
+        load = LoadBook(group.ZONE)
+        load.on_zone(group.OTHER_ZONE, rates, 100.0)
+        placement = Placement(group.ZONE, catalog, load, random.Random(1))
+        return placement.choose("registry", tried, 100.0)
+
+    @parameterized.expand(
+        [
+            ("idle", {}, PlacementReason.OWN_ZONE),
+            ("a_little_more", {1: 10.0, 3: 5.0}, PlacementReason.OWN_ZONE),
+            (
+                "at_the_margin",
+                {1: 2 * (ZONE_FACTOR * 10.0 + ZONE_ADVANTAGE), 3: 20.0},
+                PlacementReason.OWN_ZONE,
+            ),
+            ("full", {1: 60.0, 3: 20.0}, PlacementReason.OTHER_ZONE),
+        ]
+    )
+    def test_full_zone(self, _, rates, reason):
+        """A zone lost an endpoint and the rest cannot keep up.
+
+        Kept at home, its clients queue while another zone stands idle.
+        """
+        self.assertEqual(reason, self._choose(rates, FIRST, FAR).reason)
+
+    def test_least_loaded(self):
+        """Within the zone the endpoint with the least work is chosen."""
+        placed = self._choose({1: 20.0, 2: 10.0}, FIRST, SECOND)
+        self.assertEqual(SECOND, placed.record.endpoint)
+
+    def test_cold_endpoint(self):
+        """A cold endpoint with a little less work is not preferred.
+
+        It is slow yet; what it gets now it keeps for long.
+        """
+        cold = group.endpoint(2, warm_in_s=1000.0)
+        placed = self._choose({1: 20.0, 2: 15.0}, FIRST, cold)
+        self.assertEqual(FIRST, placed.record.endpoint)
+
+    def test_burst(self):
+        """Many flows arrive between two reports and are spread all the same.
+
+        All placed on the one that was idle, they would fill its queue.
+        """
+        core = group.steering(FIRST, SECOND)
+        names = [
+            core.on_segment(group.syn(group.flow(n)), 1.0).endpoint.name
+            for n in range(20)
+        ]
+        self.assertEqual(10, names.count(FIRST.name))
+
+    def test_shared_token(self):
+        """Two endpoints' names yield one token; only one takes new flows.
+
+        Packets of the other's flows would go to the wrong process.
+        """
+        twin = group.endpoint(2, token=FIRST.token)
+        for _ in range(4):
+            placed = self._choose({1: 50.0}, FIRST, twin)
+            self.assertEqual(FIRST, placed.record.endpoint)
