--- a/src/pollenmast/entry/_checks.py
+++ b/src/pollenmast/entry/_checks.py
@@ -15,9 +15,9 @@
 )
 from pollenmast.steering import CheckResult, Presence, Record, Steering
 
-TICK_S = 0.05
-"""Between two looks at which checks are due: a quarter of the clients' first
-retransmission time."""
+TICK_S = 0.03
+"""Between two looks at which checks are due: below the time that a client's
+second packet may take."""
 
 MOST_CHECKS = 16
 """Checks under way at the same time; a whole zone of endpoints can become
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -199,8 +199,11 @@
         progress = note(flow, segment, now)
         if progress.request:
             self._load.on_work(record.endpoint.number, now)
+        # A request acknowledges the answer before it: it advances first.
         if progress.advanced:
             record.health.on_advance(now)
+        if progress.request:
+            record.health.on_request(now)
         if progress.repeated:
             record.health.on_repeat(now)
         if segment.fin:
--- a/src/pollenmast/steering/_health.py
+++ b/src/pollenmast/steering/_health.py
@@ -5,13 +5,17 @@
 none of them. Without own evidence each request on a flow to it waits out its
 deadline, and new flows go on being placed there.
 
-Three kinds of evidence pass by. A client that acknowledges more than before
-has received something: the endpoint lives. A client that sends a SYN or data
-again has received nothing. A client that goes on neither way after its SYN
-was refused: where no process listens, its machine resets each SYN at once,
-the client uses up its tries within milliseconds, and no packet passes by
-that says so. One such sign may be chance, so it only asks for a health check
-and keeps new flows away until that has answered.
+A client that acknowledges more than before has received something: the
+endpoint lives. The signs of the opposite are
+
+- a client that sends a SYN or data again: it has received nothing;
+- a client that does not go on after its SYN: where no process listens, its
+  machine resets each SYN at once, and the client uses up its tries within
+  milliseconds;
+- a request, and no client of the endpoint that advances for a while after it.
+
+Each may be chance, so it only asks for a health check and keeps new flows
+away until that has answered; the check decides.
 """
 
 import enum
@@ -23,9 +27,10 @@
 so long: three quarters of the clients' first retransmission time of 0.2 s, so
 that a single lost packet of a busy endpoint costs no check."""
 
-FAILED_CHECKS = 2
-"""Unanswered health checks in a row that make an endpoint down. A single one
-may be a lost packet."""
+FAILED_CHECKS = 3
+"""Unanswered health checks in a row that make an endpoint down. On a link
+that loses a twentieth of its packets one check in ten fails, and three in a
+row one time in a thousand."""
 
 RECHECK_S = 0.5
 """Between two checks of an endpoint that is down. Its return is seen within
@@ -39,9 +44,14 @@
 """How long the client's next packet may take after its SYN: two ways to the
 client and the endpoint are about 10 ms, the endpoint's turn some more."""
 
+SILENT_S = 0.12
+"""How long an endpoint may show no life after a request. Nine of ten requests
+take less, and of a busy endpoint's clients some other one advances meanwhile;
+waiting for the client's repeat would take 0.2 s."""
+
 TRUST_S = 0.5
-"""After an answered check no other is asked for by a SYN's silence: while the
-VMs in rotation change, a flow's second packet may pass by another VM."""
+"""After an answered check no other is asked for by silence: while the VMs in
+rotation change, a flow's next packet may pass by another VM."""
 
 MOST_PENDING = 256
 """SYNs awaited for one endpoint; beyond that the oldest is given up."""
@@ -77,6 +87,7 @@
         self._pause_s = RECHECK_S
         self._checked_at = float("-inf")
         self._pending: dict[FlowKey, float] = {}
+        self._asked_at: float | None = None
 
     @property
     def down(self) -> bool:
@@ -98,20 +109,36 @@
         """A client has gone on after its SYN, or has given the flow up."""
         self._pending.pop(flow, None)
 
+    def on_request(self, now: float) -> None:
+        """A client's request was sent to it."""
+        if self._asked_at is None:
+            self._asked_at = now
+
     def look(self, now: float) -> None:
-        """Asks for a check if a SYN has gone unanswered for too long."""
+        """Asks for a check if it has been silent for too long."""
+        silent = self._unopened(now) or self._unanswered(now)
+        if silent and now - self._checked_at >= TRUST_S:
+            self.ask(now)
+
+    def _unopened(self, now: float) -> bool:
         oldest = next(iter(self._pending.values()), now)
         if now - oldest < OPEN_S:
-            return
+            return False
         self._pending = {
             flow: at for flow, at in self._pending.items() if now - at < OPEN_S
         }
-        if self._advanced_at < oldest and now - self._checked_at >= TRUST_S:
-            self.ask(now)
+        return self._advanced_at < oldest
+
+    def _unanswered(self, now: float) -> bool:
+        if self._asked_at is None or now - self._asked_at < SILENT_S:
+            return False
+        self._asked_at = None
+        return True
 
     def on_advance(self, now: float) -> None:
         """A client has received something from it."""
         self._advanced_at = now
+        self._asked_at = None
 
     def on_repeat(self, now: float) -> None:
         """A client has sent something to it again."""
--- a/tests/steering_health_test.py
+++ b/tests/steering_health_test.py
@@ -10,6 +10,7 @@
     OPEN_S,
     RECHECK_MOST_S,
     RECHECK_S,
+    SILENT_S,
     TRUST_S,
     CheckResult,
     Health,
@@ -91,6 +92,47 @@
         self.assertEqual(MOST_PENDING, len(health._pending))
 
 
+class SilenceTest(TestCase):
+    """Requests without any sign of life ask for a check."""
+
+    def test_silent_death(self):
+        """An endpoint's machine lost power while requests were under way.
+
+        Its clients send again only after 0.2 s, and a short deadline has
+        passed by the time that checks after that have failed.
+        """
+        health = Health()
+        health.on_request(1.0)
+        health.look(1.0 + SILENT_S / 2)
+        self.assertFalse(health.doubted)
+        health.look(1.0 + SILENT_S)
+        self.assertTrue(health.due(1.0 + SILENT_S))
+
+    def test_long_request(self):
+        """One request takes long while others of the endpoint advance."""
+        health = Health()
+        health.on_request(1.0)
+        health.on_advance(1.05)
+        health.look(1.0 + SILENT_S)
+        self.assertFalse(health.doubted)
+
+    def test_slow_service(self):
+        """Every request of a service takes long; its endpoints live.
+
+        Checks are bounded: each takes a slot for a moment.
+        """
+        health = Health()
+        checks = 0
+        for step in range(100):
+            now = step * 0.05
+            health.on_request(now)
+            health.look(now)
+            if health.due(now):
+                checks += 1
+                health.on_check(CheckResult.ANSWERED, now)
+        self.assertLessEqual(checks, 5.0 / TRUST_S + 1)
+
+
 class CheckTest(TestCase):
     """What health checks make of an endpoint."""
 
