Tests of the platform's program: adapter, store, processes under failure

Stand-ins for the store, the endpoints and the clients, and real processes on loopback: any VM carries any flow, graceful shutdown, restart without the store, a dead endpoint, a paused VM, a log that nobody reads. Parsers by hypothesis with fixed seeds.

--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,134 @@
+"""A stand-in for the platform's metadata store: read, watch and faults."""
+
+import base64
+import enum
+import json
+
+import anyio
+import attrs
+
+from standins import http
+
+POLL_S = 0.01
+PAGE_ITEMS = 500
+_GONE = http.Response(410, b'{"error": "history is gone"}')
+_BUSY = http.Response(503, b'{"error": "not now"}')
+
+
+class Fault(enum.Enum):
+    """How the store misbehaves."""
+
+    NONE = "none"
+    DOWN = "down"
+    BUSY = "busy"
+    SILENT = "silent"
+
+
+@attrs.frozen
+class _Item:
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class Store(http.Handler):
+    """Keys with values, one revision counter, and a history."""
+
+    def __init__(self):
+        self.fault = Fault.NONE
+        self.delay_s = 0.0
+        self.calls = 0
+        self._items: dict[str, _Item] = {}
+        self._history: list[_Item] = []
+        self._revision = 10
+        self._oldest = 10
+
+    @property
+    def revision(self) -> int:
+        """Counts changes."""
+        return self._revision
+
+    def put(self, key: str, value: object) -> int:
+        """Writes a value; what is not bytes is written as JSON."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        return self._write(key, data)
+
+    def delete(self, key: str) -> int:
+        """Removes a key."""
+        return self._write(key, None)
+
+    def compact(self) -> None:
+        """Forgets the history."""
+        self._history.clear()
+        self._oldest = self._revision
+
+    async def handle(self, request: http.Request) -> http.Response:
+        """Answers one call, through the fault."""
+        self.calls += 1
+        if self.fault is Fault.SILENT:
+            await anyio.sleep_forever()
+        if self.delay_s:
+            await anyio.sleep(self.delay_s)
+        if self.fault is Fault.DOWN:
+            return http.CLOSE_UNANSWERED
+        if self.fault is Fault.BUSY:
+            return _BUSY
+        if request.path == "/kv-range":
+            return self._range(request)
+        if request.path == "/kv-watch":
+            return await self._watch(request)
+        return http.NOT_FOUND
+
+    def _write(self, key: str, value: bytes | None) -> int:
+        self._revision += 1
+        item = _Item(key, value, self._revision)
+        self._history.append(item)
+        self._items[key] = item
+        if value is None:
+            del self._items[key]
+        return self._revision
+
+    def _range(self, request: http.Request) -> http.Response:
+        prefix = request.query.get("prefix", "")
+        after = request.query.get("after", "")
+        keys = sorted(
+            key for key in self._items if key.startswith(prefix) and key > after
+        )
+        page = keys[:PAGE_ITEMS]
+        body = {
+            "items": [_shown(self._items[key]) for key in page],
+            "morePages": len(keys) > len(page),
+            "asOf": self._revision,
+        }
+        return http.json_response(body)
+
+    async def _watch(self, request: http.Request) -> http.Response:
+        prefix = request.query.get("prefix", "")
+        after = int(request.query["after"])
+        until = anyio.current_time() + int(request.query["waitMs"]) / 1000
+        while True:
+            if self.fault is Fault.DOWN:
+                return http.CLOSE_UNANSWERED
+            if after < self._oldest:
+                return _GONE
+            events = [
+                _shown(item)
+                for item in self._history
+                if item.revision > after and item.key.startswith(prefix)
+            ]
+            if events or anyio.current_time() >= until:
+                body = {"events": events, "asOf": self._revision}
+                return http.json_response(body)
+            await anyio.sleep(POLL_S)
+
+
+def _shown(item: _Item) -> dict[str, object]:
+    if item.value is None:
+        return {"key": item.key, "revision": item.revision, "deleted": True}
+    return {
+        "key": item.key,
+        "value": base64.b64encode(item.value).decode(),
+        "revision": item.revision,
+        "created": item.revision,
+        "lease": 0,
+    }
--- /dev/null
+++ b/tests/entry_process_test.py
@@ -0,0 +1,308 @@
+"""Tests of the platform's program as real processes, under failure.
+
+No verdict rests on how long something took: clients are judged by what they
+received, and waits only bound how long a test may last.
+"""
+
+import contextlib
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+
+import anyio
+import attrs
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast import http1
+from standins import http
+from standins.segments import Client, Endpoint, Flow, bind
+from standins.store import Fault, Store
+
+_NET = f"127.{100 + os.getpid() % 100}"
+_CLIENT = f"{_NET}.1.7"
+_STORE = (f"{_NET}.2.1", 8169)
+_PACKETS, _READY, _CONTROL, _GOSSIP = 8172, 8167, 8166, 7720
+_SERVICE = ("198.18.0.1", 443)
+_WITHIN_S = 15.0
+_CONFIGURATION = {
+    "version": 3,
+    "routeTable": [
+        {
+            "name": "feed",
+            "hostname": _SERVICE[0],
+            "prefix": f"/{_SERVICE[1]}/",
+            "routeType": "idempotent",
+            "service": "registry",
+        }
+    ],
+    "services": [{"name": "registry", "healthPath": "/health"}],
+    "limits": {"idleTimeoutMs": 15000},
+}
+
+
+def _settings(host: str, seeds: list[str]) -> str:
+    listed = ",".join(f"{seed}:{_CONTROL}" for seed in seeds)
+    return (
+        f"nodeId=vm-{host}\nzone=a\n"
+        f"listenAddrs.datagramAddr={host}:{_PACKETS}\n"
+        f"listenAddrs.ready={host}:{_READY}\n"
+        f"listenAddrs.control={host}:{_CONTROL}\n"
+        f"internalPorts={_GOSSIP},7735\nseedNodes={listed}\n"
+        f"bounds.graceS=6\nplatform.address={_STORE[0]}:{_STORE[1]}\n"
+    )
+
+
+class _Vm:
+    """One process of the program."""
+
+    def __init__(self, number: int, folder: pathlib.Path, read_log: bool):
+        self.host = f"{_NET}.3.{number}"
+        self._file = folder / f"{number}.conf"
+        hosts = [f"{_NET}.3.{each}" for each in (1, 2, 3)]
+        self._file.write_text(_settings(self.host, hosts))
+        self.log = folder / f"{number}.log"
+        self._read_log = read_log
+        self.process: subprocess.Popen | None = None
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self.host, _PACKETS
+
+    def start(self) -> None:
+        source = pathlib.Path(__file__).parent.parent / "src"
+        environment = {
+            **os.environ,
+            "POLLENMAST_CONFIG": str(self._file),
+            "PYTHONPATH": str(source),
+        }
+        out = self.log.open("ab") if self._read_log else subprocess.PIPE
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "pollenmast.platform"],
+            env=environment,
+            stdin=subprocess.DEVNULL,
+            stdout=out,
+            stderr=subprocess.DEVNULL if not self._read_log else out,
+        )
+
+    async def status(self) -> int:
+        """Returns the readiness, or 0 without an answer."""
+        connection = http1.Connection(self.host, _READY)
+        answer = await connection.get("/readiness", 1.0)
+        await connection.aclose()
+        return answer.ok_value.status if answer.is_ok() else 0
+
+    async def until(self, status: int) -> None:
+        with anyio.fail_after(_WITHIN_S):
+            while await self.status() != status:
+                await anyio.sleep(0.02)
+
+    async def ended(self) -> int:
+        with anyio.fail_after(_WITHIN_S):
+            while self.process.poll() is None:
+                await anyio.sleep(0.02)
+        return self.process.returncode
+
+    def kill(self) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+        if self.process is not None:
+            self.process.wait()
+            if self.process.stdout is not None:
+                self.process.stdout.close()
+
+
+@attrs.define
+class _World:
+    store: Store
+    endpoints: list[Endpoint]
+    vms: list[_Vm]
+    scopes: list[anyio.CancelScope]
+    client: Client
+    port: int = 1024
+
+    def flow(self) -> Flow:
+        self.port += 1
+        return Flow(self.client, self.port, _SERVICE)
+
+    def addresses(self, *numbers: int) -> list[tuple[str, int]]:
+        return [self.vms[number].address for number in numbers]
+
+
+async def _run_endpoint(endpoint: Endpoint, scope: anyio.CancelScope) -> None:
+    with scope:
+        await endpoint.run()
+
+
+@contextlib.asynccontextmanager
+async def _world(vms: int, read_log: bool = True):
+    store = Store()
+    store.put("op/config", _CONFIGURATION)
+    endpoints = [
+        Endpoint(f"i-000000a{n}", f"{_NET}.4.{n}", 8301, _PACKETS)
+        for n in (1, 2)
+    ]
+    client = Client(_CLIENT, _PACKETS)
+    with tempfile.TemporaryDirectory(prefix="pollenmast-test-") as folder:
+        path = pathlib.Path(folder)
+        fleet = [_Vm(n + 1, path, read_log) for n in range(vms)]
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(http.serve, store, *_STORE)
+            scopes = []
+            for endpoint in endpoints:
+                store.put(
+                    f"servers/{endpoint.name}", endpoint.entry("registry", "a")
+                )
+                scopes.append(anyio.CancelScope())
+                tasks.start_soon(_run_endpoint, endpoint, scopes[-1])
+            try:
+                for vm in fleet:
+                    vm.start()
+                for vm in fleet:
+                    await vm.until(200)
+                yield _World(store, endpoints, fleet, scopes, client)
+            finally:
+                for vm in fleet:
+                    vm.kill()
+                client.close()
+                tasks.cancel_scope.cancel()
+
+
+class ProgramTest(TestCase):
+    """What clients receive while things fail."""
+
+    def _play(self, script, vms: int = 2, read_log: bool = True) -> None:
+        async def main() -> None:
+            async with _world(vms, read_log) as world:
+                await script(world)
+
+        anyio.run(main)
+
+    def test_any_vm(self):
+        """A flow's packets reach any VM, and its endpoint all the same."""
+
+        async def script(world: _World) -> None:
+            flow = world.flow()
+            self.assertTrue(await flow.open(world.addresses(0)))
+            first = await flow.ask(world.addresses(0), b"one")
+            second = await flow.ask(world.addresses(1), b"two")
+            self.assertEqual(first, second)
+            ran = [data for each in world.endpoints for data in each.ran]
+            self.assertEqual([b"one", b"two"], ran)
+
+        self._play(script)
+
+    def test_graceful_shutdown(self):
+        """A VM is told to stop; what still reaches it is carried.
+
+        Routers go on sending to it for a second; cut at once, it would lose
+        the requests of a planned change.
+        """
+
+        async def script(world: _World) -> None:
+            flow = world.flow()
+            await flow.open(world.addresses(0))
+            world.vms[0].process.send_signal(signal.SIGTERM)
+            await world.vms[0].until(503)
+            self.assertTrue(await flow.ask(world.addresses(0), b"late"))
+            self.assertEqual(0, await world.vms[0].ended())
+
+        self._play(script, vms=1)
+
+    def test_restart_without_store(self):
+        """The store is down and a VM is killed and starts again.
+
+        It learns routes and endpoints from another VM; without that its
+        clients wait until the store is back.
+        """
+
+        async def script(world: _World) -> None:
+            world.store.fault = Fault.DOWN
+            world.vms[0].kill()
+            world.vms[0].start()
+            await world.vms[0].until(200)
+            flow = world.flow()
+            self.assertTrue(await flow.open(world.addresses(0)))
+            self.assertTrue(await flow.ask(world.addresses(0), b"one"))
+
+        self._play(script)
+
+    def test_endpoint_dies(self):
+        """An endpoint's process dies while a client's flow is idle.
+
+        The client is told, so that its next request, which may not be
+        repeated, goes by a flow that works.
+        """
+
+        async def script(world: _World) -> None:
+            idle = world.flow()
+            await idle.open(world.addresses(0))
+            name = (await idle.ask(world.addresses(0), b"one")).decode()
+            dead = [e.name for e in world.endpoints].index(name)
+            world.scopes[dead].cancel()
+            await anyio.sleep(0.1)
+            # Somebody else's request finds out.
+            for _ in range(4):
+                await world.flow().open(world.addresses(0))
+            self.assertTrue(await idle.ended(_WITHIN_S))
+            flow = world.flow()
+            self.assertTrue(await flow.open(world.addresses(0)))
+            answer = await flow.ask(world.addresses(0), b"two")
+            self.assertEqual(world.endpoints[1 - dead].name, answer.decode())
+
+        self._play(script, vms=1)
+
+    def test_paused(self):
+        """A VM stands still, and a configuration is changed meanwhile.
+
+        It wakes with the old one; callers of the removed route must soon be
+        refused.
+        """
+
+        async def script(world: _World) -> None:
+            process = world.vms[0].process
+            process.send_signal(signal.SIGSTOP)
+            removed = {**_CONFIGURATION, "version": 9, "routeTable": []}
+            world.store.put("op/config", removed)
+            await anyio.sleep(1.5)
+            process.send_signal(signal.SIGCONT)
+            with anyio.fail_after(_WITHIN_S):
+                while await world.flow().open(world.addresses(0)):
+                    await anyio.sleep(0.05)
+
+        self._play(script, vms=1)
+
+    @parameterized.expand([("not_read", False), ("read", True)])
+    def test_log_reader(self, _, read_log):
+        """Nobody reads the log; packets are carried all the same.
+
+        A pipe holds 64 KiB; a blocking write then stops every flow.
+        """
+
+        async def script(world: _World) -> None:
+            sock = bind(f"{_NET}.1.8", 9)
+            for _ in range(30):
+                for number in range(100):
+                    sock.sendto(b"junk" * number, world.vms[0].address)
+                await anyio.sleep(0.05)
+            sock.close()
+            flow = world.flow()
+            self.assertTrue(await flow.open(world.addresses(0)))
+            self.assertTrue(await flow.ask(world.addresses(0), b"one"))
+
+        self._play(script, vms=1, read_log=read_log)
+
+    def test_signal_reload(self):
+        """A signal that the settings changed neither ends nor stops it."""
+
+        async def script(world: _World) -> None:
+            world.vms[0].process.send_signal(signal.SIGHUP)
+            with anyio.fail_after(_WITHIN_S):
+                while b"settings_reloaded" not in world.vms[0].log.read_bytes():
+                    await anyio.sleep(0.02)
+            self.assertEqual(200, await world.vms[0].status())
+
+        self._play(script, vms=1)
--- /dev/null
+++ b/tests/platform_entries_test.py
@@ -0,0 +1,193 @@
+"""Tests of platform._entries and platform._settings."""
+
+import json
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from parameterized import parameterized
+from result import Err, Ok
+from testtools import TestCase
+
+from pollenmast.platform._entries import parse_configuration, parse_endpoint
+from pollenmast.platform._settings import read_settings
+
+NAME = "i-7f3a91c2"
+ENTRY = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "pos-frederick",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmupLeftMs": 1500,
+    "seqNo": 4,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routeTable": [
+        {
+            "name": "r-1",
+            "hostname": "198.18.0.1",
+            "prefix": "/8443/",
+            "routeType": "idempotent",
+            "trafficSplit": [
+                {"service": "a", "weight": 90},
+                {"service": "b", "weight": 0},
+            ],
+        },
+        {
+            "name": "r-2",
+            "hostname": "198.18.0.1",
+            "prefix": "/8080/",
+            "routeType": "non_idempotent",
+            "service": "b",
+        },
+    ],
+    "services": [
+        {"name": "a", "healthPath": "/health"},
+        {"name": "b", "healthPath": "/health"},
+    ],
+    "limits": {"idleTimeoutMs": 15000},
+}
+SETTINGS = """\
+nodeId=frontend-pos-frederick-1
+zone=pos-frederick
+listenAddrs.datagramAddr=10.1.0.10:8172
+listenAddrs.ready=10.1.0.10:8167
+listenAddrs.control=10.1.0.10:8166
+internalPorts=7720,7735
+seedNodes=10.1.0.10:8166,10.2.0.40:8166
+bounds.graceS=6
+platform.address=10.200.1.7:8169
+a.new.field=1
+"""
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=4),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=4), inner, max_size=3)
+    ),
+)
+
+
+def _entry(**fields) -> bytes:
+    return json.dumps({**ENTRY, **fields}).encode()
+
+
+class EndpointTest(TestCase):
+    """Which entries name an endpoint to use."""
+
+    def test_entry(self):
+        """Every field is decoded into what it means."""
+        endpoint = parse_endpoint(NAME, _entry()).ok_value
+        self.assertEqual(0x7F3A91C2, endpoint.number)
+        self.assertEqual(0x7F3A91C2, endpoint.token)
+        self.assertEqual(("10.128.0.9", 8080), (endpoint.host, endpoint.port))
+        self.assertEqual(1.5, endpoint.warm_in_s)
+        self.assertFalse(endpoint.draining)
+
+    def test_long_name(self):
+        """A name of more than 32 bits yields a token that is never zero."""
+        endpoint = parse_endpoint("i-9222196a73", _entry()).ok_value
+        self.assertEqual(0x9222196A73, endpoint.number)
+        self.assertTrue(0 < endpoint.token < 1 << 32)
+
+    @parameterized.expand(
+        [
+            ("not_json", b"\xff\xfe"),
+            ("a_list", b"[]"),
+            ("deep", b"[" * 100_000),
+            ("no_address", _entry(address=None)),
+            ("no_port", _entry(address="10.0.0.1")),
+            ("host_name", _entry(address="example:80")),
+            ("port_zero", _entry(address="10.0.0.1:0")),
+            ("unknown_state", _entry(state="resting")),
+            ("slots_as_text", _entry(slots="2")),
+            ("slots_true", _entry(slots=True)),
+            ("no_service", _entry(service="")),
+            ("negative_warmth", _entry(warmupLeftMs=-1)),
+        ]
+    )
+    def test_unusable(self, _, value):
+        """Another writer's entry names no endpoint, and raises nothing."""
+        self.assertIsInstance(parse_endpoint(NAME, value), Err)
+
+    @parameterized.expand([("no_digits", "i-xyz"), ("empty", "")])
+    def test_unusable_name(self, _, name):
+        """A name without a number cannot be addressed."""
+        self.assertIsInstance(parse_endpoint(name, _entry()), Err)
+
+    @given(st.dictionaries(st.sampled_from(list(ENTRY)), _JSON), st.text())
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    def test_any_fields(self, fields, name):
+        """No entry raises anything."""
+        parse_endpoint(name, _entry(**fields))
+
+
+class ConfigurationTest(TestCase):
+    """What the operator's configuration means."""
+
+    def test_routes(self):
+        """Routes are found by address and port; no share means no flows."""
+        table = parse_configuration(json.dumps(CONFIGURATION).encode())
+        routes = table.ok_value.routes
+        feed = routes["198.18.0.1", 8443]
+        self.assertEqual(["a"], feed.services(digest=95))
+        self.assertTrue(feed.idempotent)
+        self.assertFalse(routes["198.18.0.1", 8080].idempotent)
+        self.assertEqual(15.0, table.ok_value.idle_timeout_s)
+
+    @parameterized.expand(
+        [
+            ("no_version", {"version": None}),
+            ("no_routes", {"routeTable": None}),
+            ("no_services", {"services": []}),
+            ("no_limits", {"limits": {}}),
+            ("odd_route", {"routeTable": [{"name": "r"}]}),
+        ]
+    )
+    def test_invalid(self, _, fields):
+        """An invalid configuration is refused whole."""
+        value = json.dumps({**CONFIGURATION, **fields}).encode()
+        self.assertIsInstance(parse_configuration(value), Err)
+
+    @given(st.dictionaries(st.sampled_from(list(CONFIGURATION)), _JSON))
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    def test_any_fields(self, fields):
+        """No configuration raises anything."""
+        parse_configuration(json.dumps({**CONFIGURATION, **fields}).encode())
+
+
+class SettingsTest(TestCase):
+    """The platform's settings file."""
+
+    def test_file(self):
+        """Fields are decoded into the program's settings; new ones pass."""
+        read = read_settings(SETTINGS)
+        self.assertIsInstance(read, Ok)
+        self.assertEqual(("10.1.0.10", 8172), read.ok_value.packets)
+        self.assertEqual(("10.1.0.10", 7720), read.ok_value.gossip)
+        self.assertEqual(2, len(read.ok_value.seeds))
+        self.assertEqual(6.0, read.ok_value.grace_s)
+
+    @parameterized.expand(
+        [
+            (name,)
+            for name in (
+                "nodeId",
+                "zone",
+                "listenAddrs.ready",
+                "platform.address",
+                "internalPorts",
+            )
+        ]
+    )
+    def test_missing(self, name):
+        """A missing field is named."""
+        lines = [
+            line
+            for line in SETTINGS.splitlines()
+            if not line.startswith(f"{name}=")
+        ]
+        read = read_settings("\n".join(lines))
+        self.assertIn(name.split(".")[0], read.err_value)
--- /dev/null
+++ b/tests/platform_store_test.py
@@ -0,0 +1,245 @@
+"""Tests of platform._store against answers in memory, and of entry._follow."""
+
+import urllib.parse
+
+import anyio
+import trio
+import trio.testing
+from parameterized import parameterized
+from result import Err, Ok
+from testtools import TestCase
+
+from pollenmast import http1
+from pollenmast.counters import PLATFORM_CALLS, Counters
+from pollenmast.entry._follow import WATCH_S, Follower
+from pollenmast.events import EventLog
+from pollenmast.http1 import HttpFault, Response
+from pollenmast.platform._store import WATCH_MARGIN_S, StoreDirectory
+from pollenmast.steering import (
+    DirectoryFault,
+    EndpointAnnounced,
+    EndpointRemoved,
+    Presence,
+)
+from standins.http import Request
+from standins.store import PAGE_ITEMS, Fault, Store
+from tests import steering_group as group
+from tests.platform_entries_test import CONFIGURATION, ENTRY, NAME
+
+KEY = f"servers/{NAME}"
+
+
+class _Connection:
+    """Asks a stand-in without a network."""
+
+    def __init__(self, store: Store):
+        self._store = store
+        self.sent_bytes = 0
+
+    async def get(self, target: str, timeout_s: float):
+        path, _, query = target.partition("?")
+        pairs = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        with anyio.move_on_after(timeout_s):
+            request = Request("GET", path, pairs, b"")
+            answer = await self._store.handle(request)
+            if answer.status is None:
+                return Err(HttpFault.UNREACHABLE)
+            return Ok(Response(answer.status, answer.body))
+        return Err(HttpFault.TIMEOUT)
+
+    async def aclose(self) -> None:
+        pass
+
+
+class _StoreCase(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.store = Store()
+        self.store.put("op/config", CONFIGURATION)
+        self.store.put(KEY, ENTRY)
+        self.patch(http1, "Connection", lambda *_: _Connection(self.store))
+        self.counters = Counters()
+        self.directory = StoreDirectory("10.0.0.1", 1, self.counters)
+
+    def run_main(self, main) -> object:
+        """Runs with a clock that jumps over every wait."""
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        return trio.run(main, clock=clock)
+
+
+class ReadTest(_StoreCase):
+    """What is read, whole and page by page."""
+
+    def _read(self):
+        return self.run_main(self.directory.read)
+
+    def test_everything(self):
+        """Configuration and endpoints come with one call."""
+        update = self._read().ok_value
+        self.assertTrue(update.whole)
+        self.assertEqual(self.store.revision, update.revision)
+        self.assertEqual(2, len(update.changes))
+        self.assertEqual(1, self.store.calls)
+
+    def test_pages(self):
+        """A long list comes in pages, up to the first one's revision."""
+        for number in range(PAGE_ITEMS + 5):
+            self.store.put(f"servers/i-{number:08x}", ENTRY)
+        update = self._read().ok_value
+        self.assertEqual(PAGE_ITEMS + 7, len(update.changes))
+
+    @parameterized.expand(
+        [
+            ("bytes", b"\xff\x00"),
+            ("fields", {"service": 1}),
+            ("state", {**ENTRY, "state": "odd"}),
+        ]
+    )
+    def test_junk_entry(self, _, value):
+        """Another writer's entry is told of; the others hold."""
+        self.store.put("servers/i-00000bad", value)
+        update = self._read().ok_value
+        announced = [
+            c for c in update.changes if isinstance(c, EndpointAnnounced)
+        ]
+        self.assertEqual([NAME], [c.endpoint.name for c in announced])
+        self.assertEqual(1, len(update.refused))
+
+    def test_other_keys(self):
+        """Keys that are not ours say nothing."""
+        self.store.put("else/where", b"x")
+        self.assertEqual(2, len(self._read().ok_value.changes))
+
+    @parameterized.expand(
+        [
+            ("down", Fault.DOWN, DirectoryFault.UNREACHABLE),
+            ("busy", Fault.BUSY, DirectoryFault.BUSY),
+            ("silent", Fault.SILENT, DirectoryFault.UNREACHABLE),
+        ]
+    )
+    def test_fault(self, _, fault, expected):
+        """A store that does not answer is a fault, in bounded time."""
+        self.store.fault = fault
+        self.assertEqual(Err(expected), self._read())
+
+    @parameterized.expand(
+        [
+            ("no_json", b"<html>"),
+            ("a_list", b"[]"),
+            ("no_items", b'{"asOf": 1}'),
+            ("odd_items", b'{"items": {}, "asOf": 1}'),
+            ("no_revision", b'{"items": []}'),
+            ("no_next", b'{"items": [], "asOf": 1, "morePages": true}'),
+            ("deep", b"[" * 100_000),
+        ]
+    )
+    def test_malformed_answer(self, _, body):
+        """An answer that is none is refused whole, and counted."""
+
+        async def handle(request):
+            return Response(200, body)
+
+        self.patch(self.store, "handle", handle)
+        self.assertEqual(Err(DirectoryFault.MALFORMED), self._read())
+        self.assertEqual(1, self.counters.value(PLATFORM_CALLS, "malformed"))
+
+
+class WatchTest(_StoreCase):
+    """What is told of changes."""
+
+    def _watch(self, after: int):
+        return self.run_main(lambda: self.directory.watch(after, WATCH_S))
+
+    def test_removed(self):
+        """A removal names the endpoint."""
+        before = self.store.revision
+        self.store.delete(KEY)
+        update = self._watch(before).ok_value
+        self.assertEqual((EndpointRemoved(NAME, before + 1),), update.changes)
+
+    def test_overwritten(self):
+        """An entry that became unreadable no longer names its endpoint."""
+        before = self.store.revision
+        self.store.put(KEY, b"junk")
+        update = self._watch(before).ok_value
+        self.assertEqual((EndpointRemoved(NAME, before + 1),), update.changes)
+
+    def test_history_gone(self):
+        """A dropped history is told apart: everything has to be read."""
+        before = self.store.revision
+        self.store.delete(KEY)
+        self.store.compact()
+        self.assertEqual(Err(DirectoryFault.HISTORY_GONE), self._watch(before))
+
+
+class FollowerTest(_StoreCase):
+    """A VM's beliefs follow the store through its troubles."""
+
+    def _follow(self, script):
+        core = group.steering()
+        follower = Follower(self.directory, core, EventLog("t", "vm"))
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(follower.run)
+                await anyio.sleep(0.5)
+                await script(core, follower)
+                tasks.cancel_scope.cancel()
+
+        self.run_main(main)
+
+    def test_change(self):
+        """A new configuration is in force at once."""
+
+        async def script(core, follower):
+            self.store.put("op/config", {**CONFIGURATION, "version": 9})
+            await anyio.sleep(0.1)
+            self.assertEqual(9, core.table.version)
+
+        self._follow(script)
+
+    def test_silent_connection(self):
+        """The watch's connection falls silent for good; new ones work.
+
+        Operators would see one VM follow an old configuration.
+        """
+
+        async def script(core, follower):
+            self.store.fault = Fault.SILENT
+            await anyio.sleep(WATCH_S)
+            self.store.fault = Fault.NONE
+            self.store.put("op/config", {**CONFIGURATION, "version": 9})
+            await anyio.sleep(WATCH_S + WATCH_MARGIN_S)
+            self.assertEqual(9, core.table.version)
+
+        self._follow(script)
+
+    def test_history_dropped(self):
+        """A change is made and the history dropped while the store is away."""
+
+        async def script(core, follower):
+            self.store.fault = Fault.DOWN
+            await anyio.sleep(1.0)
+            self.store.put("op/config", {**CONFIGURATION, "version": 9})
+            self.store.delete(KEY)
+            self.store.compact()
+            self.store.fault = Fault.NONE
+            await anyio.sleep(1.5)
+            self.assertEqual(9, core.table.version)
+            self.assertIs(Presence.LAPSED, core.catalog.get(NAME).presence)
+
+        self._follow(script)
+
+    def test_outage(self):
+        """While the store is down, nothing known is forgotten."""
+
+        async def script(core, follower):
+            self.store.fault = Fault.DOWN
+            await anyio.sleep(30.0)
+            self.assertIsNotNone(follower.lost_at)
+            self.assertIs(Presence.LISTED, core.catalog.get(NAME).presence)
+            calls = self.store.calls
+            await anyio.sleep(10.0)
+            self.assertLess(self.store.calls - calls, 20)
+
+        self._follow(script)
