Manifest: say that a port had another service before

A VM that joins after a port was given to another service cannot know it; alone with a packet of an old session it guessed the port's service of today. A service now has `port_since`, and a VM that opens such a port guesses nothing there; new flows open at once. Ruled out: resting the port as on VMs that saw the change, since each VM that starts would refuse its flows for 30 s.

--- a/src/pollenmast/manifest/_model.py
+++ b/src/pollenmast/manifest/_model.py
@@ -78,6 +78,8 @@
         idempotent: Whether a request may run twice without harm.
         endpoints: The upstreams, at least one.
         limits: What the service may ask of a VM.
+        port_since: The manifest's version that gave it a port which another
+            service had before, 0 if none had.
     """
 
     name: str
@@ -87,6 +89,7 @@
     idempotent: bool
     endpoints: tuple[Endpoint, ...]
     limits: Limits = attrs.field(factory=Limits)
+    port_since: int = 0
 
 
 @attrs.frozen
--- a/src/pollenmast/manifest/_text.py
+++ b/src/pollenmast/manifest/_text.py
@@ -116,6 +116,13 @@
             "endpoints", Items(_ENDPOINT, 11_000, ("name",)), "The upstreams."
         ),
         Field("limits", _LIMITS, "What the service may ask of one VM.", None),
+        Field(
+            "port_since",
+            Whole(0, MOST_VERSION),
+            "The version that gave it a port which another service had before;"
+            " left out again once that service's sessions have ended.",
+            0,
+        ),
     ),
 )
 MANIFEST = Object(
--- a/src/pollenmast/relay/_table.py
+++ b/src/pollenmast/relay/_table.py
@@ -12,6 +12,8 @@
 caller's library gives up a handshake by then, so no Initial for the service
 before is sent any more."""
 
+_LONG_AGO = float("-inf")
+
 
 class Wire(abc.ABC):
     """The sockets of a relay, behind what its decisions need of them."""
@@ -103,6 +105,10 @@
                 return
             self._unopened.pop(service.port, None)
             self._listeners[service.port] = listener
+            if service.port_since:
+                # This VM joined after the change: it has not seen the port's
+                # service before, and must not guess for that one's sessions.
+                self._reused.setdefault(service.port, _LONG_AGO)
         if listener.service.number != service.number:
             self._reused[service.port] = now
         listener.service = service
--- a/tests/proof/_traffic.py
+++ b/tests/proof/_traffic.py
@@ -135,6 +135,8 @@
         ports: Each service's port towards callers.
         draining: Names of the endpoints that drain.
         gone: Names of the endpoints that were taken out.
+        endpoints: Endpoints of each service.
+        port_since: The version with which a service got another's port.
     """
 
     version: int = 1
@@ -144,6 +146,7 @@
     draining: set[str] = attrs.field(factory=set)
     gone: set[str] = attrs.field(factory=set)
     endpoints: int = 3
+    port_since: dict[int, int] = attrs.field(factory=dict)
 
     def text(self) -> bytes:
         """Returns the manifest."""
@@ -157,6 +160,7 @@
             "name": service.name,
             "number": service.number,
             "port": self.ports[service.number],
+            "port_since": self.port_since.get(service.number, 0),
             "kind": service.kind,
             "idempotent": service.idempotent,
             "endpoints": [
--- a/tests/proof/_world.py
+++ b/tests/proof/_world.py
@@ -450,6 +450,8 @@
         """Operators give two services each other's port."""
         ports = self.plan.ports
         ports[one], ports[other] = ports[other], ports[one]
+        for number in (one, other):
+            self.plan.port_since[number] = self.plan.version + 1
         self.publish()
         for port in (ports[one], ports[other]):
             self._swapped_at[port] = self.now
--- a/tests/relay_table_test.py
+++ b/tests/relay_table_test.py
@@ -1,5 +1,6 @@
 """Tests of relay._table: ports towards callers."""
 
+import attrs
 from testtools import TestCase
 
 from pollenmast import manifest as manifests
@@ -47,6 +48,22 @@
         table.tend(0.0)
         self.assertIsNotNone(table.listener(REGISTRY))
 
+    def test_joined_after_a_port_was_reused(self):
+        """A VM joins after a port was given to another service.
+
+        It has not seen the service before, and would send that one's
+        sessions, unknown to it, to the port's service of today. The manifest
+        says that there was one. New flows are opened at once all the same.
+        """
+        whole = _manifest(REGISTRY).services[0]
+        for since, may_guess in ((0, True), (7, False)):
+            service = attrs.evolve(whole, port_since=since)
+            table = self._table()
+            table.set_manifest(manifests.Manifest(9, (service,), ""), 100.0)
+            listener = table.at_port(service.port)
+            self.assertEqual(may_guess, table.may_guess(listener))
+            self.assertFalse(table.rests(listener, 100.0))
+
     def test_withdrawn_service(self):
         """A withdrawn service's port closes once its last flow has ended."""
         table = self._table()
