--- a/src/pollenmast/cli/_operators.py
+++ b/src/pollenmast/cli/_operators.py
@@ -1,18 +1,18 @@
 """The commands that ask one VM what it knows and why it decided."""
 
+import sys
 import urllib.parse
 
 import typer
 
-from pollenmast.cli import _client
+from pollenmast.cli import _client, _story
 from pollenmast.cli._exits import ExitCode
-from pollenmast.cli._output import complain, json_text, say
+from pollenmast.cli._output import complain, json_text, printable, say
 from pollenmast.cli._report import explanation, report
 from pollenmast.settings import socket_address
 
-_ADDRESS = typer.Option(
-    ..., "--address", help="The VM's operators endpoint, IP:PORT."
-)
+_ADDRESS_HELP = "The VM's operators endpoint, IP:PORT."
+_ADDRESS = typer.Option(..., "--address", help=_ADDRESS_HELP)
 _JSON = typer.Option(False, "--json", help="Answer in JSON.")
 
 
@@ -30,17 +30,44 @@
     subject: str = typer.Argument(
         "",
         help="A caller as IP:PORT, or SERVICE/ENDPOINT; without it, the"
-        " newest decisions.",
+        " newest decisions. With --log a request's id, a flow or an endpoint.",
+    ),
+    address: str = typer.Option("", "--address", help=_ADDRESS_HELP),
+    log: str = typer.Option(
+        "", "--log", help="Read a file of log lines instead, - for the input."
     ),
-    address: str = _ADDRESS,
     as_json: bool = _JSON,
 ) -> None:
-    """Tells why a flow went where it went, or why an endpoint gets little."""
+    """Tells why a flow went where it went, or why an endpoint gets little.
+
+    With --log it tells the story of one request, flow or endpoint from the
+    log lines of all VMs; nothing is asked.
+    """
+    if log:
+        _tell(log, subject)
+        return
     query = urllib.parse.urlencode({"subject": subject})
     answer = _ask_or_exit(address, f"/explain?{query}")
     say(json_text(answer) if as_json else explanation(answer))
 
 
+def _tell(log: str, subject: str) -> None:
+    try:
+        if log == "-":
+            lines = _story.read(sys.stdin)
+        else:
+            with open(log, encoding="utf-8", errors="replace") as file:
+                lines = _story.read(file)
+    except OSError as error:
+        complain(str(error))
+        raise typer.Exit(ExitCode.FAILED) from error
+    told = _story.story(lines, subject)
+    if not told:
+        complain(f"no line of {len(lines)} names '{printable(subject)}'")
+        raise typer.Exit(ExitCode.FAILED)
+    say("\n".join(told))
+
+
 def _ask_or_exit(address: str, path: str) -> object:
     socket = socket_address(address)
     if socket is None:
--- /dev/null
+++ b/src/pollenmast/cli/_story.py
@@ -0,0 +1,102 @@
+"""The story of one request, flow or endpoint, from the programs' logs."""
+
+import json
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from pollenmast.cli._output import printable
+
+_NAMING = ("request", "flow", "endpoint")
+"""Fields that lead from one line to others: a request to its flow, a flow to
+its endpoint."""
+
+_HIDDEN = frozenset(
+    ("timestamp", "task_uuid", "task_level", "message_type", "event")
+    + ("program", "vm")
+)
+
+BEFORE_S = 10.0
+"""How long before the subject an endpoint's lines still explain it."""
+
+AFTER_S = 10.0
+
+
+@attrs.frozen
+class _Line:
+    at: float
+    name: str
+    vm: str
+    fields: dict[str, object]
+
+    def names(self, value: str) -> bool:
+        return any(self.fields.get(field) == value for field in _NAMING)
+
+
+def read(lines: Iterable[str]) -> list[_Line]:
+    """Returns the log's lines in the order of their times.
+
+    A collector's prefix before the JSON object is passed over, and so is
+    every line that is none of a program's.
+    """
+    parsed = [line for line in map(_parse, lines) if line is not None]
+    return sorted(parsed, key=lambda line: line.at)
+
+
+def story(lines: list[_Line], subject: str) -> list[str]:
+    """Returns what happened to a subject, one text a line.
+
+    Args:
+        lines: From `read`.
+        subject: A request's id, a flow or an endpoint, as logged.
+    """
+    own = [line for line in lines if line.names(subject)]
+    if not own:
+        return []
+    flows = {str(line.fields["flow"]) for line in own if "flow" in line.fields}
+    by_flow = [
+        line
+        for line in lines
+        if line.fields.get("flow") in flows or line.names(subject)
+    ]
+    vms = {line.vm for line in by_flow}
+    endpoints = {line.fields.get("endpoint") for line in by_flow} - {None, ""}
+    first, last = by_flow[0].at - BEFORE_S, by_flow[-1].at + AFTER_S
+    about = [
+        line
+        for line in lines
+        if line.fields.get("endpoint") in endpoints
+        and "flow" not in line.fields
+        and line.vm in vms
+        and first <= line.at <= last
+    ]
+    told = sorted((*by_flow, *about), key=lambda line: line.at)
+    return list(_texts(told))
+
+
+def _parse(text: str) -> _Line | None:
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        fields = json.loads(text[start:])
+        return _Line(
+            float(fields["timestamp"]),
+            str(fields["message_type"]),
+            str(fields["vm"]),
+            fields,
+        )
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return None
+
+
+def _texts(lines: list[_Line]) -> Iterator[str]:
+    begin = lines[0].at
+    for line in lines:
+        shown = " ".join(
+            f"{name}={value}"
+            for name, value in line.fields.items()
+            if name not in _HIDDEN and value != ""
+        )
+        text = f"{line.at - begin:+9.3f} s  {line.vm}  {line.name}  {shown}"
+        yield printable(text)
--- /dev/null
+++ b/tests/cli_story_test.py
@@ -0,0 +1,62 @@
+"""Tests of cli._story: from a request's id to its cause."""
+
+import json
+import tempfile
+
+from parameterized import parameterized
+from testtools import TestCase
+from typer.testing import CliRunner
+
+from pollenmast.cli import _story
+from pollenmast.cli._app import app
+
+FLOW = "100.64.0.6:1049>198.18.0.1:8080"
+
+
+def _line(at: float, name: str, **fields) -> str:
+    common = {"timestamp": at, "message_type": name, "vm": "vm-1", "event": 1}
+    return json.dumps({**common, **fields})
+
+
+LOG = [
+    "no line of ours\n",
+    "{half a line",
+    " 12.3 vm-1 " + _line(102.0, "request_carried", request="ab", flow=FLOW),
+    _line(101.0, "flow_placed", flow=FLOW, endpoint="i-1", age_ms=210),
+    _line(102.2, "endpoint_down", endpoint="i-1", check="timeout"),
+    _line(102.3, "flow_reset", flow=FLOW, endpoint="i-1", request=""),
+    _line(102.4, "flow_placed", flow="1.1.1.1:1>2.2.2.2:2", endpoint="i-2"),
+    _line(50.0, "endpoint_changed", endpoint="i-1"),
+]
+
+
+class StoryTest(TestCase):
+    """What an engineer on call reads after a complaint."""
+
+    @parameterized.expand([("request", "ab"), ("flow", FLOW)])
+    def test_cut_off(self, _, subject):
+        """A request was cut off; its id leads to the endpoint that died."""
+        told = _story.story(_story.read(LOG), subject)
+        names = [text.split(" s  ")[1].split("  ")[1] for text in told]
+        self.assertEqual(
+            ["flow_placed", "request_carried", "endpoint_down", "flow_reset"],
+            names,
+        )
+        self.assertIn("check=timeout", told[2])
+
+    def test_terminal(self):
+        """A client's text in a log line cannot steer the terminal."""
+        line = _line(1.0, "request_carried", request="ab", flow="\x1b[2J")
+        told = _story.story(_story.read([line]), "ab")
+        self.assertNotIn("\x1b", told[0])
+
+    @parameterized.expand([("known", "ab", 0), ("unknown", "zz", 1)])
+    def test_command(self, _, subject, code):
+        """The command reads a file, and says when nothing is found."""
+        with tempfile.NamedTemporaryFile("w") as file:
+            file.write("\n".join(LOG))
+            file.flush()
+            ended = CliRunner().invoke(
+                app, ["explain", subject, "--log", file.name]
+            )
+        self.assertEqual(code, ended.exit_code)
