An endpoint that opens a flow is up, whatever checks had said

A zone was cut off from all endpoints of a service; as the cut ended, flows tried endpoints that counted as down, opened, and were reset by the VM that still believed in the cut: 23 image fetches failed between 34 and 40 s. Ruled out: the store's age, the endpoint. A client that has received something brings its endpoint up; checks that get no answer are repeated at once (0.05 s each), and a down endpoint is asked again after 1 s at the most. Events: request lines 100 a second, resets name what they rest on.

--- a/src/pollenmast/entry/_checks.py
+++ b/src/pollenmast/entry/_checks.py
@@ -11,6 +11,7 @@
     ENDPOINT_DOWN,
     ENDPOINT_GONE,
     ENDPOINT_UP,
+    Event,
     EventLog,
 )
 from pollenmast.steering import CheckResult, Presence, Record, Steering
@@ -43,6 +44,7 @@
         self._counters = counters
         self._log = log
         self._under_way: set[str] = set()
+        self._told_down: set[str] = set()
 
     async def run(self) -> None:
         """Checks until cancelled."""
@@ -61,40 +63,65 @@
         tasks.start_soon(self._check, record)
 
     async def _check(self, record: Record) -> None:
+        """Checks until it is decided whether an endpoint is down.
+
+        Its clients wait meanwhile, so a check that was not answered is
+        repeated at once and not at the next look.
+        """
+        name = record.endpoint.name
+        try:
+            while record.health.due(anyio.current_time()):
+                if not await self._check_once(record):
+                    return
+        finally:
+            self._under_way.discard(name)
+
+    async def _check_once(self, record: Record) -> bool:
+        """Makes one check; returns whether it says anything."""
         endpoint = record.endpoint
         table = self._steering.table
         paths = table.health_paths if table is not None else {}
         pauses = self._pauses.count
-        try:
-            result = await self._probe.check(
-                endpoint, paths.get(endpoint.service, "/")
-            )
-        finally:
-            self._under_way.discard(endpoint.name)
+        result = await self._probe.check(
+            endpoint, paths.get(endpoint.service, "/")
+        )
         failed = result in (CheckResult.TIMEOUT, CheckResult.REFUSED)
         self._counters.add(PROBES, "failed" if failed else "answered")
         if result is CheckResult.TIMEOUT and self._pauses.count != pauses:
             # This VM stood still meanwhile: its own clock ran out, which
             # says nothing of the endpoint.
-            return
+            return False
         self._take(record, result)
+        return True
 
     def _take(self, record: Record, result: CheckResult) -> None:
-        was_down = record.health.down
         before = record.presence
-        resets = self._steering.on_check(record, result, anyio.current_time())
-        fields = {
-            "endpoint": record.endpoint.name,
-            "service": record.endpoint.service,
-            "zone": record.endpoint.zone,
-            "check": result,
-            "presence": record.presence,
-            "flows": len(resets),
-        }
+        now = anyio.current_time()
+        resets = self._steering.on_check(record, result, now)
+        self._packets.end(resets, now)
+        event = self._event(record, before)
+        if event is not None:
+            self._log.write(
+                event,
+                endpoint=record.endpoint.name,
+                service=record.endpoint.service,
+                zone=record.endpoint.zone,
+                check=result,
+                presence=record.presence,
+                revision=record.revision,
+                flows=len(resets),
+            )
+
+    def _event(self, record: Record, before: Presence) -> Event | None:
+        """Returns what a check has changed, if anything."""
+        name = record.endpoint.name
         if record.presence is Presence.GONE and before is not Presence.GONE:
-            self._log.write(ENDPOINT_GONE, **fields)
-        elif record.health.down and not was_down:
-            self._log.write(ENDPOINT_DOWN, **fields)
-        elif was_down and not record.health.down:
-            self._log.write(ENDPOINT_UP, **fields)
-        self._packets.end(resets)
+            self._told_down.discard(name)
+            return ENDPOINT_GONE
+        if record.health.down and name not in self._told_down:
+            self._told_down.add(name)
+            return ENDPOINT_DOWN
+        if not record.health.down and name in self._told_down:
+            self._told_down.discard(name)
+            return ENDPOINT_UP
+        return None
--- a/src/pollenmast/entry/_packets.py
+++ b/src/pollenmast/entry/_packets.py
@@ -87,10 +87,10 @@
             while not self._steering.ready:
                 await anyio.sleep(HOLD_TICK_S)
 
-    def end(self, resets: list[Reset]) -> None:
+    def end(self, resets: list[Reset], now: float) -> None:
         """Tells clients that their flows have ended."""
         for reset in resets:
-            self._send_reset(reset, "")
+            self._send_reset(reset, "", now)
 
     def _carry(self, datagram: bytes, now: float) -> None:
         decoded = self._packets.decode(datagram)
@@ -111,11 +111,11 @@
             self._send(data, (endpoint.host, endpoint.port))
             self._tell_forward(segment, outcome, now)
         elif isinstance(outcome, Reset):
-            self._send_reset(outcome, self._packets.request_id(segment))
+            self._send_reset(outcome, self._packets.request_id(segment), now)
         else:
             self._tell_drop(segment, outcome, now)
 
-    def _send_reset(self, reset: Reset, request: str) -> None:
+    def _send_reset(self, reset: Reset, request: str, now: float) -> None:
         data, address = self._packets.for_reset(reset)
         self._send(data, address)
         self._log.write(
@@ -124,6 +124,7 @@
             reason=reset.reason,
             endpoint=reset.endpoint,
             request=request,
+            **self._inputs(now),
         )
 
     def _send(self, data: bytes, address: Address) -> None:
--- a/src/pollenmast/events/_catalogue.py
+++ b/src/pollenmast/events/_catalogue.py
@@ -6,6 +6,16 @@
 
 import attrs
 
+BURST = 20
+"""Lines of one event written within one second; the rest are counted.
+
+A line costs about 11 microseconds (docs/EVENTS.md), so that the whole
+catalogue flooded at once stays near half a hundredth of a core."""
+
+REQUEST_BURST = 100
+"""The same for requests: twice what a small VM carries at its usual greatest
+load, so that on a usual day each request's id leads to its flow."""
+
 
 @attrs.frozen
 class Event:
@@ -16,12 +26,14 @@
         name: Unique, in lower case with underscores.
         meaning: What happened, for an operator.
         action: What an operator does about it.
+        burst: Lines of it written within one second; the rest are counted.
     """
 
     number: int
     name: str
     meaning: str
     action: str
+    burst: int = BURST
 
 
 STARTED = Event(101, "started", "A program started.", "Nothing.")
@@ -187,6 +199,7 @@
     "request_carried",
     "A request's first packet was sent to `endpoint`.",
     "Nothing. It joins a request's id to its flow.",
+    REQUEST_BURST,
 )
 ENDPOINT_CHANGED = Event(
     303,
--- a/src/pollenmast/events/_log.py
+++ b/src/pollenmast/events/_log.py
@@ -9,12 +9,6 @@
 
 from pollenmast.events._catalogue import SUPPRESSED, Event
 
-BURST = 20
-"""Lines of one event written within one second; the rest are counted.
-
-A line costs about 11 microseconds (docs/EVENTS.md), so that the whole
-catalogue flooded at once stays near half a hundredth of a core."""
-
 
 @attrs.define
 class _Window:
@@ -50,7 +44,7 @@
         if window.second != second:
             self._report(event, window)
             window = self._windows[event] = _Window(second)
-        if window.written >= BURST:
+        if window.written >= event.burst:
             window.suppressed += 1
             return
         window.written += 1
--- a/src/pollenmast/platform/_probe.py
+++ b/src/pollenmast/platform/_probe.py
@@ -7,10 +7,10 @@
 from pollenmast.http1 import HttpFault
 from pollenmast.steering import CheckResult, Endpoint
 
-CONNECT_TIMEOUT_S = 0.08
-"""A connection in the region opens in about 2 ms, at a busy machine in some
-tens; a lost first packet would be sent again only after a second, so it is no
-use to wait for that."""
+CONNECT_TIMEOUT_S = 0.05
+"""A connection in the region opens in about 2 ms. A lost first packet would be
+sent again only after a second, so it is no use to wait for that; one failed
+check alone decides nothing."""
 
 ANSWER_TIMEOUT_S = 0.6
 """A check waits for one of the endpoint's slots behind its queue, about 0.2 s
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -180,14 +180,15 @@
         if segment.rst:
             self._flows.forget(segment.flow)
             return Forward(record.endpoint)
-        ended = self._ended(segment, record)
+        self._learn(segment, record, now)
+        ended = self._ended(record)
         if ended is not None:
             self._flows.forget(segment.flow)
             return self._reset(segment, ended, record.endpoint.name)
-        self._learn(segment, record, now)
         return Forward(record.endpoint)
 
-    def _ended(self, segment: Segment, record: Record) -> ResetReason | None:
+    @staticmethod
+    def _ended(record: Record) -> ResetReason | None:
         if record.presence is Presence.GONE:
             return ResetReason.ENDPOINT_GONE
         if record.health.down:
--- a/src/pollenmast/steering/_health.py
+++ b/src/pollenmast/steering/_health.py
@@ -36,8 +36,9 @@
 """Between two checks of an endpoint that is down. Its return is seen within
 this; half a second is a tenth of the shortest usual outage."""
 
-RECHECK_MOST_S = 2.0
-"""The longest such pause; it doubles up to here, as each check has a cost."""
+RECHECK_MOST_S = 1.0
+"""The longest such pause; it doubles up to here, as each check has a cost. A
+cut of some seconds hides a service for at most this much longer."""
 
 
 OPEN_S = 0.04
@@ -136,9 +137,18 @@
         return True
 
     def on_advance(self, now: float) -> None:
-        """A client has received something from it."""
+        """A client has received something from it: it lives.
+
+        Where every endpoint of a service is down, new flows try one all the
+        same. The first that opens is better evidence than the failed checks;
+        a reset after it would cut a flow that works.
+        """
         self._advanced_at = now
         self._asked_at = None
+        if self._down:
+            self._down = False
+            self._failed = 0
+            self._check_at = now
 
     def on_repeat(self, now: float) -> None:
         """A client has sent something to it again."""
--- a/tests/events_log_test.py
+++ b/tests/events_log_test.py
@@ -4,7 +4,7 @@
 from testtools import TestCase
 
 from pollenmast.events import STARTED, STOPPED, SUPPRESSED, EventLog
-from pollenmast.events._log import BURST
+from pollenmast.events._catalogue import BURST
 
 
 class EventLogTest(TestCase):
--- a/tests/steering_core_test.py
+++ b/tests/steering_core_test.py
@@ -94,6 +94,22 @@
         outcome = core.on_segment(group.syn(group.flow()), 1.0)
         self.assertEqual(PlacementReason.LAST_RESORT, outcome.placed)
 
+    def test_last_resort_opens(self):
+        """A zone was cut off from a service; the cut has just ended.
+
+        A flow tried a doubted endpoint, and it opened. The client's request
+        was then reset by the VM, which still believed in the cut.
+        """
+        core = group.steering(FAR)
+        record = core.catalog.get(FAR.name)
+        core.on_check(record, CheckResult.REFUSED, 1.0)
+        key = group.flow()
+        core.on_segment(group.syn(key), 1.1)
+        opened = group.segment(key, FAR.token, length=10)
+        self.assertEqual(Forward(FAR), core.on_segment(opened, 1.2))
+        self.assertFalse(record.health.down)
+        self.assertEqual([record], core.due_checks(1.2))
+
     @parameterized.expand(
         [
             ("current", 1.0, Reset),
