Break two circles of imports; one package for VMs and reports

decisions imported the peers' messages, and upstreams the relay's flow. What VMs believe of each other and of endpoints (Vm, VmState, EndpointReport, EndpointLoad) is now pollenmast.fleet, below both; a path is generic in the flow that it hands back. No behaviour changes; decisions, relay, peers, agent and upstreams tests pass.

--- a/bench/_capacity_control.py
+++ b/bench/_capacity_control.py
@@ -13,6 +13,7 @@
 from pollenmast import manifest as manifests
 from pollenmast.decisions import Dispatcher, _probing
 from pollenmast.decisions._membership import Membership
+from pollenmast.fleet import EndpointLoad, EndpointReport, Vm
 from pollenmast.peers import _codec, _gossip
 from pollenmast.peers import _messages as messages
 
@@ -102,7 +103,7 @@
 def _view(vms: int, endpoints: int) -> messages.FleetView:
     members = tuple(_vm(number) for number in range(vms))
     reports = tuple(
-        messages.EndpointReport(
+        EndpointReport(
             1 + number // 4, f"endpoint-{number}", number, True, uptime_s=500.0
         )
         for number in range(endpoints)
@@ -110,8 +111,8 @@
     return messages.FleetView(1, None, 1, "", members, reports)
 
 
-def _vm(number: int) -> messages.Vm:
-    return messages.Vm(
+def _vm(number: int) -> Vm:
+    return Vm(
         name=f"vm-{number}",
         zone=f"zone-{number % _ZONES}",
         address=f"10.0.{number >> 8}.{number & 255}",
@@ -158,7 +159,7 @@
     points = []
     for _, endpoints in _VIEW_SIZES:
         loads = tuple(
-            messages.EndpointLoad(1, f"endpoint-{number}", 3, 0.2, "well")
+            EndpointLoad(1, f"endpoint-{number}", 3, 0.2, "well")
             for number in range(endpoints)
         )
         report = messages.RelayReport(
@@ -242,7 +243,7 @@
 
 def report_news_bytes(at_size: float) -> Slope:
     """Bytes of endpoints' load in a message, by reports in it."""
-    report = messages.EndpointReport(
+    report = EndpointReport(
         17, "endpoint-4711", 1_796_000_000, True, 1, 0, 812, 99_999, 500.0
     )
     points = []
--- a/bench/_control_stubs.py
+++ b/bench/_control_stubs.py
@@ -11,12 +11,12 @@
 import anyio
 
 from pollenmast import counters, http1
+from pollenmast.fleet import EndpointLoad
 from pollenmast.peers._envelope import Opener, Sealer
 from pollenmast.peers._link import Link
 from pollenmast.peers._messages import (
     CounterValue,
     DrainOrder,
-    EndpointLoad,
     FleetView,
     RelayReport,
 )
--- a/bench/_load_model.py
+++ b/bench/_load_model.py
@@ -14,8 +14,8 @@
 import attrs
 
 from pollenmast.decisions import Dispatcher, FlowRequest, Held, Placed
+from pollenmast.fleet import EndpointReport
 from pollenmast.manifest import Manifest
-from pollenmast.peers._messages import EndpointReport
 
 WAY_S = 0.001
 """One way between caller, VM and upstream."""
--- a/bench/_relay.py
+++ b/bench/_relay.py
@@ -3,6 +3,7 @@
 import json
 import random
 
+from pollenmast.fleet import Vm
 from pollenmast.peers import _messages as messages
 from pollenmast.relay._core import RelayCore
 from pollenmast.relay._table import Wire
@@ -66,9 +67,9 @@
     ).encode()
 
 
-def vm(number: int) -> messages.Vm:
+def vm(number: int) -> Vm:
     """Returns the VM with this number."""
-    return messages.Vm(
+    return Vm(
         name=f"vm-{number}",
         zone=_ZONES[(number - 1) % len(_ZONES)],
         address=f"127.0.11.{number}",
--- a/src/pollenmast/agent/_gossip_loop.py
+++ b/src/pollenmast/agent/_gossip_loop.py
@@ -14,10 +14,10 @@
 )
 from pollenmast.decisions._heartbeats import Send
 from pollenmast.decisions._members import Change, Why
+from pollenmast.fleet import Vm, VmState
 from pollenmast.peers import _gossip
 from pollenmast.peers._gossip import Act, Gossip, ProbeNews
 from pollenmast.peers._gossip_socket import GossipSocket
-from pollenmast.peers._messages import Vm, VmState
 
 BYTES_PER_S = 2_300
 """Gossip of one VM, in bytes a second. A VM's control may cost 4 KB/s; this
--- a/src/pollenmast/agent/_knowledge.py
+++ b/src/pollenmast/agent/_knowledge.py
@@ -8,7 +8,7 @@
 from pollenmast._version import VERSION
 from pollenmast.agent._link_loop import LinkLoop
 from pollenmast.agent._node import Node
-from pollenmast.peers._messages import EndpointLoad, EndpointReport, VmState
+from pollenmast.fleet import EndpointLoad, EndpointReport, VmState
 
 _NO_LOAD = EndpointLoad(0, "", 0, 0.0, "the relay has not told")
 
--- a/src/pollenmast/agent/_link_loop.py
+++ b/src/pollenmast/agent/_link_loop.py
@@ -8,10 +8,10 @@
 from pollenmast.agent._gossip_loop import GossipLoop
 from pollenmast.agent._node import Node
 from pollenmast.decisions._acceptance import ManifestKey
+from pollenmast.fleet import EndpointReport
 from pollenmast.peers._link import Link
 from pollenmast.peers._messages import (
     DrainOrder,
-    EndpointReport,
     ExplainAnswer,
     ExplainQuery,
     FleetView,
--- a/src/pollenmast/agent/_manifest_loop.py
+++ b/src/pollenmast/agent/_manifest_loop.py
@@ -9,8 +9,8 @@
 from pollenmast.counters import MANIFESTS, ManifestOutcome
 from pollenmast.decisions import _readers
 from pollenmast.decisions._acceptance import ManifestKey
+from pollenmast.fleet import Vm
 from pollenmast.peers._fetch import Fetcher
-from pollenmast.peers._messages import Vm
 
 ROLE_CHECK_S = 1.0
 """How soon a VM notices that it has become a watcher, in seconds."""
--- a/src/pollenmast/agent/_node.py
+++ b/src/pollenmast/agent/_node.py
@@ -13,8 +13,8 @@
 from pollenmast.decisions._membership import Membership
 from pollenmast.decisions._membership_times import Times
 from pollenmast.decisions._probing import Reports
+from pollenmast.fleet import Vm
 from pollenmast.peers._envelope import Opener, Sealer, sender_id
-from pollenmast.peers._messages import Vm
 from pollenmast.settings import Settings
 
 
--- a/src/pollenmast/agent/_probe_loop.py
+++ b/src/pollenmast/agent/_probe_loop.py
@@ -8,8 +8,8 @@
 from pollenmast.agent._gossip_loop import GossipLoop
 from pollenmast.agent._node import Node
 from pollenmast.decisions import _probing
+from pollenmast.fleet import EndpointReport
 from pollenmast.manifest import Endpoint
-from pollenmast.peers._messages import EndpointReport
 from pollenmast.upstreams._probe import Load, Probe, ProbeFault
 
 ASSIGN_S = 0.5
--- a/src/pollenmast/configuration/_client.py
+++ b/src/pollenmast/configuration/_client.py
@@ -10,8 +10,8 @@
 
 from pollenmast import http1
 from pollenmast.counters import CONTROL_BYTES, PLATFORM_CALLS, Counters
+from pollenmast.fleet import Vm
 from pollenmast.peers._gossip import possible_vm
-from pollenmast.peers._messages import Vm
 
 READ_TIMEOUT_S = 2.0
 """The platform answers in milliseconds; two seconds without an answer means
--- a/src/pollenmast/decisions/_capacity.py
+++ b/src/pollenmast/decisions/_capacity.py
@@ -11,8 +11,8 @@
 
 from pollenmast.decisions._fleet_part import FleetPart
 from pollenmast.decisions._trust import STALE_S, Verdict
+from pollenmast.fleet import EndpointReport
 from pollenmast.manifest import Endpoint
-from pollenmast.peers._messages import EndpointReport
 
 SHOWN = 0.5
 """Part of what was placed before a report that the report already shows.
--- a/src/pollenmast/decisions/_dispatcher.py
+++ b/src/pollenmast/decisions/_dispatcher.py
@@ -11,8 +11,8 @@
     Released,
 )
 from pollenmast.decisions._service import ServiceDecisions
+from pollenmast.fleet import EndpointLoad, EndpointReport
 from pollenmast.manifest import Manifest
-from pollenmast.peers._messages import EndpointLoad, EndpointReport
 
 _COME_BACK_MS = 1000
 """Told to callers of a service that the manifest does not name."""
--- a/src/pollenmast/decisions/_endpoint.py
+++ b/src/pollenmast/decisions/_endpoint.py
@@ -6,8 +6,8 @@
 from pollenmast.decisions._capacity import Capacity
 from pollenmast.decisions._evidence import Evidence
 from pollenmast.decisions._trust import ReportTrust, Verdict
+from pollenmast.fleet import EndpointReport
 from pollenmast.manifest import Endpoint, EndpointState
-from pollenmast.peers._messages import EndpointReport
 
 SLOW = 2.0
 """Service time, by the service's median, from which an endpoint gets less.
--- a/src/pollenmast/decisions/_heartbeats.py
+++ b/src/pollenmast/decisions/_heartbeats.py
@@ -13,8 +13,8 @@
 from pollenmast.decisions import _membership_times as figures
 from pollenmast.decisions._members import Member, Members
 from pollenmast.decisions._membership_times import Times
+from pollenmast.fleet import Vm, VmState
 from pollenmast.peers._gossip import Act
-from pollenmast.peers._messages import Vm, VmState
 
 MOST_PINGS = 256
 """Pings without an answer yet; a peer that asks for more is not served."""
--- a/src/pollenmast/decisions/_introductions.py
+++ b/src/pollenmast/decisions/_introductions.py
@@ -7,7 +7,7 @@
 
 from pollenmast.decisions._heartbeats import Address, gossip_address
 from pollenmast.decisions._members import Members
-from pollenmast.peers._messages import Vm
+from pollenmast.fleet import Vm
 
 
 class Introductions:
--- a/src/pollenmast/decisions/_members.py
+++ b/src/pollenmast/decisions/_members.py
@@ -5,8 +5,8 @@
 
 import attrs
 
+from pollenmast.fleet import Vm, VmState
 from pollenmast.peers._gossip import member_size
-from pollenmast.peers._messages import Vm, VmState
 
 _RANK = {
     VmState.ALIVE: 0,
--- a/src/pollenmast/decisions/_membership.py
+++ b/src/pollenmast/decisions/_membership.py
@@ -32,8 +32,8 @@
     fitting,
 )
 from pollenmast.decisions._membership_times import Times
+from pollenmast.fleet import Vm, VmState
 from pollenmast.peers._gossip import Act, Gossip
-from pollenmast.peers._messages import Vm, VmState
 
 
 class Membership:
--- a/src/pollenmast/decisions/_probing.py
+++ b/src/pollenmast/decisions/_probing.py
@@ -14,9 +14,9 @@
 import xxhash
 
 from pollenmast.decisions._rendezvous import mix
+from pollenmast.fleet import EndpointReport, Vm, VmState
 from pollenmast.manifest import Endpoint, Service
 from pollenmast.peers._gossip import ProbeNews
-from pollenmast.peers._messages import EndpointReport, Vm, VmState
 
 PROBERS = 2
 """Probers of an endpoint: one may freeze or die without a gap."""
--- a/src/pollenmast/decisions/_readers.py
+++ b/src/pollenmast/decisions/_readers.py
@@ -12,7 +12,7 @@
 
 import xxhash
 
-from pollenmast.peers._messages import Vm, VmState
+from pollenmast.fleet import Vm, VmState
 
 WATCHERS = 2
 """Watchers of a zone: one can be lost without a gap in the zone's watch."""
--- a/src/pollenmast/decisions/_request_capacity.py
+++ b/src/pollenmast/decisions/_request_capacity.py
@@ -20,8 +20,8 @@
 from pollenmast.decisions._fleet_part import FleetPart
 from pollenmast.decisions._service_time import ServiceTime
 from pollenmast.decisions._trust import Verdict
+from pollenmast.fleet import EndpointReport
 from pollenmast.manifest import Endpoint
-from pollenmast.peers._messages import EndpointReport
 
 TARGET_QUEUE = 1.0
 """Part of the allowed queue that is aimed at.
--- a/src/pollenmast/decisions/_service.py
+++ b/src/pollenmast/decisions/_service.py
@@ -28,8 +28,8 @@
 from pollenmast.decisions._request_capacity import RequestCapacity
 from pollenmast.decisions._retry import RetryBudget
 from pollenmast.decisions._trust import ReportTrust
+from pollenmast.fleet import EndpointLoad, EndpointReport
 from pollenmast.manifest import Endpoint, Service, ServiceKind
-from pollenmast.peers._messages import EndpointLoad, EndpointReport
 
 
 class ServiceDecisions:
--- a/src/pollenmast/decisions/_trust.py
+++ b/src/pollenmast/decisions/_trust.py
@@ -18,7 +18,7 @@
 
 import attrs
 
-from pollenmast.peers._messages import EndpointReport
+from pollenmast.fleet import EndpointReport
 
 WINDOW_S = 4.0
 """Time over which flows and report are compared: about eight reports."""
--- a/src/pollenmast/peers/_gossip.py
+++ b/src/pollenmast/peers/_gossip.py
@@ -12,7 +12,7 @@
 from result import Err, Ok, Result
 
 from pollenmast.counters import EnvelopeFault
-from pollenmast.peers._messages import EndpointReport, Vm, VmState
+from pollenmast.fleet import EndpointReport, Vm, VmState
 
 MOST_BODY_BYTES = 1200
 """A gossip body fits one unfragmented datagram on any path: 1,280 bytes is
--- a/src/pollenmast/relay/_endpoint_loads.py
+++ b/src/pollenmast/relay/_endpoint_loads.py
@@ -3,7 +3,7 @@
 import attrs
 
 from pollenmast.decisions import Dispatcher
-from pollenmast.peers._messages import EndpointLoad
+from pollenmast.fleet import EndpointLoad
 from pollenmast.relay._flows import Target
 from pollenmast.relay._table import FlowTable
 
--- a/src/pollenmast/relay/_fleet.py
+++ b/src/pollenmast/relay/_fleet.py
@@ -1,8 +1,8 @@
 """What this relay believes of the other VMs, and whom it asks for what."""
 
 from pollenmast.decisions._ownership import Member, Ring
+from pollenmast.fleet import Vm, VmState
 from pollenmast.peers._envelope import sender_id
-from pollenmast.peers._messages import Vm, VmState
 
 ASKED = 2
 """VMs asked about a flow that nobody here knows: the one that owned it before
--- a/src/pollenmast/upstreams/_paths.py
+++ b/src/pollenmast/upstreams/_paths.py
@@ -9,10 +9,7 @@
 
 import abc
 import collections
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from pollenmast.relay._flows import Flow
+from typing import Generic, TypeVar
 
 MOST_PATHS = 4096
 """Local ports of one relay: twice the connections of an endpoint, so that
@@ -30,7 +27,11 @@
 forget an unused UDP flow within some minutes."""
 
 
-class Path(abc.ABC):
+_Flow = TypeVar("_Flow")
+"""Whatever the relay keeps of a flow; a path only hands it back."""
+
+
+class Path(abc.ABC, Generic[_Flow]):
     """One local port towards upstreams.
 
     Attributes:
@@ -40,7 +41,7 @@
     __slots__ = ("flows",)
 
     def __init__(self):
-        self.flows: dict[tuple[str, int], Flow] = {}
+        self.flows: dict[tuple[str, int], _Flow] = {}
 
     @abc.abstractmethod
     def send(self, data: bytes, upstream: tuple[str, int]) -> None:
@@ -99,7 +100,7 @@
         )
         self._lost: collections.deque[tuple[float, Path]] = collections.deque()
 
-    def take(self, flow: "Flow", now: float) -> Path | None:
+    def take(self, flow: _Flow, now: float) -> Path | None:
         """Returns a path of the flow's own, or None when all are used."""
         path = self._rested(now)
         if path is None:
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from pollenmast.fleet import EndpointReport, Vm, VmState
 from pollenmast.peers import _messages as messages
 from pollenmast.relay._core import RelayCore
 from pollenmast.relay._flows import Flow, FlowState, Listener
@@ -119,9 +120,9 @@
     return json.dumps({"version": version, "services": services}).encode()
 
 
-def vm(number: int, **changes) -> messages.Vm:
+def vm(number: int, **changes) -> Vm:
     """Returns the VM with this number."""
-    made = messages.Vm(
+    made = Vm(
         name=f"vm-{number}",
         zone=ZONES[number % len(ZONES)],
         address=f"127.0.1.{number}",
@@ -143,10 +144,10 @@
     )
 
 
-def reports_of(text: bytes) -> tuple[messages.EndpointReport, ...]:
+def reports_of(text: bytes) -> tuple[EndpointReport, ...]:
     """Returns a good report of every endpoint of a manifest."""
     return tuple(
-        messages.EndpointReport(
+        EndpointReport(
             service=service["number"],
             endpoint=endpoint["name"],
             sequence=1,
@@ -296,7 +297,7 @@
 
     def declare_leaving(self, number: int) -> None:
         """Marks a VM as leaving and has its relay drain."""
-        self.vms[number] = vm(number, state=messages.VmState.LEAVING)
+        self.vms[number] = vm(number, state=VmState.LEAVING)
         self.publish()
         self.relays[number].drain()
 
--- a/tests/agent_gossip_test.py
+++ b/tests/agent_gossip_test.py
@@ -13,9 +13,9 @@
 from pollenmast.decisions._heartbeats import Send
 from pollenmast.decisions._members import Members, Why
 from pollenmast.decisions._membership_times import PAGE_BYTES
+from pollenmast.fleet import EndpointReport
 from pollenmast.peers import _gossip
 from pollenmast.peers._gossip import Act, Gossip, ProbeNews
-from pollenmast.peers._messages import EndpointReport
 from tests.agent_manifest_test import LOG, SETTINGS
 from tests.membership_group import vm
 
--- a/tests/agent_link_test.py
+++ b/tests/agent_link_test.py
@@ -13,6 +13,7 @@
 from pollenmast.agent._gossip_loop import GossipLoop
 from pollenmast.agent._node import new_node
 from pollenmast.counters import Counters
+from pollenmast.fleet import VmState
 from pollenmast.manifest import parse
 from pollenmast.peers._envelope import Opener, Sealer
 from pollenmast.peers._gossip_socket import GossipSocket
@@ -22,7 +23,6 @@
     ExplainQuery,
     FleetView,
     RelayReport,
-    VmState,
 )
 from tests.agent_manifest_test import LOG, SETTINGS, text
 
--- a/tests/decisions_capacity_test.py
+++ b/tests/decisions_capacity_test.py
@@ -14,8 +14,8 @@
 )
 from pollenmast.decisions._service_time import USUAL_S, ServiceTime
 from pollenmast.decisions._trust import Verdict
+from pollenmast.fleet import EndpointReport
 from pollenmast.manifest import Endpoint
-from pollenmast.peers._messages import EndpointReport
 
 _ENDPOINT = Endpoint("e1", "127.0.2.1", 5000, 6000, "z1", 2, 100)
 
--- a/tests/decisions_dispatcher_fuzz_test.py
+++ b/tests/decisions_dispatcher_fuzz_test.py
@@ -13,6 +13,7 @@
     Placed,
     Refused,
 )
+from pollenmast.fleet import EndpointReport
 from pollenmast.manifest import (
     Endpoint,
     EndpointState,
@@ -21,7 +22,6 @@
     Service,
     ServiceKind,
 )
-from pollenmast.peers._messages import EndpointReport
 
 _LIMITS = Limits(hold_ms=400, held_flows=6, held_flows_per_caller=3)
 _TICK_S = 0.011
--- a/tests/decisions_dispatcher_test.py
+++ b/tests/decisions_dispatcher_test.py
@@ -13,6 +13,7 @@
     Placed,
     Refused,
 )
+from pollenmast.fleet import EndpointReport
 from pollenmast.manifest import (
     Endpoint,
     EndpointState,
@@ -21,7 +22,6 @@
     Service,
     ServiceKind,
 )
-from pollenmast.peers._messages import EndpointReport
 
 _SERVICE = 1
 
--- a/tests/decisions_membership_test.py
+++ b/tests/decisions_membership_test.py
@@ -7,8 +7,8 @@
 from testtools import TestCase
 
 from pollenmast.decisions._acceptance import ManifestKey
+from pollenmast.fleet import Vm, VmState
 from pollenmast.peers._gossip import Act, Gossip
-from pollenmast.peers._messages import Vm, VmState
 from tests.membership_group import Group, Node, vm
 
 SIZE = 9
--- a/tests/decisions_probing_test.py
+++ b/tests/decisions_probing_test.py
@@ -9,9 +9,9 @@
 
 from pollenmast.decisions import _probing, _readers
 from pollenmast.decisions._probing import Reports
+from pollenmast.fleet import EndpointReport, VmState
 from pollenmast.manifest import Endpoint, Service, ServiceKind
 from pollenmast.peers._gossip import ProbeNews
-from pollenmast.peers._messages import EndpointReport, VmState
 from tests.membership_group import ZONES, vm
 
 OWN, PEER = 1, 2
--- a/tests/decisions_trust_test.py
+++ b/tests/decisions_trust_test.py
@@ -4,7 +4,7 @@
 from testtools import TestCase
 
 from pollenmast.decisions._trust import STALE_S, ReportTrust, Verdict
-from pollenmast.peers._messages import EndpointReport
+from pollenmast.fleet import EndpointReport
 
 
 def _fed(reports: int = 20, per_report: int = 1, **fields) -> ReportTrust:
--- a/tests/membership_group.py
+++ b/tests/membership_group.py
@@ -15,9 +15,9 @@
 from pollenmast.decisions._dissemination import Dissemination
 from pollenmast.decisions._heartbeats import Send
 from pollenmast.decisions._membership import Membership
+from pollenmast.fleet import Vm, VmState
 from pollenmast.peers import _gossip
 from pollenmast.peers._gossip import Act, Gossip
-from pollenmast.peers._messages import Vm, VmState
 
 DELAY_S = 0.002
 STEP_S = 0.01
--- a/tests/peers_gossip_test.py
+++ b/tests/peers_gossip_test.py
@@ -7,12 +7,12 @@
 from testtools import TestCase
 
 from pollenmast.counters import ENVELOPE_FAULTS, Counters, EnvelopeFault
+from pollenmast.fleet import EndpointReport, VmState
 from pollenmast.peers import _gossip
 from pollenmast.peers._envelope import Opener, Sealer
 from pollenmast.peers._gossip import Act, Gossip, ProbeNews
 from pollenmast.peers._gossip_socket import GossipSocket
 from pollenmast.peers._kinds import Kind
-from pollenmast.peers._messages import EndpointReport, VmState
 from tests.membership_group import vm
 
 KEY = bytes(range(32))
--- a/tests/proof/_agents.py
+++ b/tests/proof/_agents.py
@@ -11,7 +11,7 @@
 
 from pollenmast.decisions._acceptance import Acceptance, ManifestKey
 from pollenmast.decisions._membership_times import Times
-from pollenmast.peers._messages import VmState
+from pollenmast.fleet import VmState
 from tests.membership_group import Group, Node, vm
 from tests.proof import _traffic as traffic
 from tests.proof._node import parse
--- a/tests/proof/_node.py
+++ b/tests/proof/_node.py
@@ -9,6 +9,7 @@
 from pollenmast import manifest as manifests
 from pollenmast.counters import ManifestOutcome
 from pollenmast.decisions._acceptance import Acceptance, ManifestKey
+from pollenmast.fleet import Vm
 from pollenmast.peers import _messages as messages
 from pollenmast.relay._core import RelayCore
 from pollenmast.relay._flows import Listener
@@ -121,7 +122,7 @@
     world: object
     core: RelayCore | None = None
     acceptance: Acceptance = attrs.field(factory=Acceptance)
-    beliefs: tuple[messages.Vm, ...] = ()
+    beliefs: tuple[Vm, ...] = ()
     unsure: bool = False
     dues: list[float] = attrs.field(factory=list)
     frozen: bool = False
--- a/tests/proof/_world.py
+++ b/tests/proof/_world.py
@@ -5,7 +5,7 @@
 
 import random
 
-from pollenmast.peers import _messages as messages
+from pollenmast.fleet import EndpointReport, Vm, VmState
 from standins import memory as fakes
 from tests.proof import _traffic as traffic
 from tests.proof._node import Node
@@ -338,10 +338,8 @@
         self._read_manifests(node)
         node.show(self.now, self._reports())
 
-    def _told_of(self, node: Node) -> messages.Vm:
-        state = (
-            messages.VmState.LEAVING if node.leaving else messages.VmState.ALIVE
-        )
+    def _told_of(self, node: Node) -> Vm:
+        state = VmState.LEAVING if node.leaving else VmState.ALIVE
         return fakes.vm(node.number, state=state)
 
     def _read_manifests(self, node: Node) -> None:
@@ -358,9 +356,9 @@
         for text in texts:
             node.offer(text, self.now)
 
-    def _reports(self) -> tuple[messages.EndpointReport, ...]:
+    def _reports(self) -> tuple[EndpointReport, ...]:
         return tuple(
-            messages.EndpointReport(
+            EndpointReport(
                 service=service.number,
                 endpoint=name,
                 sequence=self._sequence,
--- a/tests/relay_routing_test.py
+++ b/tests/relay_routing_test.py
@@ -4,9 +4,9 @@
 from testtools import TestCase
 
 from pollenmast import counters as c
+from pollenmast.fleet import VmState
 from pollenmast.peers._envelope import Sealer
 from pollenmast.peers._kinds import Kind
-from pollenmast.peers._messages import VmState
 from pollenmast.peers._records import FlowRecord, RecordFlag, pack_records
 from pollenmast.relay._carrier import Arrival
 from standins.memory import KEY, REGISTRY, Net, address_of, manifest, short, vm
