Few VMs of a zone watch the store; the others hear from peers

Ruled out: longer watches (a connection that fell silent would be noticed too late for a configuration's three seconds). One reader in a small zone, two in others; a VM that has heard nothing for 0.55 to 0.7 of the bound asks for itself.

--- a/src/pollenmast/entry/_follow.py
+++ b/src/pollenmast/entry/_follow.py
@@ -9,6 +9,9 @@
 two seconds is the proof that the beliefs are current.
 """
 
+import random
+from collections.abc import Callable
+
 import anyio
 from result import Err, Result
 
@@ -31,9 +34,21 @@
     Update,
 )
 
-WATCH_S = 2.0
-"""Length of one watch. A connection that fell silent is noticed half a second
-after that, inside the three seconds for a change of configuration."""
+WATCH_S = 1.0
+"""Length of one watch: its answer is the proof, for this VM and those that it
+tells, that nothing is newer. A connection that fell silent is noticed half a
+second after that."""
+
+STALE_PART = 0.55
+"""Part of the time within which a change has to be in force, after which a VM
+that has heard from nobody asks for itself: with a call and a timeout that
+leaves a quarter."""
+
+STALE_JITTER = 0.15
+"""Added at random to it, so that one VM asks first and tells the others."""
+
+IDLE_S = 0.1
+"""Between two looks of a VM that does not watch at whether it should."""
 
 FIRST_RETRY_S = 0.1
 """Pause after the first failure; it doubles up to the next figure."""
@@ -52,11 +67,18 @@
         steering: Steering,
         histograms: Histograms,
         log: EventLog,
+        apply_s: float,
+        rng: random.Random,
     ):
         self._directory = directory
         self._steering = steering
         self._histograms = histograms
         self._log = log
+        self._apply_s = apply_s
+        self._rng = rng
+        self._is_reader: Callable[[], bool] = _always
+        self._on_news: Callable[[], None] = _nothing
+        self._patience_s = 0.0
         self._read = False
         self._pause_s = 0.0
         self._lost_at: float | None = None
@@ -67,9 +89,22 @@
         """Since when the directory does not answer, or None."""
         return self._lost_at
 
+    def join(
+        self, is_reader: Callable[[], bool], on_news: Callable[[], None]
+    ) -> None:
+        """Shares the watching with other VMs.
+
+        Args:
+            is_reader: Whether this VM is one of those that watch.
+            on_news: Called when something has changed.
+        """
+        self._is_reader = is_reader
+        self._on_news = on_news
+
     def refresh(self) -> None:
         """Asks again at once, over new connections."""
         self._pause_s = 0.0
+        self._patience_s = 0.0
         if self._scope is not None:
             self._scope.cancel()
 
@@ -83,7 +118,10 @@
     def take(self, update: Update, source: str) -> None:
         """Takes in what the directory or a peer has told."""
         now = anyio.current_time()
+        before = self._steering.revision
         applied = self._steering.apply(update, now)
+        if self._steering.revision > before:
+            self._on_news()
         for refused in update.refused:
             self._log.write(ENTRY_REFUSED, entry=refused, source=source)
         if applied.table is not None:
@@ -106,7 +144,21 @@
                 source=source,
             )
 
+    def _due(self) -> bool:
+        """Whether this VM has to ask the directory itself."""
+        if not self._read or self._lost_at is not None or self._is_reader():
+            return True
+        age_s = self._steering.age_s(anyio.current_time())
+        return age_s >= self._patience_s
+
+    def _draw_patience(self) -> None:
+        part = STALE_PART + STALE_JITTER * self._rng.random()
+        self._patience_s = part * self._apply_s
+
     async def _step(self) -> None:
+        if not self._due():
+            await anyio.sleep(IDLE_S)
+            return
         # The revision may be a peer's: a watch from there is complete too.
         if self._read or self._steering.revision:
             answer = await self._directory.watch(
@@ -118,6 +170,7 @@
             await self._on_fault(answer.err_value)
             return
         self._read = True
+        self._draw_patience()
         self._on_answer(answer.ok_value)
 
     async def _read_all(self) -> Result[Update, DirectoryFault]:
@@ -156,3 +209,11 @@
             max(2.0 * self._pause_s, FIRST_RETRY_S), MOST_RETRY_S
         )
         await anyio.sleep(self._pause_s)
+
+
+def _always() -> bool:
+    return True
+
+
+def _nothing() -> None:
+    pass
--- a/src/pollenmast/entry/_gossip.py
+++ b/src/pollenmast/entry/_gossip.py
@@ -20,28 +20,24 @@
 from pollenmast.counters import CONTROL_BYTES, ENVELOPE_FAULTS, Counters
 from pollenmast.entry import _report as reports
 from pollenmast.entry._follow import Follower
+from pollenmast.entry._peers import PeerReader
 from pollenmast.entry._ports import Address
 from pollenmast.entry._report import Report
-from pollenmast.steering import Steering
+from pollenmast.steering import Steering, readers
 
 EVERY_S = 0.5
 """Between two reports. Load is measured over two seconds."""
 
-MOST_MATES = 16
-"""VMs of the own zone told at once; all of them in today's fleets."""
+MOST_MATES = 8
+"""VMs of the own zone told at once, drawn anew each time: a report counts for
+four seconds, in which each of 25 VMs is reached but one time in thirty."""
 
-MOST_OTHERS = 6
-"""VMs of other zones told at once. A zone's sum needs to reach each VM only
-within the two seconds for which it counts."""
+MOST_OTHERS = 3
+"""VMs of other zones told at once; any VM of a zone can tell its sum."""
 
 MEMBER_LIFE_S = 4.0
 """A VM silent for so long is forgotten."""
 
-BEHIND_S = 0.4
-"""How long a VM waits for its own directory to tell what a peer knows. The
-directory answers a watch within some milliseconds; a connection that stays
-silent for longer has been lost on the way."""
-
 _MOST_DATAGRAM_BYTES = 4096
 _BATCH = 64
 
@@ -63,6 +59,7 @@
         seeds: tuple[Address, ...],
         steering: Steering,
         follower: Follower,
+        peers: PeerReader,
         counters: Counters,
         rng: random.Random,
     ):
@@ -72,11 +69,11 @@
         self._seeds = [host for host, _ in seeds if host != self._host]
         self._steering = steering
         self._follower = follower
+        self._peers = peers
         self._counters = counters
         self._rng = rng
         self._members: dict[str, _Member] = {}
         self._told: set[str] = set()
-        self._behind_since: float | None = None
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setblocking(False)
         self._sock.bind(address)
@@ -125,17 +122,24 @@
             self._steering.load.on_mate(report.vm, report.rates, now)
         for number in report.down:
             self._steering.on_reported_down(number, now)
-        self._compare(report.revision, now)
-
-    def _compare(self, revision: int, now: float) -> None:
-        """Asks the directory anew where a peer knows more for long."""
-        if revision <= self._steering.revision:
-            self._behind_since = None
-        elif self._behind_since is None:
-            self._behind_since = now
-        elif now - self._behind_since >= BEHIND_S:
-            self._behind_since = None
-            self._follower.refresh()
+        self._compare(report, host, now)
+
+    def _compare(self, report: Report, host: str, now: float) -> None:
+        """Learns from a peer that knows more, or that it knows no more."""
+        revision = self._steering.revision
+        if report.revision > revision:
+            self._peers.behind(host, report.revision)
+        elif report.revision == revision:
+            self._steering.on_confirmed(now - report.age_s)
+
+    def is_reader(self) -> bool:
+        """Whether this VM is one of its zone's that watch the directory."""
+        mates = [h for h, m in self._members.items() if m.zone == self._zone]
+        return self._host in readers(self._zone, [self._host, *mates])
+
+    def push(self) -> None:
+        """Tells at once: something has changed."""
+        self._send_all(anyio.current_time())
 
     def _send_all(self, now: float) -> None:
         old = now - MEMBER_LIFE_S
@@ -149,8 +153,8 @@
         unknown = {*self._seeds, *self._told} - {*self._members, self._host}
         self._told.clear()
         load = self._steering.load
-        own = reports.encode(self._report(load.own(now), False))
-        summed = reports.encode(self._report(load.zone(now), True))
+        own = reports.encode(self._report(load.own(now), False, now))
+        summed = reports.encode(self._report(load.zone(now), True, now))
         for host in self._some(mates, MOST_MATES):
             self._send(own, host)
         for host in self._some(others, MOST_OTHERS):
@@ -162,7 +166,9 @@
     def _some(self, hosts: list[str], most: int) -> list[str]:
         return hosts if len(hosts) <= most else self._rng.sample(hosts, most)
 
-    def _report(self, rates: dict[int, float], summed: bool) -> Report:
+    def _report(
+        self, rates: dict[int, float], summed: bool, now: float
+    ) -> Report:
         down = tuple(
             record.endpoint.number
             for record in self._steering.catalog.records
@@ -173,6 +179,7 @@
             self._vm,
             self._zone,
             self._steering.revision,
+            self._steering.age_s(now),
             summed,
             rates,
             down,
--- a/src/pollenmast/entry/_peers.py
+++ b/src/pollenmast/entry/_peers.py
@@ -41,10 +41,18 @@
         log: EventLog,
     ):
         self._seeds = [seed for seed in seeds if seed != own]
+        self._port = own[1] if own is not None else 0
+        self._ahead: dict[str, int] = {}
+        self._woken = anyio.Event()
         self._steering = steering
         self._follower = follower
         self._log = log
 
+    def behind(self, host: str, revision: int) -> None:
+        """A peer knows more: it is asked for what is missing."""
+        self._ahead[host] = revision
+        self._woken.set()
+
     async def run(self) -> None:
         """Asks whenever the directory is away, until cancelled."""
         while True:
@@ -54,6 +62,19 @@
                 await self._ask_all()
             await anyio.sleep(EVERY_S if self._steering.ready else 0.2)
 
+    async def catch_up(self) -> None:
+        """Asks peers that know more, one at a time, until cancelled.
+
+        One answer mostly makes the other peers' news known too.
+        """
+        while True:
+            await self._woken.wait()
+            self._woken = anyio.Event()
+            while self._ahead:
+                host, revision = self._ahead.popitem()
+                if revision > self._steering.revision:
+                    await self._ask((host, self._port))
+
     async def _ask_all(self) -> None:
         async with anyio.create_task_group() as tasks:
             for seed in self._seeds:
--- a/src/pollenmast/entry/_ports.py
+++ b/src/pollenmast/entry/_ports.py
@@ -32,6 +32,7 @@
         gossip: Where reports of other VMs arrive, over UDP.
         directory: Where endpoints and routes are published.
         seeds: Control addresses of some VMs, that may be down.
+        apply_s: Seconds within which what is published has to be in force.
         grace_s: Seconds from the signal to stop until the process is killed.
         ready_path: The path at which readiness is asked for.
     """
@@ -45,6 +46,7 @@
     gossip: Address
     directory: Address
     seeds: tuple[Address, ...]
+    apply_s: float
     grace_s: float
     ready_path: str
 
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -84,7 +84,12 @@
             self._log,
         )
         self._follower = Follower(
-            ports.directory, self._steering, histograms, self._log
+            ports.directory,
+            self._steering,
+            histograms,
+            self._log,
+            settings.apply_s,
+            rng,
         )
         self._peers = PeerReader(
             settings.seeds,
@@ -100,9 +105,11 @@
             settings.seeds,
             self._steering,
             self._follower,
+            self._peers,
             counters,
             rng,
         )
+        self._follower.join(self._gossip.is_reader, self._gossip.push)
         self._checker = Checker(
             ports.probe,
             self._steering,
@@ -123,6 +130,7 @@
                 await self._listen(tasks)
                 tasks.start_soon(self._packets.run)
                 tasks.start_soon(self._peers.run)
+                tasks.start_soon(self._peers.catch_up)
                 tasks.start_soon(self._gossip.send)
                 tasks.start_soon(self._gossip.receive)
                 tasks.start_soon(self._checker.run)
@@ -177,6 +185,7 @@
 
     def _on_pause(self, gap_s: float) -> None:
         self._log.write(PAUSED, gap_s=round(gap_s, 3))
+        self._steering.on_pause(gap_s)
         self._packets.on_pause()
         self._follower.refresh()
 
--- a/src/pollenmast/entry/_site.py
+++ b/src/pollenmast/entry/_site.py
@@ -57,7 +57,7 @@
         known = int(after) if after.isdecimal() else 0
         if not self._steering.ready or self._steering.revision <= known:
             return _NOTHING_NEWER
-        body = snapshot.encode(self._steering)
+        body = snapshot.encode(self._steering, known)
         return Answer(200, body, "application/msgpack")
 
     def _metrics(self) -> Answer:
--- a/src/pollenmast/entry/_snapshot.py
+++ b/src/pollenmast/entry/_snapshot.py
@@ -7,8 +7,10 @@
 from result import Err, Ok, Result
 
 from pollenmast.steering import (
+    Change,
     Endpoint,
     EndpointAnnounced,
+    EndpointRemoved,
     Presence,
     Route,
     RoutesPublished,
@@ -18,41 +20,74 @@
     Update,
 )
 
-FORMAT = 1
+FORMAT = 2
 """Number of this format; another one is refused, and the directory asked."""
 
+_ANNOUNCED, _REMOVED, _ROUTES = 1, 2, 3
 
-def encode(steering: Steering) -> bytes:
-    """Returns everything that this VM believes to be published."""
-    endpoints = [
-        (record.revision, *attrs.astuple(record.endpoint))
-        for record in steering.catalog.records
-        if record.presence is Presence.LISTED
-    ]
-    table = steering.table
-    routes = [attrs.astuple(route) for route in table.routes.values()]
-    body = (
-        FORMAT,
-        steering.revision,
-        (table.version, routes, table.health_paths, table.idle_timeout_s),
-        endpoints,
-    )
+
+def encode(steering: Steering, after: int) -> bytes:
+    """Returns what this VM knows after a revision, or everything."""
+    changes = steering.journal.since(after) if after else None
+    whole = changes is None
+    if changes is None:
+        changes = _everything(steering)
+    body = (FORMAT, steering.revision, whole, [_pack(c) for c in changes])
     return msgpack.packb(body)
 
 
 def decode(data: bytes) -> Result[Update, str]:
     """Returns what a peer has told, or what is wrong with it."""
     try:
-        number, revision, table, endpoints = msgpack.unpackb(data)
+        number, revision, whole, changes = msgpack.unpackb(data)
         if number != FORMAT or not isinstance(revision, int):
             return Err(f"format {number!r}")
-        published = RoutesPublished(_table(*table), revision)
-        announced = tuple(_endpoint(*each) for each in endpoints)
-        return Ok(Update((published, *announced), revision, whole=True))
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        unpacked = tuple(_unpack(*each) for each in changes)
+        return Ok(Update(unpacked, revision, whole is True))
+    except (
+        ValueError,
+        TypeError,
+        KeyError,
+        msgpack.UnpackException,
+    ) as error:
         return Err(f"{type(error).__name__}: {error}"[:120])
 
 
+def _everything(steering: Steering) -> list[Change]:
+    changes: list[Change] = [
+        EndpointAnnounced(record.endpoint, record.revision)
+        for record in steering.catalog.records
+        if record.presence is Presence.LISTED
+    ]
+    if steering.table is not None:
+        changes.append(RoutesPublished(steering.table, steering.revision))
+    return changes
+
+
+def _pack(change: Change) -> tuple[Any, ...]:
+    if isinstance(change, EndpointAnnounced):
+        fields = attrs.astuple(change.endpoint)
+        return _ANNOUNCED, change.revision, fields
+    if isinstance(change, EndpointRemoved):
+        return _REMOVED, change.revision, change.name
+    table = change.table
+    routes = [attrs.astuple(route) for route in table.routes.values()]
+    fields = (table.version, routes, table.health_paths, table.idle_timeout_s)
+    return _ROUTES, change.revision, fields
+
+
+def _unpack(kind: int, revision: int, value: Any) -> Change:
+    if not isinstance(revision, int):
+        raise ValueError("revision")
+    if kind == _ANNOUNCED:
+        return EndpointAnnounced(Endpoint(*value), revision)
+    if kind == _REMOVED:
+        return EndpointRemoved(str(value), revision)
+    if kind == _ROUTES:
+        return RoutesPublished(_table(*value), revision)
+    raise ValueError(f"kind {kind!r}")
+
+
 def _table(
     version: int, routes: list[Any], paths: dict[str, str], idle_s: float
 ) -> RouteTable:
@@ -67,7 +102,3 @@
     name: str, host: str, port: int, splits: list[Any], idempotent: bool
 ) -> Route:
     return Route(name, host, port, tuple(Split(*s) for s in splits), idempotent)
-
-
-def _endpoint(revision: int, *fields: Any) -> EndpointAnnounced:
-    return EndpointAnnounced(Endpoint(*fields), revision)
--- a/src/pollenmast/platform/_settings.py
+++ b/src/pollenmast/platform/_settings.py
@@ -28,6 +28,12 @@
                 gossip=_gossip(fields),
                 directory=_address(fields, "platform.address"),
                 seeds=_seeds(fields),
+                # A configuration's and a leaving endpoint's, in milliseconds.
+                apply_s=min(
+                    float(fields.get("bounds.configApplyMs", "3000")),
+                    float(fields.get("bounds.drainMs", "3000")),
+                )
+                / 1000.0,
                 # The SIGTERM to SIGKILL time, in whole seconds or a fraction.
                 grace_s=float(fields.get("bounds.graceS", "6")),
                 ready_path=READINESS_PATH,
--- a/src/pollenmast/steering/__init__.py
+++ b/src/pollenmast/steering/__init__.py
@@ -22,6 +22,7 @@
     Split,
 )
 from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
+from pollenmast.steering._readers import readers
 
 __all__ = [
     "Applied",
@@ -50,4 +51,5 @@
     "Split",
     "Steering",
     "Update",
+    "readers",
 ]
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -20,6 +20,7 @@
 from pollenmast.steering._changes import RoutesPublished, Update
 from pollenmast.steering._flows import REPEAT_S, FlowTable, note
 from pollenmast.steering._health import CheckResult
+from pollenmast.steering._journal import Journal
 from pollenmast.steering._load import LoadBook
 from pollenmast.steering._model import Route, RouteTable, Segment
 from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
@@ -62,6 +63,7 @@
         self._flows = FlowTable()
         self._load = LoadBook(zone)
         self._placement = Placement(zone, self._catalog, self._load, rng)
+        self._journal = Journal()
         self._table: RouteTable | None = None
         self._revision = 0
         self._confirmed_at = float("-inf")
@@ -82,6 +84,11 @@
         """The endpoints' load."""
         return self._load
 
+    @property
+    def journal(self) -> Journal:
+        """The latest changes."""
+        return self._journal
+
     @property
     def table(self) -> RouteTable | None:
         """The configuration in force."""
@@ -101,9 +108,17 @@
         """Returns how long ago the directory confirmed the beliefs."""
         return now - self._confirmed_at
 
-    def on_confirmed(self, now: float) -> None:
-        """The directory has answered that nothing else has changed."""
-        self._confirmed_at = now
+    def on_confirmed(self, at: float) -> None:
+        """The directory has said, then, that nothing else has changed."""
+        self._confirmed_at = max(self._confirmed_at, at)
+
+    def on_pause(self, gap_s: float) -> None:
+        """The VM stood still, which its clock has not counted.
+
+        Its view would else look as young as before the pause, to itself and
+        to the VMs that it tells.
+        """
+        self._confirmed_at -= gap_s
 
     def on_return(self, now: float) -> None:
         """The directory answers again after an outage."""
@@ -120,7 +135,9 @@
         for record in records:
             if record.presence is Presence.LAPSED:
                 record.health.ask(now)
-        self._revision = max(self._revision, update.revision)
+        if update.revision > self._revision:
+            self._journal.add(update, self._revision)
+            self._revision = update.revision
         return Applied(records, table)
 
     def on_segment(self, segment: Segment, now: float) -> Outcome:
--- a/src/pollenmast/steering/_load.py
+++ b/src/pollenmast/steering/_load.py
@@ -22,8 +22,8 @@
 
 BUCKET_S = 0.25
 
-REPORT_LIFE_S = 2.0
-"""A report older than this no longer counts: four of them were missed."""
+REPORT_LIFE_S = 4.0
+"""A report older than this no longer counts: eight of them were missed."""
 
 Rates = dict[int, float]
 """Requests a second by endpoint number."""
--- a/tests/entry_pause_test.py
+++ b/tests/entry_pause_test.py
@@ -7,6 +7,13 @@
 
 from pollenmast.entry import _snapshot as snapshot
 from pollenmast.entry._pause import PAUSE_S, PauseWatch
+from pollenmast.steering import (
+    EndpointAnnounced,
+    EndpointRemoved,
+    Presence,
+    Update,
+)
+from pollenmast.steering._journal import MOST_CHANGES
 from tests import steering_group as group
 
 
@@ -34,7 +41,7 @@
     def test_round_trip(self):
         """The peer knows the same endpoints and routes."""
         known = group.steering(group.endpoint(1), group.endpoint(2))
-        update = snapshot.decode(snapshot.encode(known)).ok_value
+        update = snapshot.decode(snapshot.encode(known, 0)).ok_value
         learner = group.steering()
         learner.apply(update, 1.0)
         self.assertEqual(known.revision, learner.revision)
@@ -42,6 +49,29 @@
         self.assertEqual({r.endpoint for r in known.catalog.records}, names)
         self.assertEqual(known.table, learner.table)
 
+    def test_only_what_is_missing(self):
+        """A peer that is a little behind is told the changes, not all."""
+        known = group.steering(group.endpoint(1), group.endpoint(2))
+        learner = group.steering(group.endpoint(1), group.endpoint(2))
+        removed = EndpointRemoved(group.endpoint(1).name, 11)
+        known.apply(Update((removed,), 11), 1.0)
+        update = snapshot.decode(snapshot.encode(known, 10)).ok_value
+        self.assertEqual(((removed,), False), (update.changes, update.whole))
+        learner.apply(update, 1.0)
+        self.assertEqual(11, learner.revision)
+        record = learner.catalog.get(group.endpoint(1).name)
+        self.assertIs(Presence.LAPSED, record.presence)
+
+    def test_too_far_behind(self):
+        """A peer that missed more than is kept is told everything."""
+        known = group.steering(group.endpoint(1))
+        for revision in range(11, 20 + MOST_CHANGES):
+            changed = EndpointAnnounced(group.endpoint(2), revision)
+            known.apply(Update((changed,), revision), 1.0)
+        update = snapshot.decode(snapshot.encode(known, 10)).ok_value
+        self.assertTrue(update.whole)
+        self.assertEqual(3, len(update.changes))
+
     @given(st.binary(max_size=200))
     @settings(max_examples=300, deadline=None, derandomize=True)
     def test_any_bytes(self, data):
--- a/tests/entry_report_test.py
+++ b/tests/entry_report_test.py
@@ -13,9 +13,12 @@
 from pollenmast.entry import _gossip as gossip
 from pollenmast.entry import _report as reports
 from pollenmast.entry._report import Report
+from pollenmast.steering import readers
 from tests import steering_group as group
 
-REPORT = Report("vm-2", group.ZONE, 12, False, {1: 2.5}, (1,), ("127.0.0.9",))
+REPORT = Report(
+    "vm-2", group.ZONE, 12, 0.25, False, {1: 2.5}, (1,), ("127.0.0.9",)
+)
 
 
 class ReportTest(TestCase):
@@ -27,9 +30,14 @@
         self.assertEqual(REPORT, heard)
 
     def test_bounded(self):
-        """A report of a great fleet still fits one datagram."""
+        """A report of a great fleet fits a datagram.
+
+        That of a VM which never heard of the directory does, too.
+        """
         many = {n << 30: float(n) for n in range(1, 1000)}
-        told = Report("v", "z", 1, True, many, tuple(many), ("1.1.1.1",) * 99)
+        told = Report(
+            "v", "z", 1, 9e9, True, many, tuple(many), ("1.1.1.1",) * 99
+        )
         data = reports.encode(told)
         self.assertLess(len(data), 2 * 1400)
         self.assertIn(999 << 30, reports.decode(data).ok_value.rates)
@@ -53,18 +61,20 @@
     def test_any_fields(self, value):
         """Well-formed msgpack of the wrong shape raises nothing."""
         try:
-            data = msgpack.packb([1, "vm", "z", 1, False, value, value, value])
+            data = msgpack.packb(
+                [2, "vm", "z", 1, 0, False, value, value, value]
+            )
         except (OverflowError, ValueError):
             return
         reports.decode(data)
 
 
-class _Follower:
+class _Peers:
     def __init__(self):
-        self.refreshed = 0
+        self.ahead = []
 
-    def refresh(self):
-        self.refreshed += 1
+    def behind(self, host, revision):
+        self.ahead.append((host, revision))
 
 
 class GossipTest(TestCase):
@@ -74,7 +84,7 @@
         """Makes the gossip of one VM."""
         super().setUp()
         self.core = group.steering(group.endpoint(1), group.endpoint(2))
-        self.follower = _Follower()
+        self.peers = _Peers()
         self.counters = Counters()
         self.gossip = gossip.Gossip(
             "vm-1",
@@ -82,7 +92,8 @@
             ("127.0.0.1", 0),
             (),
             self.core,
-            self.follower,
+            None,
+            self.peers,
             self.counters,
             random.Random(1),
         )
@@ -109,13 +120,31 @@
     def test_silent_connection(self):
         """The connection to the directory fell silent; a peer knows more.
 
-        The VM would go on with an old configuration until its own timeout.
+        The VM would go on with an old configuration until its own timeout;
+        it asks that peer at once.
         """
         self._take(1.0, revision=99)
-        self._take(1.1, revision=99)
-        self.assertEqual(0, self.follower.refreshed)
-        self._take(1.1 + gossip.BEHIND_S, revision=99)
-        self.assertEqual(1, self.follower.refreshed)
+        self.assertEqual([("127.0.0.2", 99)], self.peers.ahead)
+
+    @parameterized.expand(
+        [("as_far", 10, 0.8), ("behind", 9, 5.0), ("ahead", 11, 5.0)]
+    )
+    def test_confirmed(self, _, revision, age_s):
+        """A peer that knows as much vouches for its age, no other does."""
+        self._take(5.0, revision=revision, age_s=0.8)
+        self.assertEqual(age_s, round(self.core.age_s(5.0), 3))
+
+    def test_readers(self):
+        """One VM of a small zone watches; with it gone another one does."""
+        other = self.gossip
+        own = other.is_reader()
+        self.assertTrue(own)
+        names = ["127.0.0.1", "127.0.0.2", "127.0.0.3"]
+        self.assertEqual(1, len(readers(group.ZONE, names)))
+        self.assertEqual(2, len(readers(group.ZONE, map(str, range(9)))))
+        first = readers(group.ZONE, names)[0]
+        left = [name for name in names if name != first]
+        self.assertNotEqual(first, readers(group.ZONE, left)[0])
 
     @parameterized.expand(
         [("empty", b""), ("junk", b"\xc1\xff"), ("int", b"\x01")]
--- a/tests/platform_store_test.py
+++ b/tests/platform_store_test.py
@@ -1,5 +1,6 @@
 """Tests of platform._store against answers in memory, and of entry._follow."""
 
+import random
 import urllib.parse
 
 import anyio
@@ -11,7 +12,7 @@
 
 from pollenmast import http1
 from pollenmast.counters import PLATFORM_CALLS, Counters, Histograms
-from pollenmast.entry._follow import WATCH_S, Follower
+from pollenmast.entry._follow import STALE_PART, WATCH_S, Follower
 from pollenmast.events import EventLog
 from pollenmast.http1 import HttpFault, Response
 from pollenmast.platform._store import WATCH_MARGIN_S, StoreDirectory
@@ -27,6 +28,7 @@
 from tests.platform_entries_test import CONFIGURATION, ENTRY, NAME
 
 KEY = f"servers/{NAME}"
+APPLY_S = 3.0
 
 
 class _Connection:
@@ -175,11 +177,18 @@
 class FollowerTest(_StoreCase):
     """A VM's beliefs follow the store through its troubles."""
 
-    def _follow(self, script):
+    def _follow(self, script, join=None):
         core = group.steering()
         follower = Follower(
-            self.directory, core, Histograms(), EventLog("t", "vm")
+            self.directory,
+            core,
+            Histograms(),
+            EventLog("t", "vm"),
+            APPLY_S,
+            random.Random(1),
         )
+        if join is not None:
+            follower.join(lambda: False, join)
 
         async def main() -> None:
             async with anyio.create_task_group() as tasks:
@@ -245,3 +254,33 @@
             self.assertLess(self.store.calls - calls, 20)
 
         self._follow(script)
+
+    def test_no_reader(self):
+        """This VM leaves the watching to others, and hears nothing of them.
+
+        It asks for itself in time for a change to be in force when it must.
+        """
+        news = []
+
+        async def script(core, follower):
+            calls = self.store.calls
+            await anyio.sleep(APPLY_S * STALE_PART - 1.0)
+            self.assertEqual(calls, self.store.calls)
+            self.store.put("op/config", {**CONFIGURATION, "version": 9})
+            await anyio.sleep(APPLY_S)
+            self.assertEqual(9, core.table.version)
+            self.assertTrue(news)
+
+        self._follow(script, join=lambda: news.append(1))
+
+    def test_told_by_peers(self):
+        """Peers say that nothing is newer: the store is not asked."""
+
+        async def script(core, follower):
+            calls = self.store.calls
+            for _ in range(40):
+                core.on_confirmed(anyio.current_time())
+                await anyio.sleep(0.5)
+            self.assertEqual(calls, self.store.calls)
+
+        self._follow(script, join=lambda: None)
