--- a/src/pollenmast/entry/_follow.py
+++ b/src/pollenmast/entry/_follow.py
@@ -5,8 +5,9 @@
 for good while new ones work. A VM that did not notice would go on placing
 flows on endpoints that have left, and callers would wait for nobody.
 
-So each watch is short and has a timeout of its own: an answer at least every
-two seconds is the proof that the beliefs are current.
+So each watch is short and has a timeout of its own: an answer every second is
+the proof that the beliefs are current. Some VMs of a zone watch; the others
+hear that proof from them, and watch themselves when it fails to come.
 """
 
 import random
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -1,6 +1,5 @@
 """The program of a VM: joins socket, directory, peers, checks and signals."""
 
-import contextlib
 import gc
 import os
 import random
@@ -33,10 +32,13 @@
     STOPPING,
     BoundedStream,
     EventLog,
-    write_to,
+    JsonSink,
 )
 from pollenmast.steering import Steering
 
+PROGRAM = "entry"
+"""The program's name in its log lines."""
+
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
@@ -67,8 +69,8 @@
         self._settings = settings
         self._ports = ports
         self._stream = BoundedStream(sys.stdout.fileno())
-        write_to(self._stream)
-        self._log = EventLog("entry", settings.vm)
+        sink = JsonSink(self._stream)
+        self._log = EventLog(PROGRAM, settings.vm, sink=sink)
         rng = random.Random(f"{settings.vm} {os.getpid()}")
         histograms = Histograms()
         self._steering = Steering(settings.zone, counters, rng, histograms)
@@ -229,9 +231,8 @@
     try:
         return await _Program(settings, ports, counters, sock).run()
     except* OSError as group:
-        log = EventLog("entry", settings.vm)
+        sink = JsonSink(BoundedStream(sys.stdout.fileno()))
+        log = EventLog(PROGRAM, settings.vm, sink=sink)
         for error in group.exceptions:
             log.write(START_FAILED, error=str(error))
-        with contextlib.suppress(OSError):
-            sys.stdout.flush()
     return EXIT_FAILED
--- a/src/pollenmast/events/__init__.py
+++ b/src/pollenmast/events/__init__.py
@@ -45,7 +45,8 @@
     VM_UPDATED,
     Event,
 )
-from pollenmast.events._log import EventLog, write_to
+from pollenmast.events._log import EventLog
+from pollenmast.events._sinks import EliotSink, JsonSink, Sink, write_to
 from pollenmast.events._stream import BoundedStream
 
 __all__ = [
@@ -92,7 +93,10 @@
     "VM_SUSPECT",
     "VM_UPDATED",
     "BoundedStream",
+    "EliotSink",
     "Event",
     "EventLog",
+    "JsonSink",
+    "Sink",
     "write_to",
 ]
--- a/src/pollenmast/events/_log.py
+++ b/src/pollenmast/events/_log.py
@@ -1,13 +1,12 @@
-"""Writes numbered events by eliot, at most so many a second of each kind."""
+"""Writes numbered events, at most so many a second of each kind."""
 
 import time
 from collections.abc import Callable
-from typing import IO
 
 import attrs
-import eliot
 
 from pollenmast.events._catalogue import SUPPRESSED, Event
+from pollenmast.events._sinks import EliotSink, Sink
 
 
 @attrs.define
@@ -31,7 +30,10 @@
         program: str,
         vm: str,
         clock: Callable[[], float] = time.monotonic,
+        sink: Sink | None = None,
     ):
+        """Sets where the lines go: to eliot's destinations by default."""
+        self._sink = EliotSink() if sink is None else sink
         self._program = program
         self._vm = vm
         self._clock = clock
@@ -62,23 +64,10 @@
             self._put(SUPPRESSED, fields)
 
     def _put(self, event: Event, fields: dict[str, object]) -> None:
-        eliot.log_message(
-            message_type=event.name,
-            event=event.number,
-            program=self._program,
-            vm=self._vm,
-            **fields,
-        )
-
-
-_streams: list[IO] = []
-
-
-def write_to(stream: IO) -> None:
-    """Sends the lines of this process to a stream, one JSON object a line.
-
-    A second call for the same stream does nothing.
-    """
-    if stream not in _streams:
-        _streams.append(stream)
-        eliot.to_file(stream)
+        common = {
+            "message_type": event.name,
+            "event": event.number,
+            "program": self._program,
+            "vm": self._vm,
+        }
+        self._sink.put({**common, **fields})
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -27,11 +27,13 @@
 from pollenmast.steering._placement import Placement
 
 CURRENT_S = 2.5
-"""How old a confirmed view may be to say that something does not exist. A
-watch answers at least every two seconds while the directory is in reach."""
+"""How old a confirmed view may be to say that something does not exist, in
+seconds: less than the three within which a new route must be served. While
+the directory is in reach a watch answers every second."""
 
 SETTLE_S = 3.0
-"""How long after the directory's return its list may still miss entries."""
+"""How long after the directory's return its list may still miss entries, in
+seconds: they are back within about two."""
 
 
 @attrs.frozen
--- a/tests/events_log_test.py
+++ b/tests/events_log_test.py
@@ -1,9 +1,13 @@
 """Tests of events._log."""
 
+import io
+import json
+
 import eliot
 from testtools import TestCase
 
-from pollenmast.events import STARTED, STOPPED, SUPPRESSED, EventLog
+from pollenmast.counters import ResetReason
+from pollenmast.events import STARTED, STOPPED, SUPPRESSED, EventLog, JsonSink
 from pollenmast.events._catalogue import BURST
 
 
@@ -68,3 +72,29 @@
             self.log.write(STARTED)
         self.log.write(STOPPED)
         self.assertEqual(1, len(self.written(STOPPED)))
+
+
+class JsonSinkTest(TestCase):
+    """Lines without eliot have the same form."""
+
+    def test_line(self):
+        """A line is one JSON object with the time, whatever its fields."""
+        stream = io.BytesIO()
+        sink = JsonSink(stream, lambda: 1.5)
+        log = EventLog("entry", "vm-1", lambda: 10.0, sink)
+        log.write(STARTED, reason=ResetReason.NO_ROUTE, odd=object)
+        line = json.loads(stream.getvalue())
+        self.assertEqual(
+            (1.5, "started", 101, "entry", "vm-1", "no_route"),
+            tuple(
+                line[key]
+                for key in (
+                    "timestamp",
+                    "message_type",
+                    "event",
+                    "program",
+                    "vm",
+                    "reason",
+                )
+            ),
+        )
