--- a/docs_tool/_events.py
+++ b/docs_tool/_events.py
@@ -6,16 +6,18 @@
 _INTRODUCTION = """\
 # Events
 
-Each line of a program's log (standard error) is one JSON object, written by
-eliot. `event` is the number below, `message_type` the name, `program` is
-`relay` or `agent`, `vm` the VM's name, `timestamp` seconds since 1970; the
-other fields belong to the event. Numbers are never used twice.
+Each line of a program's log is one JSON object: of `relay` and `agent` on
+standard error, by eliot; of `entry` on standard output. `event` is the number
+below, `message_type` the name, `program` the program's, `vm` the VM's name,
+`timestamp` seconds since 1970; the other fields belong to the event. Numbers
+are never used twice.
 `pollenmast events` prints this page's table, `--json` for programs.
 
-At most 20 lines of one event are written within one second; the rest is told
-by event 106, and the counters count every case. No event is written for each
-packet. Cost (trial of 20,000 lines to /dev/null on one machine): 11.1
-microseconds of processor a line, 0.9 a suppressed one.
+At most 20 lines of one event are written within one second, 100 of event 204;
+the rest is told by event 106, and the counters count every case. No event is
+written for each packet. Cost of eliot's lines (trial of 20,000 lines to
+/dev/null on one machine): 11.1 microseconds of processor a line, 0.9 a
+suppressed one.
 
 """
 
