An endpoint whose entry stays missing takes no flows, even as a last resort

Ruled out as a mend: counting it as gone by the clock alone, since a directory that is away again would then empty a service; only what the directory has said since the lapse counts.

test_missing_but_alive fails on the code before and was run there; test_away_again is against the mend that was ruled out.

--- a/src/pollenmast/steering/_catalog.py
+++ b/src/pollenmast/steering/_catalog.py
@@ -75,6 +75,7 @@
     def __init__(self):
         self._records: dict[str, Record] = {}
         self._by_token: dict[int, list[Record]] = {}
+        self._confirmed_at = float("-inf")
 
     @property
     def records(self) -> list[Record]:
@@ -98,14 +99,32 @@
         """Whether packets with its token come to this endpoint."""
         return self.by_token(record.endpoint.token) is record
 
+    def confirm(self, at: float) -> None:
+        """The directory has said, then, that nothing else has changed."""
+        self._confirmed_at = at
+
+    def is_missing(self, record: Record) -> bool:
+        """Whether an endpoint's entry vanished and will not come back.
+
+        Only what the directory has said since counts: while it is away again
+        no entry can come back, and a service would be emptied for nothing.
+        """
+        if record.presence is Presence.LAPSED:
+            return self._confirmed_at - record.lapsed_at >= LAPSE_S
+        return record.presence is Presence.GONE
+
     def serving(self, service: str) -> list[Record]:
-        """Returns the endpoints that could take new flows of a service."""
+        """Returns the endpoints that could take new flows of a service.
+
+        One whose entry stayed missing takes none, even if it still answers:
+        it is leaving, and its address will be another's.
+        """
         return [
             record
             for record in self._records.values()
             if record.endpoint.service == service
-            and record.presence is not Presence.GONE
             and not record.endpoint.draining
+            and not self.is_missing(record)
         ]
 
     def apply(self, update: Update, now: float) -> list[Record]:
@@ -130,13 +149,12 @@
             if record.presence is Presence.LAPSED:
                 record.lapsed_at = now
 
-    def overdue(self, now: float) -> list[Record]:
+    def overdue(self) -> list[Record]:
         """Returns lapsed endpoints whose entries will not come back."""
         return [
             record
             for record in self._records.values()
-            if record.presence is Presence.LAPSED
-            and now - record.lapsed_at >= LAPSE_S
+            if record.presence is Presence.LAPSED and self.is_missing(record)
         ]
 
     def expire(self, now: float) -> None:
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -113,6 +113,7 @@
     def on_confirmed(self, at: float) -> None:
         """The directory has said, then, that nothing else has changed."""
         self._confirmed_at = max(self._confirmed_at, at)
+        self._catalog.confirm(self._confirmed_at)
 
     def on_pause(self, gap_s: float) -> None:
         """The VM stood still, which its clock has not counted.
@@ -121,6 +122,7 @@
         to the VMs that it tells.
         """
         self._confirmed_at -= gap_s
+        self._catalog.confirm(self._confirmed_at)
 
     def on_return(self, now: float) -> None:
         """The directory answers again after an outage."""
@@ -158,11 +160,7 @@
     ) -> list[Reset]:
         """Takes in a health check; returns the flows to end."""
         record.health.on_check(result, now)
-        overdue = (
-            record.presence is Presence.LAPSED
-            and record in self._catalog.overdue(now)
-        )
-        if overdue and record.health.down:
+        if record.health.down and self._catalog.is_missing(record):
             record.presence = Presence.GONE
         if not record.health.down:
             return []
@@ -182,8 +180,8 @@
     def due_checks(self, now: float) -> list[Record]:
         """Returns the endpoints whose health is to be checked now."""
         self._look(now)
-        for record in self._catalog.overdue(now):
-            record.health.ask(now)
+        for record in self._catalog.overdue():
+            record.health.ask_again(now)
         return [
             record
             for record in self._catalog.records
--- a/src/pollenmast/steering/_health.py
+++ b/src/pollenmast/steering/_health.py
@@ -160,6 +160,11 @@
         if self._check_at is None:
             self._check_at = now
 
+    def ask_again(self, now: float) -> None:
+        """Has it checked, unless it has answered a check just now."""
+        if now - self._checked_at >= RECHECK_MOST_S:
+            self.ask(now)
+
     def due(self, now: float) -> bool:
         """Whether a check is to be made now."""
         return self._check_at is not None and now >= self._check_at
--- a/tests/steering_core_test.py
+++ b/tests/steering_core_test.py
@@ -213,12 +213,53 @@
         outcome = core.on_segment(group.syn(group.flow(2)), 3.0)
         self.assertEqual(PlacementReason.OWN_ZONE, outcome.placed)
 
+    def test_away_again(self):
+        """The directory forgot its entries, and is away before they are back.
+
+        Its endpoints live, and nobody can say so; counted as gone they would
+        leave a service without any for as long as the outage lasts.
+        """
+        core = group.steering(FIRST)
+        core.on_confirmed(2.0)
+        core.apply(Update((EndpointRemoved(FIRST.name, 11),), 11), 2.0)
+        record = core.catalog.get(FIRST.name)
+        core.on_check(record, CheckResult.ANSWERED, 2.0)
+        outcome = core.on_segment(group.syn(group.flow()), 2.0 + 3 * LAPSE_S)
+        self.assertEqual(PlacementReason.LAST_RESORT, outcome.placed)
+
+    def test_missing_but_alive(self):
+        """An entry stays missing while its endpoint still answers.
+
+        It is leaving: a new flow there, even as the last resort, would be cut
+        when it ends. Its open flows go on, and it is not asked without pause.
+        """
+        core = group.steering(FIRST)
+        core.apply(Update((EndpointRemoved(FIRST.name, 11),), 11), 2.0)
+        record = core.catalog.get(FIRST.name)
+        core.on_check(record, CheckResult.ANSWERED, 2.0)
+        later = 2.0 + LAPSE_S
+        core.on_confirmed(later)
+        outcome = core.on_segment(group.syn(group.flow()), later)
+        self.assertEqual(ResetReason.NO_ENDPOINT, outcome.reason)
+        carried = core.on_segment(
+            group.segment(group.flow(2), FIRST.token, length=1), later
+        )
+        self.assertEqual(Forward(FIRST), carried)
+        checks = 0
+        for step in range(100):
+            now = later + step * 0.05
+            for due in core.due_checks(now):
+                checks += 1
+                core.on_check(due, CheckResult.ANSWERED, now)
+        self.assertLessEqual(checks, 6)
+
     def test_gone(self):
         """An endpoint left for good; what still names it is reset."""
         core = group.steering(FIRST)
         core.apply(Update((EndpointRemoved(FIRST.name, 11),), 11), 2.0)
         record = core.catalog.get(FIRST.name)
         later = 2.0 + LAPSE_S
+        core.on_confirmed(later)
         self.assertEqual([record], core.due_checks(later))
         core.on_check(record, CheckResult.REFUSED, later)
         self.assertIs(Presence.GONE, record.presence)
