--- a/src/pollenmast/entry/_gossip.py
+++ b/src/pollenmast/entry/_gossip.py
@@ -19,7 +19,6 @@
 
 from pollenmast.counters import CONTROL_BYTES, ENVELOPE_FAULTS, Counters
 from pollenmast.entry import _report as reports
-from pollenmast.entry._follow import Follower
 from pollenmast.entry._peers import PeerReader
 from pollenmast.entry._ports import Address
 from pollenmast.entry._report import Report
@@ -58,7 +57,6 @@
         address: Address,
         seeds: tuple[Address, ...],
         steering: Steering,
-        follower: Follower,
         peers: PeerReader,
         counters: Counters,
         rng: random.Random,
@@ -68,7 +66,6 @@
         self._host, self._port = address
         self._seeds = [host for host, _ in seeds if host != self._host]
         self._steering = steering
-        self._follower = follower
         self._peers = peers
         self._counters = counters
         self._rng = rng
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -106,7 +106,6 @@
             settings.gossip,
             settings.seeds,
             self._steering,
-            self._follower,
             self._peers,
             counters,
             rng,
--- a/tests/entry_report_test.py
+++ b/tests/entry_report_test.py
@@ -92,7 +92,6 @@
             ("127.0.0.1", 0),
             (),
             self.core,
-            None,
             self.peers,
             self.counters,
             random.Random(1),
