Readers gather a zone's load and tell changes in their reports

Cause: each VM told its load to eleven others twice a second and asked for each change over a connection of its own: 75 announcements at the start were 5,500 connections. Messages grew with the fleet, and took most of a VM's time.

Change: a VM tells its load to a reader of its zone, in turn, and gets the total in the answer; readers tell each other their zones' sums. Changes travel in the answers, and at once from the readers; only what is too long or lost is asked for. Readers that do not answer are passed over (steering/_members). After an answer with changes a reader waits 0.12 s, so that a release costs few calls.

Ruled out: telling others what one was told.

--- a/src/pollenmast/entry/_follow.py
+++ b/src/pollenmast/entry/_follow.py
@@ -40,6 +40,11 @@
 tells, that nothing is newer. A connection that fell silent is noticed half a
 second after that."""
 
+GATHER_S = 0.12
+"""Pause after an answer that told of changes. While a service is released
+they come by the dozen a second, and each would cost a call of each reader; a
+tenth of a second is little against the seconds that a change may take."""
+
 STALE_PART = 0.55
 """Part of the time within which a change has to be in force, after which a VM
 that has heard from nobody asks for itself: with a call and a timeout that
@@ -183,6 +188,8 @@
         self._read = True
         self._draw_patience()
         self._on_answer(answer.ok_value)
+        if answer.ok_value.changes:
+            await anyio.sleep(GATHER_S)
 
     async def _read_all(self) -> Result[Update, DirectoryFault]:
         began = anyio.current_time()
--- a/src/pollenmast/entry/_gossip.py
+++ b/src/pollenmast/entry/_gossip.py
@@ -1,50 +1,54 @@
-"""Reports between VMs: load, dead endpoints, and how far each one knows.
+"""Reports between VMs: load, dead endpoints, and what has changed.
 
 Load pattern: each VM sees a part of the requests and its own troubles. What
 another one knows already costs it a client's waiting time to find out: that
 an endpoint is full, that one is dead, that the directory has moved on while
 its own connection to it fell silent.
 
-Reports are small, unacknowledged and sent at a constant rate; what is lost
-comes again half a second later. A VM finds the others by the seeds of its
-settings and by the members that reports name.
+Each VM tells its own load to a reader of its zone, twice a second, and gets
+the load of all in the answer. Readers of different zones tell each other
+their zones' sums. So a VM's messages do not grow with the fleet; a reader's
+grow with its zone. Changes travel with the reports, and at once when a reader
+learns of them; what is too long for a datagram, or was lost, is asked for.
+
+Reports are unacknowledged; what is lost comes again half a second later.
 """
 
 import random
 import socket
+import zlib
 
 import anyio
-import attrs
 from result import Err
 
 from pollenmast.counters import CONTROL_BYTES, ENVELOPE_FAULTS, Counters
 from pollenmast.entry import _report as reports
+from pollenmast.entry import _snapshot as snapshot
 from pollenmast.entry._peers import PeerReader
 from pollenmast.entry._ports import Address
-from pollenmast.entry._report import Report
-from pollenmast.steering import Steering, readers
+from pollenmast.entry._report import MOST_CHANGE_BYTES, Kind, Report
+from pollenmast.steering import Members, Steering
 
 EVERY_S = 0.5
 """Between two reports. Load is measured over two seconds."""
 
-MOST_MATES = 8
-"""VMs of the own zone told at once, drawn anew each time: a report counts for
-four seconds, in which each of 25 VMs is reached but one time in thirty."""
-
-MOST_OTHERS = 3
-"""VMs of other zones told at once; any VM of a zone can tell its sum."""
+STRANGERS_EVERY = 4
+"""Rounds between two questions to VMs that are not known: seeds that were
+down, and VMs lost in a cut. Often enough to join within a cut's usual time."""
 
-MEMBER_LIFE_S = 4.0
-"""A VM silent for so long is forgotten."""
+MOST_STRANGERS = 3
+"""Of them asked at once."""
 
-_MOST_DATAGRAM_BYTES = 4096
-_BATCH = 64
+ANSWER_LIFE_S = 0.1
+"""For how long one answer serves all who ask: a reader of 30 VMs is asked 30
+times a second, and most of an answer's work is adding up the load."""
 
+NEWS_PAUSE_S = 0.1
+"""The least between two rounds of news. While a service is released, changes
+come by the dozen a second, and each round costs a message a VM."""
 
-@attrs.define
-class _Member:
-    zone: str
-    heard_at: float
+_MOST_DATAGRAM_BYTES = 8192
+_BATCH = 64
 
 
 class Gossip:
@@ -64,13 +68,16 @@
         self._vm = vm
         self._zone = zone
         self._host, self._port = address
-        self._seeds = [host for host, _ in seeds if host != self._host]
+        hosts = [host for host, _ in seeds]
+        self._members = Members(self._host, zone, hosts)
         self._steering = steering
         self._peers = peers
         self._counters = counters
         self._rng = rng
-        self._members: dict[str, _Member] = {}
-        self._told: set[str] = set()
+        self._round = 0
+        self._told_revision = 0
+        self._answered = (float("-inf"), 0, b"")
+        self._news = anyio.Event()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setblocking(False)
         self._sock.bind(address)
@@ -79,11 +86,27 @@
         """Closes the socket."""
         self._sock.close()
 
+    def is_reader(self) -> bool:
+        """Whether this VM is one of its zone's that watch the directory."""
+        return self._members.is_reader(anyio.current_time())
+
+    def push(self) -> None:
+        """Something has changed: the others are told soon."""
+        self._news.set()
+
     async def send(self) -> None:
         """Sends reports until cancelled."""
         while True:
+            self.tell(anyio.current_time())
             await anyio.sleep(EVERY_S * self._rng.uniform(0.9, 1.1))
-            self._send_all(anyio.current_time())
+
+    async def send_news(self) -> None:
+        """Tells what has changed until cancelled."""
+        while True:
+            await self._news.wait()
+            self._news = anyio.Event()
+            self.tell_news(anyio.current_time())
+            await anyio.sleep(NEWS_PAUSE_S)
 
     async def receive(self) -> None:
         """Takes in reports until cancelled."""
@@ -102,6 +125,42 @@
                 self.take(datagram, sender[0], now)
             await anyio.lowlevel.checkpoint()
 
+    def tell(self, now: float) -> None:
+        """Sends this VM's reports of one round."""
+        self._members.expire(now)
+        self._round += 1
+        readers = self._members.readers(now)
+        load = self._steering.load
+        asked = [host for host in readers if host != self._host]
+        if asked:
+            asked = [asked[self._round % len(asked)]]
+        if self._host in readers:
+            asked += self._some(self._members.unheard(now), MOST_STRANGERS)
+        if not self._members.hosts or self._round % STRANGERS_EVERY == 0:
+            asked += self._some(self._members.strangers(), MOST_STRANGERS)
+        ask = self._report(Kind.ASK, now, 1, load.report(now))
+        for host in asked:
+            self._send(ask, host)
+            self._members.on_asked(host, now)
+        if self._host in readers:
+            self._tell_zones(now)
+
+    def tell_news(self, now: float) -> None:
+        """Tells the VMs of the zone what this one has learned since.
+
+        Readers share them out, as each of them learns of a change itself.
+        """
+        after, self._told_revision = self._told_revision, self._revision
+        changes = self._changes(after) if after else b""
+        readers = self._members.readers(now)
+        if self._host not in readers or not changes:
+            return
+        own = readers.index(self._host)
+        news = self._report(Kind.NEWS, now, after=after, changes=changes)
+        for host in set(self._members.mates) - set(readers):
+            if zlib.crc32(host.encode()) % len(readers) == own:
+                self._send(news, host)
+
     def take(self, datagram: bytes, host: str, now: float) -> None:
         """Takes in one report."""
         decoded = reports.decode(datagram)
@@ -111,77 +170,123 @@
         report = decoded.ok_value
         if report.vm == self._vm:
             return
-        self._members[host] = _Member(report.zone, now)
-        self._told.update(report.members)
-        if report.zone != self._zone and report.summed:
-            self._steering.load.on_zone(report.zone, report.rates, now)
-        elif report.zone == self._zone and not report.summed:
-            self._steering.load.on_mate(report.vm, report.rates, now)
+        self._members.on_heard(host, report.zone, now)
+        for named in report.members:
+            self._members.on_named(named, report.members_zone, now)
+        self._learn_load(report, now)
         for number in report.down:
             self._steering.on_reported_down(number, now)
-        self._compare(report, host, now)
+        self._learn_changes(report, host, now)
+        if report.kind is Kind.ASK:
+            self._answer(report, host, now)
+        elif report.kind is Kind.ZONE and not self._members.is_reader(now):
+            # Its sender does not know this zone's readers.
+            self._send(self._report(Kind.ANSWER, now), host)
 
-    def _compare(self, report: Report, host: str, now: float) -> None:
+    @property
+    def _revision(self) -> int:
+        return self._steering.revision
+
+    def _learn_load(self, report: Report, now: float) -> None:
+        load = self._steering.load
+        if report.kind is Kind.ANSWER and report.zone == self._zone:
+            load.on_total(report.rates, report.vms, now)
+        elif report.kind is Kind.ZONE:
+            load.on_zone(report.zone, report.rates, report.vms, now)
+        elif report.kind is Kind.ASK and report.zone == self._zone:
+            load.on_mate(report.vm, report.rates, now)
+
+    def _learn_changes(self, report: Report, host: str, now: float) -> None:
         """Learns from a peer that knows more, or that it knows no more."""
-        revision = self._steering.revision
-        if report.revision > revision:
+        if report.changes and report.after <= self._revision:
+            self._peers.told(report.changes, host)
+        if report.revision > self._revision:
             self._peers.behind(host, report.revision)
-        elif report.revision == revision:
+        elif report.revision == self._revision:
             self._steering.on_confirmed(now - report.age_s)
 
-    def is_reader(self) -> bool:
-        """Whether this VM is one of its zone's that watch the directory."""
-        mates = [h for h, m in self._members.items() if m.zone == self._zone]
-        return self._host in readers(self._zone, [self._host, *mates])
+    def _answer(self, report: Report, host: str, now: float) -> None:
+        if 0 < report.revision < self._revision:
+            changes = self._changes(report.revision)
+            answer = self._total(now, report.zone, report.revision, changes)
+        elif report.zone != self._zone:
+            answer = self._total(now, report.zone)
+        else:
+            answer = self._same_answer(now)
+        self._send(answer, host)
 
-    def push(self) -> None:
-        """Tells at once: something has changed."""
-        self._send_all(anyio.current_time())
-
-    def _send_all(self, now: float) -> None:
-        old = now - MEMBER_LIFE_S
-        self._members = {
-            host: member
-            for host, member in self._members.items()
-            if member.heard_at >= old
-        }
-        mates = [h for h, m in self._members.items() if m.zone == self._zone]
-        others = [h for h, m in self._members.items() if m.zone != self._zone]
-        unknown = {*self._seeds, *self._told} - {*self._members, self._host}
-        self._told.clear()
+    def _same_answer(self, now: float) -> bytes:
+        at, revision, answer = self._answered
+        if now - at >= ANSWER_LIFE_S or revision != self._revision:
+            answer = self._total(now, self._zone)
+            self._answered = (now, self._revision, answer)
+        return answer
+
+    def _total(
+        self, now: float, zone: str, after: int = 0, changes: bytes = b""
+    ) -> bytes:
+        """Returns an answer that names the VMs of the asker's zone."""
         load = self._steering.load
-        own = reports.encode(self._report(load.own(now), False, now))
-        summed = reports.encode(self._report(load.zone(now), True, now))
-        for host in self._some(mates, MOST_MATES):
-            self._send(own, host)
-        for host in self._some(others, MOST_OTHERS):
-            self._send(summed, host)
-        for host in self._some(sorted(unknown), MOST_OTHERS):
-            self._send(own, host)
-            self._send(summed, host)
+        vms, rates = load.vms(now), load.gathered(now)
+        return self._report(Kind.ANSWER, now, vms, rates, after, changes, zone)
+
+    def _tell_zones(self, now: float) -> None:
+        """Tells a reader of each other zone this zone's load."""
+        load = self._steering.load
+        zones = self._members.other_zones
+        if not zones:
+            return
+        # Zones that only a third one knows meet by being named.
+        named = self._rng.choice([self._zone, *zones])
+        vms, rates = load.vms(now), load.zone(now)
+        told = self._report(Kind.ZONE, now, vms, rates, zone=named)
+        for zone in zones:
+            readers = self._members.readers(now, zone)
+            if readers:
+                self._send(told, readers[self._round % len(readers)])
 
     def _some(self, hosts: list[str], most: int) -> list[str]:
         return hosts if len(hosts) <= most else self._rng.sample(hosts, most)
 
+    def _changes(self, after: int) -> bytes:
+        """Returns the changes after a revision, empty if they are too long."""
+        if self._steering.journal.since(after) is None:
+            return b""
+        changes = snapshot.encode(self._steering, after)
+        return changes if len(changes) <= MOST_CHANGE_BYTES else b""
+
     def _report(
-        self, rates: dict[int, float], summed: bool, now: float
-    ) -> Report:
+        self,
+        kind: Kind,
+        now: float,
+        vms: int = 0,
+        rates: dict[int, float] | None = None,
+        after: int = 0,
+        changes: bytes = b"",
+        zone: str = "",
+    ) -> bytes:
+        zone = zone or self._zone
         down = tuple(
             record.endpoint.number
             for record in self._steering.catalog.records
             if record.health.down
         )
-        members = self._some(list(self._members), reports.MOST_MEMBERS)
-        return Report(
+        named = self._some(self._members.heard(zone, now), reports.MOST_MEMBERS)
+        report = Report(
+            kind,
             self._vm,
             self._zone,
-            self._steering.revision,
-            self._steering.age_s(now),
-            summed,
-            rates,
+            self._revision,
+            self._steering.age_s(now) + ANSWER_LIFE_S,
+            vms,
+            rates or {},
             down,
-            tuple(members),
+            tuple(named),
+            zone,
+            after,
+            changes,
         )
+        return reports.encode(report)
 
     def _send(self, datagram: bytes, host: str) -> None:
         try:
--- a/src/pollenmast/entry/_peers.py
+++ b/src/pollenmast/entry/_peers.py
@@ -89,8 +89,11 @@
             await connection.aclose()
         if isinstance(answer, Err) or answer.ok_value.status != _OK:
             return
-        told = snapshot.decode(answer.ok_value.body)
-        source = f"{seed[0]}:{seed[1]}"
+        self.told(answer.ok_value.body, f"{seed[0]}:{seed[1]}")
+
+    def told(self, body: bytes, source: str) -> None:
+        """Takes in what a peer has told."""
+        told = snapshot.decode(body)
         if isinstance(told, Err):
             self._log.write(PEER_TOLD, peer=source, fault=told.err_value)
             return
--- a/src/pollenmast/entry/_report.py
+++ b/src/pollenmast/entry/_report.py
@@ -1,4 +1,6 @@
-"""What VMs tell each other twice a second, as msgpack in one datagram."""
+"""What VMs tell each other, as msgpack in one datagram."""
+
+import enum
 
 import attrs
 import msgpack
@@ -6,7 +8,7 @@
 
 from pollenmast.steering import Rates
 
-FORMAT = 2
+FORMAT = 3
 """Number of this format; others are ignored."""
 
 MOST_ENDPOINTS = 90
@@ -15,7 +17,10 @@
 
 MOST_MEMBERS = 12
 """Other VMs named in one report; a VM that has just started learns of a fleet
-of 9 from the first."""
+of 9 from the first, and of one of 30 within two seconds."""
+
+MOST_CHANGE_BYTES = 900
+"""Changes that travel with a report; a peer that lacks more asks for them."""
 
 MOST_AGE_MS = 1_000_000
 """Ages from here on, a quarter of an hour, all mean that it is old."""
@@ -25,29 +30,53 @@
 """Rates travel as whole eighths of a request a second."""
 
 
+class Kind(enum.IntEnum):
+    """What a report is for."""
+
+    ASK = 1
+    """Tells a VM's own rates to a reader, and asks for an answer."""
+
+    ANSWER = 2
+    """Tells the rates of all VMs, as far as the sender knows them."""
+
+    ZONE = 3
+    """Tells the rates of the sender's zone to a reader of another one."""
+
+    NEWS = 4
+    """Tells only changes."""
+
+
 @attrs.frozen
 class Report:
     """What a VM tells.
 
     Attributes:
+        kind: What for.
         vm: Its name.
         zone: Its availability zone.
         revision: The directory's revision up to which it knows everything.
         age_s: How long ago the directory said that nothing is newer.
-        summed: Whether the rates are its zone's, or only its own.
+        vms: How many VMs of its zone the rates are summed over.
         rates: Requests a second to each endpoint.
         down: Endpoints that it found dead or out of reach.
-        members: Addresses of VMs that it has heard of lately.
+        members: Addresses of VMs that it has heard from lately.
+        members_zone: The zone of these.
+        after: The revision that `changes` follow.
+        changes: Changes of endpoints and routes, encoded; empty if none.
     """
 
+    kind: Kind
     vm: str
     zone: str
     revision: int
     age_s: float
-    summed: bool
-    rates: Rates
-    down: tuple[int, ...]
-    members: tuple[str, ...]
+    vms: int = 0
+    rates: Rates = attrs.field(factory=dict)
+    down: tuple[int, ...] = ()
+    members: tuple[str, ...] = ()
+    members_zone: str = ""
+    after: int = 0
+    changes: bytes = b""
 
 
 def encode(report: Report) -> bytes:
@@ -59,14 +88,18 @@
     }
     fields = (
         FORMAT,
+        report.kind,
         report.vm,
         report.zone,
         report.revision,
         round(min(report.age_s * _MILLIS, MOST_AGE_MS)),
-        report.summed,
+        report.vms,
         rates,
         report.down[:MOST_ENDPOINTS],
         report.members[:MOST_MEMBERS],
+        report.members_zone,
+        report.after,
+        report.changes,
     )
     return msgpack.packb(fields)
 
@@ -75,23 +108,31 @@
     """Returns the report, or what is wrong with the datagram."""
     try:
         fields = msgpack.unpackb(datagram, strict_map_key=False)
-        number, vm, zone, revision, age, summed, rates, down, members = fields
+        number, kind, vm, zone, *rest = fields
+        revision, age, vms, rates, down, members, of, after, changes = rest
         if number != FORMAT:
             return Err(f"format {number!r}")
-        if not (isinstance(vm, str) and isinstance(zone, str)):
+        if not all(isinstance(each, str) for each in (vm, zone, of)):
             return Err("names")
-        if not (isinstance(revision, int) and isinstance(age, int)):
-            return Err("revision")
+        numbers = (revision, age, vms, after)
+        if not all(isinstance(each, int) for each in numbers):
+            return Err("numbers")
+        if not isinstance(changes, bytes):
+            return Err("changes")
         return Ok(
             Report(
+                Kind(kind),
                 vm,
                 zone,
                 revision,
                 max(0, age) / _MILLIS,
-                summed is True,
+                vms,
                 _rates(rates),
                 tuple(int(each) for each in down),
                 tuple(str(each) for each in members),
+                of,
+                after,
+                changes,
             )
         )
     except (
--- a/src/pollenmast/steering/__init__.py
+++ b/src/pollenmast/steering/__init__.py
@@ -13,6 +13,7 @@
 from pollenmast.steering._core import Applied, Steering
 from pollenmast.steering._health import CheckResult, Health
 from pollenmast.steering._load import LoadBook, Rates
+from pollenmast.steering._members import Members
 from pollenmast.steering._model import (
     Endpoint,
     FlowKey,
@@ -22,7 +23,6 @@
     Split,
 )
 from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
-from pollenmast.steering._readers import readers
 from pollenmast.steering._record import Presence, Record
 
 __all__ = [
@@ -40,6 +40,7 @@
     "Forward",
     "Health",
     "LoadBook",
+    "Members",
     "Outcome",
     "Presence",
     "Rates",
@@ -52,5 +53,4 @@
     "Split",
     "Steering",
     "Update",
-    "readers",
 ]
--- a/src/pollenmast/steering/_load.py
+++ b/src/pollenmast/steering/_load.py
@@ -6,10 +6,10 @@
 zone's stand idle: requests are turned away by the queue of two slots although
 there was room.
 
-Each request passes exactly one VM, so the VMs' counts add up. A VM tells the
-VMs of its zone what it sends; and the others its zone's sum. An endpoint's
-load is the sum over zones, so what a VM has to hear does not grow with the
-VMs of other zones.
+Each request passes exactly one VM, so the VMs' counts add up. Readers hear
+them from their zone's VMs and from other zones as one sum each; the other VMs
+are told the total, in which they replace their own part by what they know to
+have sent since. So what a VM has to hear does not grow with the fleet.
 """
 
 import collections
@@ -25,6 +25,10 @@
 REPORT_LIFE_S = 4.0
 """A report older than this no longer counts: eight of them were missed."""
 
+BETTER_S = 1.5
+"""For so long a sum over more VMs is kept against one over fewer: a VM that
+has just become a reader has heard from few yet."""
+
 Rates = dict[int, float]
 """Requests a second by endpoint number."""
 
@@ -33,6 +37,12 @@
 class _Report:
     at: float
     rates: Rates
+    vms: int = 1
+
+    def replaces(self, other: "_Report | None") -> bool:
+        if other is None or self.vms >= other.vms:
+            return True
+        return self.at - other.at >= BETTER_S
 
 
 class _Meter:
@@ -63,6 +73,8 @@
         self._meters: dict[int, _Meter] = {}
         self._mates: dict[str, _Report] = {}
         self._zones: dict[str, _Report] = {}
+        self._told: _Report | None = None
+        self._reported: Rates = {}
 
     def on_work(self, endpoint: int, now: float) -> None:
         """This VM sent a request, or a new flow, to an endpoint."""
@@ -72,9 +84,28 @@
         """A VM of the same zone told what it sends."""
         self._mates[vm] = _Report(now, rates)
 
-    def on_zone(self, zone: str, rates: Rates, now: float) -> None:
-        """A VM of another zone told what its zone sends."""
-        self._zones[zone] = _Report(now, rates)
+    def on_zone(self, zone: str, rates: Rates, vms: int, now: float) -> None:
+        """A reader of another zone told what its zone's VMs send."""
+        report = _Report(now, rates, vms)
+        if report.replaces(self._zones.get(zone)):
+            self._zones[zone] = report
+
+    def on_total(self, rates: Rates, vms: int, now: float) -> None:
+        """A reader of this zone told what all VMs send.
+
+        Args:
+            rates: The total.
+            vms: How many VMs of this zone it has heard from.
+            now: The runtime's clock in seconds.
+        """
+        report = _Report(now, rates, vms)
+        if report.replaces(self._told):
+            self._told = report
+
+    def report(self, now: float) -> Rates:
+        """Returns what this VM sends, to be told to a reader."""
+        self._reported = self.own(now)
+        return self._reported
 
     def own(self, now: float) -> Rates:
         """Returns what this VM sends; idle endpoints are left out."""
@@ -91,10 +122,33 @@
         """Returns what this zone's VMs send."""
         return _total([self.own(now), *_fresh(self._mates, now)])
 
-    def total(self, now: float) -> Rates:
-        """Returns what all VMs send."""
+    def vms(self, now: float) -> int:
+        """Returns how many VMs of the zone this one hears from, and itself."""
+        return len(_fresh(self._mates, now)) + 1
+
+    def gathered(self, now: float) -> Rates:
+        """Returns what all VMs send, by what this one has gathered itself.
+
+        Only this is told to others: two VMs that told each other what they
+        were told would keep the load of the dead alive.
+        """
         return _total([self.zone(now), *_fresh(self._zones, now)])
 
+    def total(self, now: float) -> Rates:
+        """Returns what all VMs send, by whoever has heard from more."""
+        if self._told_vms(now) <= self.vms(now):
+            return self.gathered(now)
+        total = _total([self._told.rates, self.own(now)])
+        for endpoint, rate in self._reported.items():
+            total[endpoint] = max(0.0, total[endpoint] - rate)
+        return total
+
+    def _told_vms(self, now: float) -> int:
+        told = self._told
+        if told is None or now - told.at > REPORT_LIFE_S:
+            return 0
+        return told.vms
+
 
 def _fresh(reports: dict[str, _Report], now: float) -> list[Rates]:
     for name, report in list(reports.items()):
--- /dev/null
+++ b/tests/entry_gossip_test.py
@@ -0,0 +1,252 @@
+"""Tests of entry._gossip among many VMs, on a network kept in memory."""
+
+import collections
+import random
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast.counters import Counters
+from pollenmast.entry import _snapshot as snapshot
+from pollenmast.entry._gossip import EVERY_S, Gossip
+from pollenmast.steering import EndpointAnnounced, Update
+from pollenmast.steering._load import REPORT_LIFE_S
+from tests import steering_group as group
+
+ENDPOINTS = [group.endpoint(n) for n in range(1, 11)]
+FIRST_REVISION = 10
+
+
+class _Peers:
+    """Takes changes in as the program does, and notes what it cannot."""
+
+    def __init__(self, core):
+        self._core = core
+        self.behind_of = []
+
+    def told(self, body, host):
+        self._core.apply(snapshot.decode(body).ok_value, 0.0)
+
+    def behind(self, host, revision):
+        self.behind_of.append(host)
+
+
+class _Vm(Gossip):
+    """A VM whose messages go through memory."""
+
+    def __init__(self, network, host, zone, seeds):
+        self.core = group.steering(*ENDPOINTS, zone=zone)
+        self.peers = _Peers(self.core)
+        self.network = network
+        self.name = host
+        address = ("127.0.0.1", 0)
+        rng = random.Random(host)
+        seed_addresses = tuple((seed, 0) for seed in seeds)
+        super().__init__(
+            f"vm {host}",
+            zone,
+            address,
+            seed_addresses,
+            self.core,
+            self.peers,
+            Counters(),
+            rng,
+        )
+        self._host = host
+        self._members = type(self._members)(host, zone, seeds)
+
+    def _send(self, datagram, host):
+        self.network.send(self.name, host, datagram)
+
+
+class _Network:
+    """Some VMs, the messages under way, and how many each one sent."""
+
+    def __init__(self, zones: dict[str, int]):
+        self.now = 0.0
+        self.sent = collections.Counter()
+        self.down = set()
+        self.queue = []
+        names = [
+            (f"{zone}.{n}", zone) for zone in zones for n in range(zones[zone])
+        ]
+        seeds = [name for name, _ in names[:3]]
+        self.vms = {name: _Vm(self, name, zone, seeds) for name, zone in names}
+
+    def close(self):
+        for vm in self.vms.values():
+            vm.close()
+
+    def send(self, sender, host, datagram):
+        self.sent[sender] += 1
+        if host in self.vms and host not in self.down:
+            self.queue.append((sender, host, datagram))
+
+    def deliver(self):
+        while self.queue:
+            sender, host, datagram = self.queue.pop(0)
+            self.vms[host].take(datagram, sender, self.now)
+
+    def round(self, count: int = 1):
+        for _ in range(count):
+            self.now += EVERY_S
+            for name, vm in self.vms.items():
+                if name not in self.down:
+                    vm.tell(self.now)
+                    self.deliver()
+
+    def up(self):
+        return [vm for name, vm in self.vms.items() if name not in self.down]
+
+    def readers(self, zone: str):
+        found = []
+        for vm in self.up():
+            if vm.name.startswith(zone) and vm._members.is_reader(self.now):
+                found.append(vm.name)
+        return found
+
+
+class FleetTest(TestCase):
+    """What every VM comes to know, and what it costs."""
+
+    def _network(self, **zones: int) -> _Network:
+        network = _Network(zones)
+        self.addCleanup(network.close)
+        return network
+
+    def _work(self, network: _Network, rounds: int = 12) -> None:
+        """Each VM sends two requests a second to each endpoint."""
+        for _ in range(rounds):
+            for vm in network.up():
+                for endpoint in ENDPOINTS:
+                    vm.core.load.on_work(endpoint.number, network.now)
+            network.round()
+
+    def _assert_known(self, network: _Network, vms: int) -> None:
+        """Each VM knows the work of so many, but for the latest tenths."""
+        self.assertGreaterEqual(self._least_known(network), 0.7 * 2.0 * vms)
+
+    def _least_known(self, network: _Network) -> float:
+        """Returns the least load that any VM believes of any endpoint."""
+        return min(
+            vm.core.load.total(network.now).get(each.number, 0.0)
+            for vm in network.up()
+            for each in ENDPOINTS
+        )
+
+    @parameterized.expand(
+        [("one_zone", {"a": 2}), ("many", {"a": 9, "b": 7, "c": 1})]
+    )
+    def test_total(self, _, zones):
+        """Each VM knows the load that all of them send together.
+
+        By its own part alone it would send all its flows to an endpoint
+        that the others have filled.
+        """
+        network = self._network(**zones)
+        network.round(6)
+        self._work(network)
+        self._assert_known(network, len(network.vms))
+
+    def test_cost_does_not_grow(self):
+        """Four times as many VMs: each still sends two messages a second."""
+        sent = {}
+        for count in (10, 40):
+            network = self._network(a=count)
+            network.round(12)
+            network.sent.clear()
+            network.round(4)
+            readers = network.readers("a")
+            plain = [n for n in network.vms if n not in readers]
+            sent[count] = max(network.sent[name] for name in plain)
+        self.assertEqual(sent[10], sent[40])
+        self.assertLessEqual(sent[40], 5)
+
+    def test_agreed_readers(self):
+        """Two VMs of a zone watch the directory, and all know which."""
+        network = self._network(a=20, b=3)
+        network.round(12)
+        self.assertEqual(2, len(network.readers("a")))
+        self.assertEqual(1, len(network.readers("b")))
+
+    def test_readers_die(self):
+        """Both readers of a zone lose power at the same moment.
+
+        The others notice that nobody answers, choose two anew, and know the
+        load again a few seconds later.
+        """
+        network = self._network(a=12)
+        network.round(12)
+        lost = network.readers("a")
+        network.down.update(lost)
+        network.round(16)
+        readers = network.readers("a")
+        self.assertEqual(2, len(readers))
+        self.assertFalse(set(lost) & set(readers))
+        self._work(network)
+        self._assert_known(network, 10)
+
+    def test_cut_heals(self):
+        """Two zones were cut from each other for ten seconds.
+
+        They find each other again without the settings' seeds, which are
+        all in one of them.
+        """
+        network = self._network(a=6, b=6)
+        network.round(12)
+        cut = {name for name in network.vms if name.startswith("b")}
+        inner = network.send
+
+        def send(sender, host, datagram):
+            if (sender in cut) == (host in cut):
+                inner(sender, host, datagram)
+
+        network.send = send
+        network.round(int(10 / EVERY_S))
+        network.send = inner
+        network.round(int(8 / EVERY_S))
+        self._work(network)
+        self._assert_known(network, 12)
+
+    def test_news(self):
+        """An endpoint is announced; each VM knows it from one message.
+
+        Asked for over a connection by each VM, a release would cost more
+        than the requests that it serves.
+        """
+        network = self._network(a=9)
+        network.round(12)
+        for vm in network.vms.values():
+            vm.tell_news(network.now)
+        news = EndpointAnnounced(group.endpoint(11), 11)
+        for name in network.readers("a"):
+            core = network.vms[name].core
+            core.apply(Update((news,), 11), network.now)
+        network.sent.clear()
+        for vm in network.vms.values():
+            vm.tell_news(network.now)
+        network.deliver()
+        self.assertEqual(9 - 2, network.sent.total())
+        revisions = {vm.core.revision for vm in network.vms.values()}
+        self.assertEqual({11}, revisions)
+
+    def test_lost_news(self):
+        """The message with the news was lost; the next answer has it."""
+        network = self._network(a=3)
+        network.round(12)
+        reader = network.readers("a")[0]
+        news = EndpointAnnounced(group.endpoint(11), 11)
+        network.vms[reader].core.apply(Update((news,), 11), network.now)
+        network.round()
+        for vm in network.vms.values():
+            self.assertEqual(11, vm.core.revision)
+            self.assertEqual([], vm.peers.behind_of)
+
+    def test_load_is_forgotten(self):
+        """A VM dies with its load; the total follows within seconds."""
+        network = self._network(a=5)
+        network.round(12)
+        self._work(network)
+        network.now += REPORT_LIFE_S
+        network.round(4)
+        self.assertEqual(0.0, self._least_known(network))
--- a/tests/entry_report_test.py
+++ b/tests/entry_report_test.py
@@ -12,12 +12,22 @@
 from pollenmast.counters import ENVELOPE_FAULTS, Counters
 from pollenmast.entry import _gossip as gossip
 from pollenmast.entry import _report as reports
-from pollenmast.entry._report import Report
-from pollenmast.steering import readers
+from pollenmast.entry._report import Kind, Report
 from tests import steering_group as group
 
 REPORT = Report(
-    "vm-2", group.ZONE, 12, 0.25, False, {1: 2.5}, (1,), ("127.0.0.9",)
+    Kind.ASK,
+    "vm-2",
+    group.ZONE,
+    12,
+    0.25,
+    1,
+    {1: 2.5},
+    (1,),
+    ("127.0.0.9",),
+    group.OTHER_ZONE,
+    11,
+    b"changes",
 )
 
 
@@ -35,8 +45,9 @@
         That of a VM which never heard of the directory does, too.
         """
         many = {n << 30: float(n) for n in range(1, 1000)}
+        named = ("10.10.10.10",) * 99
         told = Report(
-            "v", "z", 1, 9e9, True, many, tuple(many), ("1.1.1.1",) * 99
+            Kind.ANSWER, "v", "z", 1, 9e9, 99, many, tuple(many), named
         )
         data = reports.encode(told)
         self.assertLess(len(data), 2 * 1400)
@@ -62,7 +73,7 @@
         """Well-formed msgpack of the wrong shape raises nothing."""
         try:
             data = msgpack.packb(
-                [2, "vm", "z", 1, 0, False, value, value, value]
+                [3, 1, "vm", "z", 1, 0, 1, value, value, value, "z", 1, b""]
             )
         except (OverflowError, ValueError):
             return
@@ -133,18 +144,6 @@
         self._take(5.0, revision=revision, age_s=0.8)
         self.assertEqual(age_s, round(self.core.age_s(5.0), 3))
 
-    def test_readers(self):
-        """One VM of a small zone watches; with it gone another one does."""
-        other = self.gossip
-        own = other.is_reader()
-        self.assertTrue(own)
-        names = ["127.0.0.1", "127.0.0.2", "127.0.0.3"]
-        self.assertEqual(1, len(readers(group.ZONE, names)))
-        self.assertEqual(2, len(readers(group.ZONE, map(str, range(9)))))
-        first = readers(group.ZONE, names)[0]
-        left = [name for name in names if name != first]
-        self.assertNotEqual(first, readers(group.ZONE, left)[0])
-
     @parameterized.expand(
         [("empty", b""), ("junk", b"\xc1\xff"), ("int", b"\x01")]
     )
--- a/tests/steering_load_test.py
+++ b/tests/steering_load_test.py
@@ -36,10 +36,40 @@
         book = LoadBook(group.ZONE)
         book.on_work(1, 5.0)
         book.on_mate("vm-2", {1: 3.0}, 5.0)
-        book.on_zone(group.OTHER_ZONE, {1: 4.0, 3: 9.0}, 5.0)
+        book.on_zone(group.OTHER_ZONE, {1: 4.0, 3: 9.0}, 3, 5.0)
         self.assertEqual(3.5, book.zone(5.0)[1])
         self.assertEqual({1: 7.5, 3: 9.0}, dict(book.total(5.0)))
 
+    def test_told_total(self):
+        """A reader told the total; what was sent since counts on top.
+
+        Flows that arrive between two reports would else all find the same
+        endpoint idle.
+        """
+        book = LoadBook(group.ZONE)
+        book.on_work(1, 5.0)
+        self.assertEqual({1: 0.5}, book.report(5.0))
+        book.on_total({1: 8.5, 2: 4.0}, 25, 5.1)
+        book.on_work(2, 5.2)
+        self.assertEqual({1: 8.5, 2: 4.5}, dict(book.total(5.2)))
+        self.assertEqual({1: 0.5, 2: 0.5}, dict(book.gathered(5.2)))
+
+    def test_new_reader(self):
+        """A VM has just become a reader and has heard from two others.
+
+        Its own sum would make busy endpoints look idle.
+        """
+        book = LoadBook(group.ZONE)
+        book.on_total({1: 30.0}, 25, 5.0)
+        book.on_mate("vm-2", {1: 1.0}, 5.0)
+        self.assertEqual(30.0, book.total(5.0)[1])
+        book.on_total({1: 2.0}, 3, 5.1)
+        self.assertEqual(30.0, book.total(5.1)[1])
+        book.on_zone(group.OTHER_ZONE, {1: 20.0}, 25, 5.0)
+        book.on_zone(group.OTHER_ZONE, {1: 1.0}, 2, 5.1)
+        after = 5.1 + REPORT_LIFE_S
+        self.assertNotIn(1, book.total(after))
+
     def test_silent_vm(self):
         """A VM dies; what it had sent no longer counts as load.
 
@@ -57,7 +87,7 @@
         catalog = Catalog()
         catalog.apply(group.listing(*endpoints), 0.0)
         load = LoadBook(group.ZONE)
-        load.on_zone(group.OTHER_ZONE, rates, 100.0)
+        load.on_zone(group.OTHER_ZONE, rates, 1, 100.0)
         placement = Placement(group.ZONE, catalog, load, random.Random(1))
         return placement.choose("registry", tried, 100.0)
 
--- /dev/null
+++ b/tests/steering_members_test.py
@@ -0,0 +1,124 @@
+"""Tests of steering._members: who is there, and who reads for a zone."""
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast.steering import Members
+from pollenmast.steering._members import (
+    AVOID_S,
+    HEARD_S,
+    MEMBER_LIFE_S,
+    MOST_TRIES,
+    READERS,
+    SILENT_S,
+    SMALL_ZONE,
+)
+
+ZONE = "hall-bor"
+OTHER = "hall-fres"
+
+
+def _members(count: int, own: int = 0, now: float = 0.0) -> Members:
+    """Returns what one VM knows of a zone whose VMs all are heard."""
+    members = Members(f"10.0.0.{own}", ZONE)
+    for number in range(count):
+        members.on_heard(f"10.0.0.{number}", ZONE, now)
+    return members
+
+
+class ReadersTest(TestCase):
+    """A zone's VMs choose the same readers without asking anybody."""
+
+    @parameterized.expand(
+        [("one", 1, 1), ("small", SMALL_ZONE, 1), ("great", 25, READERS)]
+    )
+    def test_alike(self, _, count, expected):
+        """Each VM of a zone computes the same readers."""
+        chosen = {
+            tuple(_members(count, own).readers(0.0)) for own in range(count)
+        }
+        self.assertEqual(1, len(chosen))
+        self.assertEqual(expected, len(chosen.pop()))
+
+    def test_silent_reader(self):
+        """A reader froze: its zone would hear of no change any more.
+
+        It is asked and does not answer, so another VM takes its turn; when
+        it is heard from again it has its turn back.
+        """
+        members = _members(25)
+        first = members.readers(0.0)
+        lost = next(host for host in first if host != "10.0.0.0")
+        members.on_asked(lost, 0.0)
+        members.on_asked(lost, 1.0)
+        members.expire(SILENT_S)
+        self.assertNotIn(lost, members.readers(SILENT_S))
+        self.assertEqual(READERS, len(members.readers(SILENT_S)))
+        members.on_heard(lost, ZONE, SILENT_S + 0.1)
+        self.assertEqual(first, members.readers(SILENT_S + 0.1))
+
+    def test_asked_again(self):
+        """One that was passed over is asked again after some seconds."""
+        members = _members(25)
+        lost = next(h for h in members.readers(0.0) if h != "10.0.0.0")
+        members.on_asked(lost, 0.0)
+        members.expire(SILENT_S)
+        members.on_named(lost, ZONE, 5.0)
+        self.assertIn(lost, members.readers(SILENT_S + AVOID_S))
+
+    def test_lost_answer(self):
+        """One lost answer of a reader that answers the next changes nothing."""
+        members = _members(25)
+        first = members.readers(0.0)
+        asked = next(host for host in first if host != "10.0.0.0")
+        members.on_asked(asked, 0.0)
+        members.expire(1.0)
+        members.on_heard(asked, ZONE, 1.1)
+        members.expire(SILENT_S)
+        self.assertEqual(first, members.readers(SILENT_S))
+
+    def test_other_zone(self):
+        """The readers of another zone are computed from its VMs alone."""
+        members = _members(3)
+        for number in range(9):
+            members.on_heard(f"10.1.0.{number}", OTHER, 0.0)
+        readers = members.readers(0.0, OTHER)
+        self.assertEqual(READERS, len(readers))
+        self.assertTrue(all(host.startswith("10.1.") for host in readers))
+        self.assertEqual([OTHER], members.other_zones)
+
+
+class LifeTest(TestCase):
+    """VMs come and go, and nobody keeps a list."""
+
+    def test_hearsay(self):
+        """A VM died; two others that name it must not keep it alive.
+
+        It would be asked for ever, and be a reader that reads nothing.
+        """
+        members = _members(3)
+        self.assertIn("10.0.0.1", members.heard(ZONE, HEARD_S - 0.1))
+        self.assertNotIn("10.0.0.1", members.heard(ZONE, HEARD_S))
+        members.on_named("10.0.0.1", ZONE, HEARD_S)
+        self.assertNotIn("10.0.0.1", members.heard(ZONE, HEARD_S))
+
+    def test_lost_in_a_cut(self):
+        """A zone was cut off longer than its VMs are remembered.
+
+        Nobody would speak first, and each half would go on alone.
+        """
+        members = _members(3)
+        members.expire(MEMBER_LIFE_S)
+        self.assertEqual([], members.hosts)
+        self.assertEqual(["10.0.0.1", "10.0.0.2"], members.strangers())
+        members.on_heard("10.0.0.1", ZONE, 20.0)
+        self.assertEqual(["10.0.0.2"], members.strangers())
+        for _ in range(MOST_TRIES):
+            members.strangers()
+        self.assertEqual([], members.strangers())
+
+    def test_seeds(self):
+        """The seeds were down when this VM started; they are asked on."""
+        members = Members("10.0.0.0", ZONE, ["10.0.0.0", "10.1.0.9"])
+        for _ in range(2 * MOST_TRIES):
+            self.assertEqual(["10.1.0.9"], members.strangers())
