Command line: check the platform's files, tell a packet in words

The command line finds adapters in a registry and knows none of the platform's names. A fault in an entry names the field in words.

Tests: tests/cli_adapted_test.py. No behaviour of a running VM changes.

--- /dev/null
+++ b/src/pollenmast/cli/_adapted.py
@@ -0,0 +1,81 @@
+"""Formats of other places: checked and told through the adapters."""
+
+import string
+import sys
+from collections.abc import Callable
+
+import typer
+from result import Err, Result
+
+from pollenmast import adapters
+from pollenmast.cli._exits import ExitCode
+from pollenmast.cli._output import complain, json_text, printable, say, table
+
+ADAPTER = typer.Option(
+    "",
+    "--adapter",
+    help=f"Read the format of: {', '.join(adapters.NAMES)}.",
+)
+
+
+def find(name: str) -> adapters.Adapter:
+    """Returns an adapter, or ends the command."""
+    adapter = adapters.find(name)
+    if adapter is None:
+        allowed = ", ".join(adapters.NAMES)
+        complain(f"--adapter: found '{printable(name)}', allowed: {allowed}")
+        raise typer.Exit(ExitCode.REFUSED)
+    return adapter
+
+
+def tell(checked: Result[list[tuple[str, str]], str], as_json: bool) -> None:
+    """Prints what an adapter has read, or its fault, and ends."""
+    fault = checked.err_value if isinstance(checked, Err) else None
+    rows = [] if isinstance(checked, Err) else checked.ok_value
+    if as_json:
+        say(json_text({"faults": [fault] if fault else [], "read": dict(rows)}))
+    elif fault is None:
+        shown = [(name, printable(value)) for name, value in rows]
+        say(table(("WHAT", "VALUE"), shown))
+    else:
+        complain(printable(fault))
+    raise typer.Exit(ExitCode.REFUSED if fault else ExitCode.OK)
+
+
+def check_file(
+    file: str,
+    read: Callable[[bytes], Result[list[tuple[str, str]], str]],
+    as_json: bool,
+) -> None:
+    """Reads a file by an adapter, prints what it says, and ends."""
+    try:
+        with open(file, "rb") as stream:
+            data = stream.read()
+    except (OSError, ValueError) as error:
+        reason = getattr(error, "strerror", None) or "no path"
+        complain(f"{file}: {reason}")
+        raise typer.Exit(ExitCode.REFUSED) from error
+    tell(read(data), as_json)
+
+
+def decode(
+    packet: str = typer.Argument(
+        ..., help="The packet's bytes as hex digits, - for the input."
+    ),
+    adapter: str = typer.Option(
+        adapters.NAMES[0],
+        "--adapter",
+        help=f"Whose packet: {', '.join(adapters.NAMES)}.",
+    ),
+    as_json: bool = typer.Option(False, "--json", help="Answer in JSON."),
+) -> None:
+    """Tells what a client's packet says, field by field.
+
+    White space between the digits does not matter.
+    """
+    text = sys.stdin.read() if packet == "-" else packet
+    digits = "".join(text.split())
+    if len(digits) % 2 or not set(digits) <= set(string.hexdigits):
+        complain("packet: allowed are pairs of hex digits")
+        raise typer.Exit(ExitCode.REFUSED)
+    tell(find(adapter).packet(bytes.fromhex(digits)), as_json)
--- a/src/pollenmast/cli/_app.py
+++ b/src/pollenmast/cli/_app.py
@@ -4,6 +4,7 @@
 
 from pollenmast import VERSION
 from pollenmast.cli import _manifest, _settings
+from pollenmast.cli._adapted import decode
 from pollenmast.cli._events import events
 from pollenmast.cli._exits import MEANINGS, ExitCode
 from pollenmast.cli._operators import explain, status
@@ -46,6 +47,7 @@
     (status, "status --address 127.0.1.1:7005"),
     (explain, "explain --address 127.0.1.1:7005 registry/registry-1"),
     (events, "events --json"),
+    (decode, "decode - < packet.hex"),
 )
 
 for _command, _example in _COMMANDS:
--- a/src/pollenmast/cli/_manifest.py
+++ b/src/pollenmast/cli/_manifest.py
@@ -3,6 +3,7 @@
 import attrs
 import typer
 
+from pollenmast.cli import _adapted
 from pollenmast.cli._exits import ExitCode
 from pollenmast.cli._output import complain, json_text, say, table
 from pollenmast.manifest import (
@@ -29,12 +30,16 @@
 def check(
     file: str = typer.Argument(..., help="The manifest."),
     as_json: bool = _JSON,
+    adapter: str = _adapted.ADAPTER,
 ) -> None:
     """Checks a manifest as the fleet will, and sums it up.
 
     A wrong manifest is refused whole, with the path and the reason of every
-    fault.
+    fault. With --adapter it is the configuration of another place.
     """
+    if adapter:
+        found = _adapted.find(adapter)
+        _adapted.check_file(file, found.configuration, as_json)
     checked = parse(_read_or_exit(file))
     faults = checked.err() or ()
     if as_json:
--- a/src/pollenmast/cli/_settings.py
+++ b/src/pollenmast/cli/_settings.py
@@ -5,6 +5,7 @@
 import attrs
 import typer
 
+from pollenmast.cli import _adapted
 from pollenmast.cli._exits import ExitCode
 from pollenmast.cli._output import complain, json_text, say, table
 from pollenmast.settings import Settings, load
@@ -20,12 +21,20 @@
 def check(
     file: str = typer.Argument(..., help="The settings file."),
     as_json: bool = typer.Option(False, "--json", help="Answer in JSON."),
+    adapter: str = _adapted.ADAPTER,
 ) -> None:
     """Checks a settings file and shows every value in force.
 
     Each fault is one line that names file, section, key, what was found and
     what is allowed. Keys are never shown.
     """
+    if adapter:
+        found = _adapted.find(adapter)
+        _adapted.check_file(
+            file,
+            lambda data: found.settings(data.decode("utf-8", "replace")),
+            as_json,
+        )
     checked = load(file, os.environ)
     faults = checked.err() or ()
     if as_json:
--- a/src/pollenmast/platform/_entries.py
+++ b/src/pollenmast/platform/_entries.py
@@ -52,7 +52,7 @@
             )
         )
     except (ValueError, RecursionError) as error:
-        return Err(f"{name}: {type(error).__name__} {error}"[:120])
+        return Err(f"{name}: {_reason(error)}"[:120])
 
 
 def parse_configuration(value: bytes) -> Result[RouteTable, str]:
@@ -78,7 +78,13 @@
             )
         )
     except (ValueError, RecursionError) as error:
-        return Err(f"configuration: {type(error).__name__} {error}"[:120])
+        return Err(f"configuration: {_reason(error)}"[:120])
+
+
+def _reason(error: Exception) -> str:
+    if isinstance(error, _FaultError):
+        return f"{error} is missing or not allowed"
+    return f"{type(error).__name__} {error}"
 
 
 def _route(entry: dict[str, Any], services: dict[str, str]) -> Route:
@@ -124,7 +130,7 @@
 
 def _object(value: Any) -> dict[str, Any]:
     if not isinstance(value, dict):
-        raise _FaultError("not an object")
+        raise _FaultError("an object")
     return value
 
 
--- /dev/null
+++ b/tests/cli_adapted_test.py
@@ -0,0 +1,122 @@
+"""Tests of cli._adapted: formats of the platform on the command line."""
+
+import json
+
+from parameterized import parameterized
+
+from pollenmast.cli import ExitCode
+from tests.cli_app_test import CommandCase
+
+SETTINGS = """\
+nodeId=frontend-a-1
+zone=a
+listenAddrs.datagramAddr=10.1.0.10:8172
+listenAddrs.ready=10.1.0.10:8167
+internalPorts=7720,7735
+seedNodes=10.1.0.10:8166,10.2.0.40:8166
+platform.address=10.200.1.7:8169
+unknown=1
+"""
+
+CONFIGURATION = {
+    "version": 7,
+    "routeTable": [
+        {
+            "name": "feed",
+            "hostname": "198.18.0.1",
+            "prefix": "/443/",
+            "routeType": "idempotent",
+            "trafficSplit": [
+                {"service": "registry", "weight": 90},
+                {"service": "spare", "weight": 10},
+            ],
+        }
+    ],
+    "services": [
+        {"name": "registry", "healthPath": "/health"},
+        {"name": "spare", "healthPath": "/health"},
+    ],
+    "limits": {"idleTimeoutMs": 15000},
+}
+
+SYN = (
+    "a1 b2 c3 d5 00 00 00 00 9c 41 64 40 00 07 01 bb"
+    " c6 12 00 01 11 22 33 44 00 00 00 01 00 00 10 00"
+)
+
+
+class AdaptedTest(CommandCase):
+    """An operator of the platform checks files before a roll-out."""
+
+    def test_settings(self):
+        """The values in force are shown in the product's words."""
+        file = self.write("boot.conf", SETTINGS)
+        code, output, _ = self.run_command(
+            "settings", "check", file, "--adapter", "platform"
+        )
+        self.assertEqual(ExitCode.OK, code)
+        self.assertIn("10.1.0.10:8166, 10.2.0.40:8166", output)
+
+    @parameterized.expand(
+        [
+            ("settings", "zone=a\n", "nodeId is missing"),
+            ("manifest", "{}", "services is missing"),
+        ]
+    )
+    def test_fault(self, command, text, fault):
+        """A wrong file is refused with the field that is wrong.
+
+        Found out at the next start, it would take a VM out of service.
+        """
+        file = self.write("wrong", text)
+        code, _, complaints = self.run_command(
+            command, "check", file, "--adapter", "platform"
+        )
+        self.assertEqual(ExitCode.REFUSED, code)
+        self.assertIn(fault, complaints)
+
+    def test_configuration(self):
+        """Each route is told with its services and shares."""
+        file = self.write("config.json", json.dumps(CONFIGURATION))
+        code, output, _ = self.run_command(
+            "manifest", "check", file, "--adapter", "platform", "--json"
+        )
+        self.assertEqual(ExitCode.OK, code)
+        told = json.loads(output)["read"]["route feed"]
+        self.assertEqual(
+            "198.18.0.1:443 to registry 90, spare 10; idempotent", told
+        )
+
+    def test_unknown_adapter(self):
+        """The adapters that there are stand in the complaint."""
+        code, _, complaints = self.run_command(
+            "settings", "check", "file", "--adapter", "moon"
+        )
+        self.assertEqual(ExitCode.REFUSED, code)
+        self.assertIn("allowed: platform", complaints)
+
+    def test_no_file(self):
+        """A file that is not there is a complaint, not a traceback."""
+        code, _, complaints = self.run_command(
+            "settings", "check", "/nowhere", "--adapter", "platform"
+        )
+        self.assertEqual(ExitCode.REFUSED, code)
+        self.assertIn("/nowhere", complaints)
+
+
+class DecodeTest(CommandCase):
+    """A packet from a capture, in words."""
+
+    def test_syn(self):
+        """A SYN's flow and its copies are told."""
+        code, output, _ = self.run_command("decode", SYN)
+        self.assertEqual(ExitCode.OK, code)
+        self.assertIn("100.64.0.7:40001", output)
+        self.assertRegex(output, "sent before +1 times")
+
+    @parameterized.expand([("odd", "abc"), ("words", "xy"), ("short", "00")])
+    def test_no_packet(self, _, text):
+        """What is no packet is refused."""
+        code, _, complaints = self.run_command("decode", text)
+        self.assertEqual(ExitCode.REFUSED, code)
+        self.assertTrue(complaints)
