--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 RUN := PYTHONPATH=src:. $(VENV)/bin/python
 
-.PHONY: demo test test-only bench binary lock search clean
+.PHONY: demo test test-only bench binary lock search soak clean
 
 $(VENV)/.installed: requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -24,6 +24,10 @@
 	$(RUN) -m tests.proof teeth
 	$(RUN) -m tests.proof search
 
+SEEDS ?= 50
+soak: $(VENV)/.installed
+	$(RUN) -m soak --seeds $(SEEDS)
+
 binary: $(VENV)/.installed
 	$(RUN) -m packing
 
--- /dev/null
+++ b/soak/_endpoints.py
@@ -0,0 +1,143 @@
+"""Endpoints that come, leave, die, hang, and give their addresses on."""
+
+import anyio
+import anyio.abc
+import attrs
+
+from soak._clients import PORTS, SERVICES, VIP
+from standins import segments
+from standins.store import Store
+
+
+@attrs.define
+class Ran:
+    """A request that an endpoint ran."""
+
+    name: str
+    at: float
+
+
+class Endpoint(segments.Endpoint):
+    """One start of an endpoint, and what reached it."""
+
+    def __init__(self, name, host, port, client_port, service, zone):
+        super().__init__(name, host, port, client_port)
+        self.service = service
+        self.zone = zone
+        self.requests: list[Ran] = []
+        self.opened_at: list[float] = []
+        self.draining_at: float | None = None
+        self.ended_at: float | None = None
+        self.disturbed_at = float("-inf")
+        self.hangs = False
+        self.scope = anyio.CancelScope()
+
+    def _take(self, sock, datagram: bytes) -> None:
+        if self.hangs:
+            return
+        head = segments.decode(datagram[8:])
+        if head.flags & segments.SYN:
+            self.opened_at.append(anyio.current_time())
+        super()._take(sock, datagram)
+
+    def reply(self, request: bytes) -> bytes:
+        """Returns the endpoint's name and the request's."""
+        name = request.decode()
+        self.requests.append(Ran(name, anyio.current_time()))
+        return f"{self.name} {name}".encode()
+
+
+class Endpoints:
+    """All endpoints there ever were, and what they tell the store."""
+
+    def __init__(self, store: Store, net: str, client_port: int):
+        self.all: list[Endpoint] = []
+        self._store = store
+        self._net = net
+        self._client_port = client_port
+        self._hosts = 0
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    @property
+    def up(self) -> list[Endpoint]:
+        """Those whose process runs."""
+        return [each for each in self.all if each.ended_at is None]
+
+    def serving(self, service: str) -> list[Endpoint]:
+        """Those of a service that take new flows."""
+        return [
+            each
+            for each in self.up
+            if each.service == service and each.draining_at is None
+        ]
+
+    def join(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Sets where the endpoints run."""
+        self._tasks = tasks
+
+    def start(self, service: str, zone: str, host: str = "") -> Endpoint:
+        """Starts one, at a new address or at one that is free again."""
+        if not host:
+            self._hosts += 1
+            host = f"{self._net}.4.{self._hosts}"
+        name = f"i-{len(self.all) + 0xA00000001:x}"
+        endpoint = Endpoint(name, host, 8301, self._client_port, service, zone)
+        self.all.append(endpoint)
+        self._tasks.start_soon(self._run, endpoint)
+        self._announce(endpoint, "ready")
+        return endpoint
+
+    def drain(self, endpoint: Endpoint) -> None:
+        """Tells the store that one is leaving."""
+        self._announce(endpoint, "draining")
+        endpoint.draining_at = anyio.current_time()
+
+    def end(self, endpoint: Endpoint, *, tell: bool) -> None:
+        """Ends one, in order or without a word."""
+        endpoint.ended_at = anyio.current_time()
+        endpoint.scope.cancel()
+        if tell:
+            self.lapse(endpoint)
+
+    def lapse(self, endpoint: Endpoint) -> None:
+        """Its entry vanishes."""
+        self._store.delete(f"servers/{endpoint.name}")
+
+    def back(self, endpoint: Endpoint) -> None:
+        """Its entry is there again."""
+        self._announce(endpoint, "ready")
+
+    def _announce(self, endpoint: Endpoint, state: str) -> None:
+        entry = endpoint.entry(endpoint.service, endpoint.zone, state)
+        self._store.put(f"servers/{endpoint.name}", entry)
+
+    async def _run(self, endpoint: Endpoint) -> None:
+        with endpoint.scope:
+            await endpoint.run()
+
+
+def configuration(version: int, moving: str) -> dict[str, object]:
+    """Returns what the operator publishes.
+
+    Args:
+        version: Grows with each change.
+        moving: The service that the route `moving` goes to.
+    """
+    targets = {**{name: name for name in SERVICES}, "moving": moving}
+    return {
+        "version": version,
+        "routeTable": [
+            {
+                "name": route,
+                "hostname": VIP,
+                "prefix": f"/{PORTS[route]}/",
+                "routeType": "non_idempotent",
+                "service": service,
+            }
+            for route, service in targets.items()
+        ],
+        "services": [
+            {"name": name, "healthPath": "/health"} for name in SERVICES
+        ],
+        "limits": {"idleTimeoutMs": 15000},
+    }
--- /dev/null
+++ b/soak/_world.py
@@ -0,0 +1,319 @@
+"""One run: starts everything, lets the faults happen, and judges."""
+
+import os
+import pathlib
+import random
+import signal
+import tempfile
+
+import anyio
+import anyio.abc
+import attrs
+
+from soak import _promises as promises
+from soak._clients import SERVICES, Callers, Client, Routers
+from soak._endpoints import Endpoint, Endpoints, configuration
+from soak._promises import APPLY_S, Flip, Seen
+from soak._proxy import Mode, Proxy
+from soak._schedule import UNPLANNED, Fault, Kind, schedule
+from soak._vm import PACKETS, Vm
+from standins import http
+from standins.store import Fault as StoreFault
+from standins.store import Store
+
+ZONES = ("a", "b", "c")
+STORE_PORT = 8169
+START_S = 20.0
+"""Within which every VM must be ready, on a busy machine too."""
+
+JUDGE_S = 3.0
+"""The last part of a run, in which requests must be answered."""
+
+SETTLE_S = 4.0
+"""For requests under way at the end; a client repeats for three seconds."""
+
+RESTART_S = (0.1, 0.5, 1.5)
+DRAIN_S = APPLY_S + 1.0
+REUSE_S = 2.0
+BACK_S = 1.5
+"""Entries that lapsed are back so soon after the store."""
+
+LOSS = (0.02, 0.1)
+_CUTS = (Mode.SLOW, Mode.RESET, Mode.SILENT, Mode.ONE_WAY)
+_STORE_FAULTS = (StoreFault.DOWN, StoreFault.BUSY, StoreFault.SILENT)
+
+
+@attrs.frozen
+class Plan:
+    """A run.
+
+    Attributes:
+        seed: Decides the faults.
+        seconds: For how long callers ask.
+        vms: How many VMs.
+        clients: How many clients for each route.
+        module: The program's module and arguments, without the interpreter.
+    """
+
+    seed: int
+    seconds: float = 22.0
+    vms: int = 6
+    clients: int = 6
+    module: tuple[str, ...] = ("pollenmast.platform",)
+
+
+@attrs.define
+class Result:
+    """What a run has shown: counts, and every broken promise."""
+
+    asked: int
+    answered: int
+    faults: int
+    broken: list[str]
+
+
+class World:
+    """Everything around the VMs of one run."""
+
+    def __init__(self, plan: Plan, folder: pathlib.Path):
+        net = f"127.{10 + os.getpid() % 200}"
+        self._plan = plan
+        self._rng = random.Random(plan.seed)
+        self._store = Store()
+        self._store_address = (f"{net}.2.1", STORE_PORT)
+        self._endpoints = Endpoints(self._store, net, PACKETS)
+        self._proxies: list[Proxy] = []
+        self._vms: list[Vm] = []
+        seeds = [f"{net}.3.{n}" for n in range(1, min(plan.vms, 3) + 1)]
+        for number in range(1, plan.vms + 1):
+            way = (f"{net}.2.{number + 1}", STORE_PORT)
+            self._proxies.append(Proxy(*way, self._store_address))
+            zone = ZONES[number % len(ZONES)]
+            host = f"{net}.3.{number}"
+            self._vms.append(
+                Vm(host, zone, seeds, way, folder, plan.module, APPLY_S)
+            )
+        self._routers = Routers(self._vms, self._rng)
+        self._client = Client(f"{net}.1.7", PACKETS, self._routers)
+        self._callers = Callers(self._client, self._rng)
+        self._flips: list[Flip] = []
+        self._troubles: list[tuple[float, float]] = []
+
+    async def run(self) -> Result:
+        """Plays the run."""
+        async with anyio.create_task_group() as tasks:
+            try:
+                await self._start(tasks)
+                began = anyio.current_time()
+                for route in ("registry", "barcodes", "moving"):
+                    for _ in range(self._plan.clients):
+                        tasks.start_soon(self._callers.run, route)
+                faults = schedule(self._plan.seed, self._plan.seconds)
+                for fault in faults:
+                    tasks.start_soon(self._play, fault, began)
+                await anyio.sleep(self._plan.seconds)
+                self._callers.stopping = True
+                await anyio.sleep(SETTLE_S)
+                for vm in self._vms:
+                    await vm.stop()
+            finally:
+                for vm in self._vms:
+                    vm.kill()
+                self._routers.close()
+                self._client.close()
+                tasks.cancel_scope.cancel()
+        return self._judge(began, len(faults))
+
+    async def _start(self, tasks: anyio.abc.TaskGroup) -> None:
+        self._endpoints.join(tasks)
+        await tasks.start(http.serve, self._store, *self._store_address)
+        for proxy in self._proxies:
+            await tasks.start(proxy.run)
+        for service in SERVICES:
+            for zone in ZONES:
+                self._endpoints.start(service, zone)
+        self._publish(SERVICES[0])
+        for vm in self._vms:
+            vm.start()
+        with anyio.fail_after(START_S):
+            for vm in self._vms:
+                while not await vm.ready():
+                    await anyio.sleep(0.05)
+        tasks.start_soon(self._routers.run)
+        tasks.start_soon(self._client.run)
+
+    def _judge(self, began: float, faults: int) -> Result:
+        seen = Seen(
+            self._callers,
+            self._endpoints,
+            self._vms,
+            self._flips,
+            self._troubles,
+            began + self._plan.seconds - JUDGE_S,
+        )
+        answered = sum(bool(asked.answer) for asked in self._callers.asked)
+        asked = len(self._callers.asked)
+        return Result(asked, answered, faults, promises.broken(seen))
+
+    def _publish(self, service: str) -> None:
+        version = 3 + 7 * len(self._flips)
+        self._store.put("op/config", configuration(version, service))
+        self._flips.append(Flip(anyio.current_time(), service))
+
+    async def _play(self, fault: Fault, began: float) -> None:
+        await anyio.sleep_until(began + fault.at)
+        start = anyio.current_time()
+        trouble = [start, float("inf")]
+        if fault.kind in UNPLANNED:
+            self._troubles.append(trouble)
+        await _ACTIONS[fault.kind](self, fault)
+        trouble[1] = anyio.current_time()
+
+    def _chosen(self, fault: Fault) -> list[Vm]:
+        count = max(1, round(fault.share * len(self._vms)))
+        return random.Random(fault.draw).sample(self._vms, count)
+
+    def _endpoint(self, fault: Fault) -> Endpoint | None:
+        """Returns an endpoint whose loss leaves its service another one."""
+        service = SERVICES[int(fault.draw * 1000) % len(SERVICES)]
+        serving = self._endpoints.serving(service)
+        if len(serving) < 2:
+            return None
+        return serving[int(fault.draw * len(serving))]
+
+    async def _kill(self, fault: Fault) -> None:
+        chosen = self._chosen(fault)
+        for vm in chosen:
+            vm.kill()
+        await anyio.sleep(RESTART_S[int(fault.draw * len(RESTART_S))])
+        for vm in chosen:
+            vm.start()
+        await self._until_ready(chosen)
+
+    async def _until_ready(self, vms: list[Vm]) -> None:
+        with anyio.move_on_after(START_S):
+            for vm in vms:
+                while vm.running and not await vm.ready():
+                    await anyio.sleep(0.05)
+
+    async def _freeze(self, fault: Fault) -> None:
+        chosen = self._chosen(fault)
+        for vm in chosen:
+            vm.signal(signal.SIGSTOP)
+        await anyio.sleep(fault.for_s)
+        for vm in chosen:
+            vm.signal(signal.SIGCONT)
+
+    async def _stop(self, fault: Fault) -> None:
+        vm = self._chosen(fault)[0]
+        if not await vm.ready():
+            return
+        await vm.stop()
+        await anyio.sleep(RESTART_S[0])
+        vm.start()
+        await self._until_ready([vm])
+
+    async def _reload(self, fault: Fault) -> None:
+        for vm in self._chosen(fault):
+            if await vm.ready():
+                vm.signal(signal.SIGHUP)
+
+    async def _cut(self, fault: Fault) -> None:
+        mode = _CUTS[int(fault.draw * len(_CUTS))]
+        chosen = self._chosen(fault)
+        ways = [self._proxies[self._vms.index(vm)] for vm in chosen]
+        for way in ways:
+            await way.set(mode)
+        await anyio.sleep(fault.for_s)
+        for way in ways:
+            # What was swallowed stays lost on the connections of before.
+            await way.set(Mode.PASS)
+
+    async def _misbehave(self, fault: Fault) -> None:
+        self._store.fault = _STORE_FAULTS[int(fault.draw * len(_STORE_FAULTS))]
+        await anyio.sleep(fault.for_s)
+        self._store.fault = StoreFault.NONE
+
+    async def _compact(self, fault: Fault) -> None:
+        self._store.compact()
+
+    async def _lapse(self, fault: Fault) -> None:
+        self._store.fault = StoreFault.DOWN
+        await anyio.sleep(fault.for_s / 2)
+        lapsed = [e for e in self._endpoints.up if e.draining_at is None]
+        for endpoint in lapsed:
+            self._endpoints.lapse(endpoint)
+        await anyio.sleep(fault.for_s / 2)
+        self._store.fault = StoreFault.NONE
+        await anyio.sleep(BACK_S)
+        for endpoint in lapsed:
+            if endpoint.ended_at is None and endpoint.draining_at is None:
+                self._endpoints.back(endpoint)
+
+    async def _lose(self, fault: Fault) -> None:
+        self._routers.loss = LOSS[int(fault.draw * len(LOSS))]
+        await anyio.sleep(fault.for_s)
+        self._routers.loss = 0.0
+
+    async def _crash(self, fault: Fault) -> None:
+        endpoint = self._endpoint(fault)
+        if endpoint is None:
+            return
+        endpoint.disturbed_at = anyio.current_time()
+        self._endpoints.end(endpoint, tell=False)
+        await anyio.sleep(fault.for_s)
+        self._endpoints.lapse(endpoint)
+        self._endpoints.start(endpoint.service, endpoint.zone)
+
+    async def _hang(self, fault: Fault) -> None:
+        endpoint = self._endpoint(fault)
+        if endpoint is None:
+            return
+        endpoint.hangs = True
+        await anyio.sleep(fault.for_s)
+        endpoint.hangs = False
+        endpoint.disturbed_at = anyio.current_time()
+
+    async def _leave(self, fault: Fault) -> None:
+        endpoint = self._endpoint(fault)
+        if endpoint is None:
+            return
+        self._endpoints.drain(endpoint)
+        self._endpoints.start(endpoint.service, endpoint.zone)
+        await anyio.sleep(DRAIN_S)
+        self._endpoints.end(endpoint, tell=True)
+        await anyio.sleep(REUSE_S)
+        other = SERVICES[endpoint.service == SERVICES[0]]
+        self._endpoints.start(other, endpoint.zone, endpoint.host)
+
+    async def _join(self, fault: Fault) -> None:
+        zone = ZONES[int(fault.draw * len(ZONES))]
+        self._endpoints.start(SERVICES[int(fault.draw * 2)], zone)
+
+    async def _configure(self, fault: Fault) -> None:
+        last = self._flips[-1].service
+        self._publish(SERVICES[last == SERVICES[0]])
+
+
+_ACTIONS = {
+    Kind.KILL: World._kill,
+    Kind.FREEZE: World._freeze,
+    Kind.STOP: World._stop,
+    Kind.RELOAD: World._reload,
+    Kind.CUT: World._cut,
+    Kind.STORE: World._misbehave,
+    Kind.COMPACT: World._compact,
+    Kind.LAPSE: World._lapse,
+    Kind.LOSS: World._lose,
+    Kind.CRASH: World._crash,
+    Kind.HANG: World._hang,
+    Kind.LEAVE: World._leave,
+    Kind.JOIN: World._join,
+    Kind.CONFIGURE: World._configure,
+}
+
+
+def play(plan: Plan) -> Result:
+    """Plays one run; its files are gone afterwards."""
+    with tempfile.TemporaryDirectory(prefix="pollenmast-soak-") as folder:
+        return anyio.run(World(plan, pathlib.Path(folder)).run)
--- a/src/pollenmast/entry/_checks.py
+++ b/src/pollenmast/entry/_checks.py
@@ -21,6 +21,21 @@
 client's second packet may take. A VM whose endpoints all show life does not
 look: at 30 looks a second, waking up was most of a quiet VM's work."""
 
+LAG_FACTOR = 4.0
+"""A check's timeouts grow by so many times this VM's own lag: its connection
+takes some turns of the loop, each of which may be as late."""
+
+MOST_EXTRA_S = 2.0
+"""The most that they grow by; a lag of half a second is as good as a pause."""
+
+LATE_S = 0.02
+"""A timeout that fires later than this says that the VM has just become late,
+and nothing of the endpoint."""
+
+MOST_CONTROLS = 2
+"""Living endpoints asked before one is believed to be down. The first may
+have died a moment ago; both at once is less likely than a fault here."""
+
 MOST_CHECKS = 16
 """Checks under way at the same time; a whole zone of endpoints can become
 doubtful at once, and each check takes a descriptor and a little time."""
@@ -100,21 +115,50 @@
         table = self._steering.table
         paths = table.health_paths if table is not None else {}
         pauses = self._pauses.count
+        extra_s = min(LAG_FACTOR * self._pauses.lag_s, MOST_EXTRA_S)
         began = anyio.current_time()
         result = await self._probe.check(
-            endpoint, paths.get(endpoint.service, "/")
+            endpoint, paths.get(endpoint.service, "/"), extra_s
         )
-        self._histograms.observe(CHECK_TIME, anyio.current_time() - began)
+        took_s = anyio.current_time() - began
+        self._histograms.observe(CHECK_TIME, took_s)
         failed = result in (CheckResult.TIMEOUT, CheckResult.REFUSED)
         self._counters.add(PROBES, "failed" if failed else "answered")
         self._pauses.look()
-        if result is CheckResult.TIMEOUT and self._pauses.count != pauses:
-            # This VM stood still meanwhile: its own clock ran out, which
-            # says nothing of the endpoint.
+        late = took_s > self._probe.timeout_s + extra_s + LATE_S
+        stood = self._pauses.count != pauses
+        if result is CheckResult.TIMEOUT and (late or stood):
+            # This VM stood still or was held up meanwhile: its own clock ran
+            # out, which says nothing of the endpoint.
+            return False
+        if await self._is_own_fault(record, result):
+            record.health.postpone(anyio.current_time())
             return False
         self._take(record, result)
         return True
 
+    async def _is_own_fault(self, record: Record, result: CheckResult) -> bool:
+        """Whether a timeout that would make an endpoint down is this VM's own.
+
+        A VM whose link is full, or cut, reaches nobody. It would find every
+        endpoint down, end its clients' flows, and tell the others. So before
+        it believes that, it asks one that has just shown life.
+        """
+        if result is not CheckResult.TIMEOUT or not record.health.on_the_brink:
+            return False
+        table = self._steering.table
+        paths = table.health_paths if table is not None else {}
+        extra_s = min(LAG_FACTOR * self._pauses.lag_s, MOST_EXTRA_S)
+        others = self._steering.lively(record, MOST_CONTROLS)
+        for other in others:
+            path = paths.get(other.endpoint.service, "/")
+            answer = await self._probe.check(other.endpoint, path, extra_s)
+            failed = answer in (CheckResult.TIMEOUT, CheckResult.REFUSED)
+            self._counters.add(PROBES, "failed" if failed else "answered")
+            if answer is not CheckResult.TIMEOUT:
+                return False
+        return bool(others)
+
     def _take(self, record: Record, result: CheckResult) -> None:
         before = record.presence
         now = anyio.current_time()
--- a/src/pollenmast/entry/_gossip.py
+++ b/src/pollenmast/entry/_gossip.py
@@ -174,8 +174,7 @@
         for named in report.members:
             self._members.on_named(named, report.members_zone, now)
         self._learn_load(report, now)
-        for number in report.down:
-            self._steering.on_reported_down(number, now)
+        self._learn_down(report, now)
         self._learn_changes(report, host, now)
         if report.kind is Kind.ASK:
             self._answer(report, host, now)
@@ -187,6 +186,14 @@
     def _revision(self) -> int:
         return self._steering.revision
 
+    def _learn_down(self, report: Report, now: float) -> None:
+        if report.kind is Kind.ANSWER and report.zone == self._zone:
+            for number in report.down:
+                self._steering.on_told_down(number, now)
+        elif report.down and self._members.is_reader(now):
+            for number in report.down:
+                self._steering.on_reported_down(number, now)
+
     def _learn_load(self, report: Report, now: float) -> None:
         load = self._steering.load
         if report.kind is Kind.ANSWER and report.zone == self._zone:
--- a/src/pollenmast/entry/_pause.py
+++ b/src/pollenmast/entry/_pause.py
@@ -17,6 +17,9 @@
 TICK_S = 0.3
 """Between two looks of its own; half of the shortest pause."""
 
+LAG_DECAY = 0.8
+"""What is left of a lag at the next look: a tenth after three seconds."""
+
 PAUSE_S = 0.7
 """A gap of more is a pause. Beside busy neighbours a process waits tenths of
 a second for its turn; clients send a SYN again after 0.2 and 0.6 s."""
@@ -33,6 +36,7 @@
         self._clock = clock
         self._last = clock()
         self._count = 0
+        self._lag_s = 0.0
         self._on_pause: Callable[[float], None] = _nothing
 
     @property
@@ -40,6 +44,15 @@
         """Pauses seen so far."""
         return self._count
 
+    @property
+    def lag_s(self) -> float:
+        """How late this VM's timers have been lately, in seconds.
+
+        A VM whose processor is busy or slowed takes an answer that waits in
+        its own socket for one that did not come.
+        """
+        return self._lag_s
+
     def notify(self, on_pause: Callable[[float], None]) -> None:
         """Sets what is called with the length of a pause, in seconds."""
         self._on_pause = on_pause
@@ -59,7 +72,10 @@
         """Looks until cancelled."""
         while True:
             self.look()
+            due_at = anyio.current_time() + TICK_S
             await anyio.sleep(TICK_S)
+            late_s = anyio.current_time() - due_at
+            self._lag_s = max(late_s, LAG_DECAY * self._lag_s)
 
 
 def _nothing(gap_s: float) -> None:
--- a/src/pollenmast/entry/_peers.py
+++ b/src/pollenmast/entry/_peers.py
@@ -44,6 +44,7 @@
         self._port = own[1] if own is not None else 0
         self._ahead: dict[str, int] = {}
         self._woken = anyio.Event()
+        self._lost_track = False
         self._steering = steering
         self._follower = follower
         self._log = log
@@ -82,7 +83,8 @@
 
     async def _ask(self, seed: Address) -> None:
         connection = http1.Connection(*seed)
-        target = f"{PATH}?after={self._steering.revision}"
+        after = 0 if self._lost_track else self._steering.revision
+        target = f"{PATH}?after={after}"
         try:
             answer = await connection.get(target, TIMEOUT_S)
         finally:
@@ -100,5 +102,7 @@
         update = told.ok_value
         if update.revision <= self._steering.revision:
             return
+        # Changes of a table that this VM does not have: it asks for it all.
+        self._lost_track = not self._steering.fits(update)
         self._log.write(PEER_TOLD, peer=source, revision=update.revision)
         self._follower.take(update, source)
--- a/src/pollenmast/entry/_ports.py
+++ b/src/pollenmast/entry/_ports.py
@@ -74,9 +74,23 @@
 class HealthProbe(abc.ABC):
     """How an endpoint is asked whether it lives."""
 
+    @property
     @abc.abstractmethod
-    async def check(self, endpoint: Endpoint, path: str) -> CheckResult:
-        """Asks an endpoint; `path` is its service's."""
+    def timeout_s(self) -> float:
+        """After how many seconds a check says that nobody answers."""
+
+    @abc.abstractmethod
+    async def check(
+        self, endpoint: Endpoint, path: str, extra_s: float
+    ) -> CheckResult:
+        """Asks an endpoint.
+
+        Args:
+            endpoint: The endpoint.
+            path: The path of its service's health check.
+            extra_s: Added to each timeout, in seconds, as this VM itself is
+                late.
+        """
 
 
 @attrs.frozen
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -68,14 +68,17 @@
     ):
         self._settings = settings
         self._ports = ports
+        self._counters = counters
+        self._histograms = Histograms()
         self._stream = BoundedStream(sys.stdout.fileno())
         sink = JsonSink(self._stream)
         self._log = EventLog(PROGRAM, settings.vm, sink=sink)
-        rng = random.Random(f"{settings.vm} {os.getpid()}")
-        histograms = Histograms()
-        self._steering = Steering(settings.zone, counters, rng, histograms)
+        self._rng = random.Random(f"{settings.vm} {os.getpid()}")
+        self._steering = Steering(
+            settings.zone, counters, self._rng, self._histograms
+        )
         self._site = Site(
-            settings.ready_path, self._steering, counters, histograms
+            settings.ready_path, self._steering, counters, self._histograms
         )
         self._pauses = PauseWatch()
         self._packets = PacketLoop(
@@ -86,13 +89,28 @@
             counters,
             self._log,
         )
+        self._checker = Checker(
+            ports.probe,
+            self._steering,
+            self._packets,
+            self._pauses,
+            counters,
+            self._histograms,
+            self._log,
+        )
+        self._join_fleet()
+        self._pauses.notify(self._on_pause)
+
+    def _join_fleet(self) -> None:
+        """Makes what learns from the directory and from other VMs."""
+        settings = self._settings
         self._follower = Follower(
-            ports.directory,
+            self._ports.directory,
             self._steering,
-            histograms,
+            self._histograms,
             self._log,
             settings.apply_s,
-            rng,
+            self._rng,
         )
         self._peers = PeerReader(
             settings.seeds,
@@ -108,21 +126,10 @@
             settings.seeds,
             self._steering,
             self._peers,
-            counters,
-            rng,
+            self._counters,
+            self._rng,
         )
         self._follower.join(self._gossip.is_reader, self._gossip.push)
-        self._checker = Checker(
-            ports.probe,
-            self._steering,
-            self._packets,
-            self._pauses,
-            counters,
-            histograms,
-            self._log,
-        )
-
-        self._pauses.notify(self._on_pause)
 
     async def run(self) -> int:
         """Runs until it is stopped; returns the exit code."""
--- a/src/pollenmast/entry/_snapshot.py
+++ b/src/pollenmast/entry/_snapshot.py
@@ -13,6 +13,7 @@
     EndpointRemoved,
     Presence,
     Route,
+    RoutesChanged,
     RoutesPublished,
     RouteTable,
     Split,
@@ -20,10 +21,10 @@
     Update,
 )
 
-FORMAT = 2
+FORMAT = 3
 """Number of this format; another one is refused, and the directory asked."""
 
-_ANNOUNCED, _REMOVED, _ROUTES = 1, 2, 3
+_ANNOUNCED, _REMOVED, _ROUTES, _ROUTES_CHANGED = 1, 2, 3, 4
 
 
 def encode(steering: Steering, after: int) -> bytes:
@@ -70,6 +71,9 @@
         return _ANNOUNCED, change.revision, fields
     if isinstance(change, EndpointRemoved):
         return _REMOVED, change.revision, change.name
+    if isinstance(change, RoutesChanged):
+        *fields, revision = attrs.astuple(change)
+        return _ROUTES_CHANGED, revision, fields
     table = change.table
     routes = [attrs.astuple(route) for route in table.routes.values()]
     fields = (table.version, routes, table.health_paths, table.idle_timeout_s)
@@ -85,9 +89,29 @@
         return EndpointRemoved(str(value), revision)
     if kind == _ROUTES:
         return RoutesPublished(_table(*value), revision)
+    if kind == _ROUTES_CHANGED:
+        return _routes_changed(*value, revision)
     raise ValueError(f"kind {kind!r}")
 
 
+def _routes_changed(
+    base: int,
+    version: int,
+    routes: list[Any],
+    removed: list[Any],
+    paths: dict[str, str],
+    idle_s: float,
+    revision: int,
+) -> RoutesChanged:
+    if not isinstance(base, int) or not isinstance(version, int):
+        raise ValueError("version")
+    gone = tuple((str(host), int(port)) for host, port in removed)
+    changed = tuple(_route(*each) for each in routes)
+    return RoutesChanged(
+        base, version, changed, gone, dict(paths), float(idle_s), revision
+    )
+
+
 def _table(
     version: int, routes: list[Any], paths: dict[str, str], idle_s: float
 ) -> RouteTable:
--- a/src/pollenmast/platform/_probe.py
+++ b/src/pollenmast/platform/_probe.py
@@ -23,22 +23,33 @@
 class EndpointProbe(HealthProbe):
     """Asks over a connection of its own: kept ones can fall silent."""
 
-    async def check(self, endpoint: Endpoint, path: str) -> CheckResult:
-        """Asks an endpoint; `path` is its service's."""
+    @property
+    def timeout_s(self) -> float:
+        """The time that a connection may take to open."""
+        return CONNECT_TIMEOUT_S
+
+    async def check(
+        self, endpoint: Endpoint, path: str, extra_s: float
+    ) -> CheckResult:
+        """Asks an endpoint."""
         connection = http1.Connection(endpoint.host, endpoint.port)
         try:
-            return await self._ask(connection, endpoint, path)
+            return await self._ask(connection, endpoint, path, extra_s)
         finally:
             await connection.aclose()
 
     async def _ask(
-        self, connection: http1.Connection, endpoint: Endpoint, path: str
+        self,
+        connection: http1.Connection,
+        endpoint: Endpoint,
+        path: str,
+        extra_s: float,
     ) -> CheckResult:
-        opened = await connection.connect(CONNECT_TIMEOUT_S)
+        opened = await connection.connect(CONNECT_TIMEOUT_S + extra_s)
         if isinstance(opened, Err):
             refused = opened.err_value is HttpFault.REFUSED
             return CheckResult.REFUSED if refused else CheckResult.TIMEOUT
-        answer = await connection.get(path, ANSWER_TIMEOUT_S)
+        answer = await connection.get(path, ANSWER_TIMEOUT_S + extra_s)
         if isinstance(answer, Err):
             # Its machine took the connection: it lives, and is busy.
             return CheckResult.UNHEALTHY
--- a/src/pollenmast/steering/__init__.py
+++ b/src/pollenmast/steering/__init__.py
@@ -7,6 +7,7 @@
     DirectoryFault,
     EndpointAnnounced,
     EndpointRemoved,
+    RoutesChanged,
     RoutesPublished,
     Update,
 )
@@ -48,6 +49,7 @@
     "Reset",
     "Route",
     "RouteTable",
+    "RoutesChanged",
     "RoutesPublished",
     "Segment",
     "Split",
--- a/src/pollenmast/steering/_catalog.py
+++ b/src/pollenmast/steering/_catalog.py
@@ -34,6 +34,7 @@
     def __init__(self):
         self._records: dict[str, Record] = {}
         self._by_token: dict[int, list[Record]] = {}
+        self._by_number: dict[int, Record] = {}
         self._watchlist = Watchlist()
         self._lapsed: dict[str, Record] = {}
         self._confirmed_at = float("-inf")
@@ -52,6 +53,10 @@
         """Returns an endpoint's record."""
         return self._records.get(name)
 
+    def by_number(self, number: int) -> Record | None:
+        """Returns the endpoint that other VMs name by this number."""
+        return self._by_number.get(number)
+
     def by_token(self, token: int) -> Record | None:
         """Returns the endpoint that packets with this token go to.
 
@@ -132,6 +137,7 @@
             gone = record.presence is Presence.GONE
             if gone and now - record.lapsed_at >= FORGET_S:
                 del self._records[name]
+                del self._by_number[record.endpoint.number]
                 self._by_token[record.endpoint.token].remove(record)
 
     def _announce(self, change: EndpointAnnounced, now: float) -> list[Record]:
@@ -141,6 +147,7 @@
             record = Record(endpoint, change.revision, now)
             record.health.notify(functools.partial(self._watchlist.add, record))
             self._records[endpoint.name] = record
+            self._by_number[endpoint.number] = record
             sharers = self._by_token.setdefault(endpoint.token, [])
             sharers.append(record)
             sharers.sort(key=lambda each: each.endpoint.name)
--- a/src/pollenmast/steering/_changes.py
+++ b/src/pollenmast/steering/_changes.py
@@ -6,7 +6,7 @@
 import attrs
 from result import Result
 
-from pollenmast.steering._model import Endpoint, RouteTable
+from pollenmast.steering._model import Endpoint, Route, RouteTable
 
 
 class DirectoryFault(str, enum.Enum):
@@ -58,7 +58,66 @@
     revision: int
 
 
-Change = EndpointAnnounced | EndpointRemoved | RoutesPublished
+@attrs.frozen
+class RoutesChanged:
+    """The same as what differs from the version before.
+
+    Load pattern: a configuration of hundreds of routes is published many
+    times a second, each time with a route more or less. Told whole to every
+    VM, it fills the links that carry the clients' packets.
+
+    Attributes:
+        base: The version that it changes.
+        version: The version that results.
+        routes: Routes that are new or different.
+        removed: Addresses and ports of routes that are gone.
+        health_paths: The path of each service's health check.
+        idle_timeout_s: Idle flows older than this may be forgotten.
+        revision: The directory's count of changes at that write.
+    """
+
+    base: int
+    version: int
+    routes: tuple[Route, ...]
+    removed: tuple[tuple[str, int], ...]
+    health_paths: dict[str, str]
+    idle_timeout_s: float
+    revision: int
+
+    @classmethod
+    def between(
+        cls, old: RouteTable, new: RouteTable, revision: int
+    ) -> "RoutesChanged":
+        """Returns what leads from one table to another."""
+        changed = tuple(
+            route
+            for address, route in new.routes.items()
+            if old.routes.get(address) != route
+        )
+        removed = tuple(a for a in old.routes if a not in new.routes)
+        return cls(
+            old.version,
+            new.version,
+            changed,
+            removed,
+            new.health_paths,
+            new.idle_timeout_s,
+            revision,
+        )
+
+    def apply(self, old: RouteTable) -> RouteTable:
+        """Returns the table that results from the one it changes."""
+        routes = dict(old.routes)
+        for address in self.removed:
+            routes.pop(address, None)
+        for route in self.routes:
+            routes[route.host, route.port] = route
+        return RouteTable(
+            self.version, routes, self.health_paths, self.idle_timeout_s
+        )
+
+
+Change = EndpointAnnounced | EndpointRemoved | RoutesPublished | RoutesChanged
 
 
 @attrs.frozen
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -17,21 +17,30 @@
     ResetReason,
 )
 from pollenmast.steering._catalog import Catalog
-from pollenmast.steering._changes import RoutesPublished, Update
+from pollenmast.steering._changes import (
+    Change,
+    RoutesChanged,
+    RoutesPublished,
+    Update,
+)
 from pollenmast.steering._flows import REPEAT_S, FlowTable, note
 from pollenmast.steering._health import CheckResult
 from pollenmast.steering._journal import Journal
 from pollenmast.steering._load import LoadBook
-from pollenmast.steering._model import Route, RouteTable, Segment
+from pollenmast.steering._model import FlowKey, Route, RouteTable, Segment
 from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
 from pollenmast.steering._placement import Placement
 from pollenmast.steering._record import Presence, Record
+from pollenmast.steering._waiting import Waiting
 
 CURRENT_S = 2.5
 """How old a confirmed view may be to say that something does not exist, in
 seconds: less than the three within which a new route must be served. While
 the directory is in reach a watch answers every second."""
 
+WAIT_WEIGHT = 0.05
+"""Weight of one answer in the usual answer time: about the last twenty."""
+
 SETTLE_S = 3.0
 """How long after the directory's return its list may still miss entries, in
 seconds: they are back within about two."""
@@ -64,6 +73,8 @@
         self._histograms = histograms or Histograms()
         self._catalog = Catalog()
         self._flows = FlowTable()
+        self._waiting = Waiting()
+        self._usual_wait_s = 0.0
         self._load = LoadBook(zone)
         self._placement = Placement(zone, self._catalog, self._load, rng)
         self._journal = Journal()
@@ -130,19 +141,36 @@
         self._returned_at = now
         self._catalog.extend_lapses(now)
 
-    def apply(self, update: Update, now: float) -> Applied:
-        """Takes in what the directory, or a peer, told."""
-        table = None
+    def fits(self, update: Update) -> bool:
+        """Whether an update follows from what this VM knows."""
+        version = self._table.version if self._table is not None else None
         for change in update.changes:
             if isinstance(change, RoutesPublished):
-                table = self._take(change.table) or table
+                version = max(version or 0, change.table.version)
+            elif isinstance(change, RoutesChanged):
+                if version is not None and change.version <= version:
+                    continue
+                if change.base != version:
+                    return False
+                version = change.version
+        return True
+
+    def apply(self, update: Update, now: float) -> Applied:
+        """Takes in what the directory, or a peer, told."""
+        if not self.fits(update):
+            return Applied([], None)
+        before = self._table
+        changes = [self._take(change) for change in update.changes]
         records = self._catalog.apply(update, now)
         for record in records:
             if record.presence is Presence.LAPSED:
                 record.health.ask(now)
         if update.revision > self._revision:
-            self._journal.add(update, self._revision)
+            told = tuple(change for change in changes if change is not None)
+            kept = Update(told, update.revision, update.whole)
+            self._journal.add(kept, self._revision)
             self._revision = update.revision
+        table = self._table if self._table is not before else None
         return Applied(records, table)
 
     def on_segment(self, segment: Segment, now: float) -> Outcome:
@@ -173,10 +201,43 @@
         Believed without a check, a VM that is cut off would turn the others
         away from endpoints that they reach.
         """
-        for record in self._catalog.records:
-            known_down = record.health.down
-            if record.endpoint.number == number and not known_down:
-                record.health.ask(now)
+        record = self._catalog.by_number(number)
+        if record is not None and not record.health.down:
+            record.health.ask(now)
+
+    def on_told_down(self, number: int, now: float) -> None:
+        """A reader of this zone, which has asked itself, finds one down.
+
+        Load pattern: a VM reports endpoints down that are well, as it is
+        slow or cut off itself. If every VM asked all of them, their machines'
+        queues for connections would overflow, more checks would fail, and
+        more endpoints would be reported. So a VM only keeps new flows away,
+        and asks where it has flows to end.
+        """
+        record = self._catalog.by_number(number)
+        if record is None or record.health.down:
+            return
+        record.health.avoid(now)
+        if self._flows.count(record.endpoint.name):
+            record.health.ask_again(now)
+
+    def lively(self, but: Record, most: int) -> list[Record]:
+        """Returns the endpoints that have shown life last, all but one.
+
+        Of each availability zone only one: a whole zone may be out of reach.
+        """
+        known = [
+            record
+            for record in self._catalog.records
+            if record is not but
+            and record.presence is Presence.LISTED
+            and not record.health.down
+        ]
+        known.sort(key=lambda record: -record.health.advanced_at)
+        by_zone: dict[str, Record] = {}
+        for record in known:
+            by_zone.setdefault(record.endpoint.zone, record)
+        return list(by_zone.values())[:most]
 
     def due_checks(self, now: float) -> list[Record]:
         """Returns the endpoints whose health is to be checked now."""
@@ -188,16 +249,28 @@
         self._flows.expire(now)
         self._catalog.expire(now)
         self._ask_overdue(now)
+        for endpoint in self._waiting.take_late(now):
+            self._load.on_late(endpoint, now)
 
     def _ask_overdue(self, now: float) -> None:
         for record in self._catalog.overdue():
             record.health.ask_again(now)
 
-    def _take(self, table: RouteTable) -> RouteTable | None:
-        if self._table is not None and table.version <= self._table.version:
-            return None
-        self._table = table
-        return table
+    def _take(self, change: Change) -> Change | None:
+        """Takes in a configuration; returns a change as peers are told it."""
+        old = self._table
+        if isinstance(change, RoutesPublished):
+            if old is not None and change.table.version <= old.version:
+                return None
+            self._table = change.table
+            if old is None:
+                return change
+            return RoutesChanged.between(old, change.table, change.revision)
+        if isinstance(change, RoutesChanged):
+            if old is None or change.base != old.version:
+                return None
+            self._table = change.apply(old)
+        return change
 
     def _decide(self, segment: Segment, now: float) -> Outcome:
         if segment.syn:
@@ -207,12 +280,12 @@
             return Drop(DropReason.UNKNOWN_TOKEN)
         record.health.on_open(segment.flow)
         if segment.rst:
-            self._flows.forget(segment.flow)
+            self._forget(segment.flow)
             return Forward(record.endpoint)
         self._learn(segment, record, now)
         ended = self._ended(record)
         if ended is not None:
-            self._flows.forget(segment.flow)
+            self._forget(segment.flow)
             return self._reset(segment, ended, record.endpoint.name)
         return Forward(record.endpoint)
 
@@ -231,17 +304,27 @@
         progress = note(flow, segment, now)
         if progress.waited_s is not None:
             self._histograms.observe(c.ANSWER_WAIT, progress.waited_s)
+            change_s = progress.waited_s - self._usual_wait_s
+            self._usual_wait_s += WAIT_WEIGHT * change_s
         if progress.request:
             self._load.on_work(record.endpoint.number, now)
         # A request acknowledges the answer before it: it advances first.
         if progress.advanced:
             record.health.on_advance(now)
         if progress.request:
-            record.health.on_request(now)
+            record.health.on_request(now, self._usual_wait_s)
         if progress.repeated:
             record.health.on_repeat(now)
+        if progress.advanced:
+            self._waiting.end(segment.flow)
+        if progress.request:
+            self._waiting.begin(segment.flow, record.endpoint.number, now)
         if segment.fin:
-            self._flows.forget(segment.flow)
+            self._forget(segment.flow)
+
+    def _forget(self, flow: FlowKey) -> None:
+        self._flows.forget(flow)
+        self._waiting.end(flow)
 
     def _open(self, segment: Segment, now: float) -> Outcome:
         route = self._route(segment)
@@ -302,7 +385,7 @@
         )
         resets = []
         for flow in self._flows.at(record.endpoint.name):
-            self._flows.forget(flow.key)
+            self._forget(flow.key)
             if flow.opened:
                 self._counters.add(c.RESETS, reason)
                 name = record.endpoint.name
--- a/src/pollenmast/steering/_health.py
+++ b/src/pollenmast/steering/_health.py
@@ -52,6 +52,14 @@
 take less, and of a busy endpoint's clients some other one advances meanwhile;
 waiting for the client's repeat would take 0.2 s."""
 
+SILENT_FACTOR = 4.0
+"""The same in usual answer times, if that is more. When all endpoints are
+busy, each late answer would else cause a check, which takes a slot and makes
+the next answer later."""
+
+AVOID_S = 1.5
+"""How long another VM's finding counts: three of its reports."""
+
 TRUST_S = 0.5
 """After an answered check no other is asked for by silence: while the VMs in
 rotation change, a flow's next packet may pass by another VM."""
@@ -91,6 +99,8 @@
         self._checked_at = float("-inf")
         self._pending: dict[FlowKey, float] = {}
         self._asked_at: float | None = None
+        self._silent_s = SILENT_S
+        self._avoided_until = float("-inf")
         self._on_expect: Callable[[], None] = _nothing
 
     @property
@@ -100,7 +110,7 @@
             return self._check_at
         at = math.inf
         if self._asked_at is not None:
-            at = self._asked_at + SILENT_S
+            at = self._asked_at + self._silent_s
         if self._pending:
             oldest = next(iter(self._pending.values()))
             at = min(at, oldest + OPEN_S)
@@ -116,6 +126,16 @@
         """Whether a check is due or under way."""
         return self._check_at is not None
 
+    @property
+    def on_the_brink(self) -> bool:
+        """Whether one more unanswered check makes it down."""
+        return not self._down and self._failed == FAILED_CHECKS - 1
+
+    @property
+    def advanced_at(self) -> float:
+        """When it last showed life."""
+        return self._advanced_at
+
     def notify(self, on_expect: Callable[[], None]) -> None:
         """Sets what is called when something comes to be expected."""
         self._on_expect = on_expect
@@ -131,10 +151,16 @@
         """A client has gone on after its SYN, or has given the flow up."""
         self._pending.pop(flow, None)
 
-    def on_request(self, now: float) -> None:
-        """A client's request was sent to it."""
+    def on_request(self, now: float, usual_s: float = 0.0) -> None:
+        """A client's request was sent to it.
+
+        Args:
+            now: The runtime's clock in seconds.
+            usual_s: How long answers take at present.
+        """
         if self._asked_at is None:
             self._asked_at = now
+            self._silent_s = max(SILENT_S, SILENT_FACTOR * usual_s)
             self._on_expect()
 
     def look(self, now: float) -> None:
@@ -153,7 +179,7 @@
         return self._advanced_at < oldest
 
     def _unanswered(self, now: float) -> bool:
-        if self._asked_at is None or now - self._asked_at < SILENT_S:
+        if self._asked_at is None or now - self._asked_at < self._silent_s:
             return False
         self._asked_at = None
         return True
@@ -187,6 +213,19 @@
         if now - self._checked_at >= RECHECK_MOST_S:
             self.ask(now)
 
+    def postpone(self, now: float) -> None:
+        """A check said nothing, by this VM's own fault: not again at once."""
+        self._failed = 0
+        self._expect_check(now + RECHECK_S)
+
+    def avoid(self, now: float) -> None:
+        """Another VM finds it down: new flows had better go elsewhere."""
+        self._avoided_until = now + AVOID_S
+
+    def is_sure(self, now: float) -> bool:
+        """Whether nothing speaks against new flows."""
+        return not self.doubted and now >= self._avoided_until
+
     def due(self, now: float) -> bool:
         """Whether a check is to be made now."""
         return self._check_at is not None and now >= self._check_at
--- a/src/pollenmast/steering/_load.py
+++ b/src/pollenmast/steering/_load.py
@@ -29,6 +29,14 @@
 """For so long a sum over more VMs is kept against one over fewer: a VM that
 has just become a reader has heard from few yet."""
 
+LATE_WINDOW_S = 6.0
+"""For how long a late request counts: the usual length of such a trouble."""
+
+LATE_RATE = 5.0
+"""Requests a second that one late request counts for. The usual load is about
+15 a second to an endpoint: a single late one, which any endpoint has now and
+then, moves few flows, and three in six seconds keep new ones away."""
+
 Rates = dict[int, float]
 """Requests a second by endpoint number."""
 
@@ -48,7 +56,8 @@
 class _Meter:
     """Counts of one endpoint in a sliding window."""
 
-    def __init__(self):
+    def __init__(self, window_s: float):
+        self._window_s = window_s
         self._buckets: collections.deque[tuple[int, int]] = collections.deque()
 
     def add(self, now: float) -> None:
@@ -58,11 +67,11 @@
         else:
             self._buckets.append((bucket, 1))
 
-    def rate(self, now: float) -> float:
-        oldest = int((now - WINDOW_S) / BUCKET_S)
+    def count(self, now: float) -> int:
+        oldest = int((now - self._window_s) / BUCKET_S)
         while self._buckets and self._buckets[0][0] <= oldest:
             self._buckets.popleft()
-        return sum(count for _, count in self._buckets) / WINDOW_S
+        return sum(count for _, count in self._buckets)
 
 
 class LoadBook:
@@ -71,6 +80,7 @@
     def __init__(self, zone: str):
         self._zone = zone
         self._meters: dict[int, _Meter] = {}
+        self._late: dict[int, _Meter] = {}
         self._mates: dict[str, _Report] = {}
         self._zones: dict[str, _Report] = {}
         self._told: _Report | None = None
@@ -78,7 +88,11 @@
 
     def on_work(self, endpoint: int, now: float) -> None:
         """This VM sent a request, or a new flow, to an endpoint."""
-        self._meters.setdefault(endpoint, _Meter()).add(now)
+        self._meters.setdefault(endpoint, _Meter(WINDOW_S)).add(now)
+
+    def on_late(self, endpoint: int, now: float) -> None:
+        """A request that this VM sent to an endpoint has become late."""
+        self._late.setdefault(endpoint, _Meter(LATE_WINDOW_S)).add(now)
 
     def on_mate(self, vm: str, rates: Rates, now: float) -> None:
         """A VM of the same zone told what it sends."""
@@ -109,14 +123,9 @@
 
     def own(self, now: float) -> Rates:
         """Returns what this VM sends; idle endpoints are left out."""
-        rates = {}
-        for endpoint, meter in list(self._meters.items()):
-            rate = meter.rate(now)
-            if rate:
-                rates[endpoint] = rate
-            else:
-                del self._meters[endpoint]
-        return rates
+        rates = _rates(self._meters, 1.0 / WINDOW_S, now)
+        late = _rates(self._late, LATE_RATE, now)
+        return _total([rates, late]) if late else rates
 
     def zone(self, now: float) -> Rates:
         """Returns what this zone's VMs send."""
@@ -150,6 +159,17 @@
         return told.vms
 
 
+def _rates(meters: dict[int, _Meter], weight: float, now: float) -> Rates:
+    rates = {}
+    for endpoint, meter in list(meters.items()):
+        count = meter.count(now)
+        if count:
+            rates[endpoint] = weight * count
+        else:
+            del meters[endpoint]
+    return rates
+
+
 def _fresh(reports: dict[str, _Report], now: float) -> list[Rates]:
     for name, report in list(reports.items()):
         if now - report.at > REPORT_LIFE_S:
--- a/src/pollenmast/steering/_placement.py
+++ b/src/pollenmast/steering/_placement.py
@@ -76,7 +76,7 @@
             return None
         untried = [r for r in known if r.endpoint.name not in tried]
         good = [r for r in untried if _usable(r)]
-        sure = [r for r in good if not r.health.doubted] or good
+        sure = [r for r in good if r.health.is_sure(now)] or good
         if not sure:
             return self._last_resort(untried or known, now)
         chosen = self._nearest(sure, now)
--- a/standins/segments.py
+++ b/standins/segments.py
@@ -152,12 +152,15 @@
         if key not in self._answers:
             self.ran.append(head.data)
             sequence = self._flows[flow] + 1
-            self._flows[flow] += len(self.name)
-            self._answers[key] = self._answer(
-                head, ACK, sequence, self.name.encode()
-            )
+            answer = self.reply(head.data)
+            self._flows[flow] += len(answer)
+            self._answers[key] = self._answer(head, ACK, sequence, answer)
         return self._answers[key]
 
+    def reply(self, request: bytes) -> bytes:
+        """Returns the answer to a request: this endpoint's name."""
+        return self.name.encode()
+
     @staticmethod
     def _answer(head: Head, flags: int, number: int, data: bytes = b"") -> Head:
         acknowledged = head.sequence + len(head.data) + bool(head.flags & SYN)
@@ -229,15 +232,26 @@
         """Sends a request, again if needed; returns the answer or nothing."""
         for wait_s in REPEATS_S:
             self._send(ACK, vms, self._acknowledged, data)
-            answer = await self._answer(wait_s)
+            answer = await self._next_data(wait_s)
             if self.reset:
                 return b""
-            if answer is not None and answer.data:
+            if answer is not None:
                 self._sequence += len(data)
                 self._acknowledged = answer.sequence + len(answer.data)
                 return answer.data
         return b""
 
+    async def _next_data(self, wait_s: float) -> Head | None:
+        """Returns the data that comes next; older data was sent again."""
+        with anyio.move_on_after(wait_s):
+            while not self.reset:
+                head = await self._answer(wait_s)
+                if head is None:
+                    return None
+                if head.data and head.sequence == self._acknowledged:
+                    return head
+        return None
+
     async def ended(self, within_s: float) -> bool:
         """Waits for a reset."""
         await self._answer(within_s)
--- a/tests/entry_checks_test.py
+++ b/tests/entry_checks_test.py
@@ -7,7 +7,7 @@
 from testtools import TestCase
 
 from pollenmast.counters import Counters, Histograms
-from pollenmast.entry._checks import Checker
+from pollenmast.entry._checks import LAG_FACTOR, Checker
 from pollenmast.entry._pause import PauseWatch
 from pollenmast.entry._ports import HealthProbe
 from pollenmast.events import EventLog
@@ -22,15 +22,22 @@
 class _Probe(HealthProbe):
     """Answers as told."""
 
-    def __init__(self, result: CheckResult, on_check=lambda: None):
+    def __init__(self, result, on_check=lambda: None, took_s=CHECK_S):
         self._result = result
         self._on_check = on_check
+        self._took_s = took_s
         self.checks = 0
+        self.extra_s = []
 
-    async def check(self, endpoint, path):
+    @property
+    def timeout_s(self):
+        return CHECK_S
+
+    async def check(self, endpoint, path, extra_s):
         self.checks += 1
+        self.extra_s.append(extra_s)
         self._on_check()
-        await anyio.sleep(CHECK_S)
+        await anyio.sleep(self._took_s)
         return self._result
 
 
@@ -105,6 +112,83 @@
         self.assertEqual([], self._run(probe, 1.0, pauses))
         self.assertGreater(probe.checks, FAILED_CHECKS)
 
+    def test_late_timer(self):
+        """This VM is held up; its timers fire late.
+
+        The endpoint's answer waits in its own socket. Ending the flows would
+        cut every client of a healthy endpoint, and reported to others it
+        makes them all ask.
+        """
+        probe = _Probe(CheckResult.TIMEOUT, took_s=3 * CHECK_S)
+        self.assertEqual([], self._run(probe, 1.0))
+        self.assertGreater(probe.checks, FAILED_CHECKS)
+
+    def test_slow_vm(self):
+        """The VM's processor is slow: its checks have more time."""
+        pauses = PauseWatch(lambda: 0.0)
+        pauses._lag_s = 0.1
+        probe = _Probe(CheckResult.ANSWERED)
+        self._run(probe, 1.0, pauses)
+        self.assertEqual([LAG_FACTOR * 0.1], probe.extra_s)
+
+
+class OwnFaultTest(TestCase):
+    """A VM whose own link is full or cut reaches nobody."""
+
+    def _ended(self, dead: set[int]) -> list[int]:
+        """Returns whose flows were ended, where some do not answer."""
+        packets = _Packets()
+
+        class Probe(_Probe):
+            async def check(self, endpoint, path, extra_s):
+                self._result = (
+                    CheckResult.TIMEOUT
+                    if endpoint.number in dead
+                    else CheckResult.ANSWERED
+                )
+                return await super().check(endpoint, path, extra_s)
+
+        async def main() -> None:
+            now = anyio.current_time()
+            known = [
+                group.endpoint(1),
+                group.endpoint(2),
+                group.endpoint(3, zone=group.OTHER_ZONE),
+            ]
+            core = group.steering(*known, now=now)
+            for number in (1, 2, 3):
+                core.on_segment(group.segment(group.flow(number), number), now)
+            core.catalog.get(known[0].name).health.ask(now)
+            checker = Checker(
+                Probe(None),
+                core,
+                packets,
+                PauseWatch(lambda: 0.0),
+                Counters(),
+                Histograms(),
+                EventLog("t", "vm"),
+            )
+            with anyio.move_on_after(2.0):
+                await checker.run()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        return [reset.flow.client_port - 1024 for reset in packets.ended]
+
+    @parameterized.expand(
+        [
+            ("endpoint_died", {1}, [1]),
+            ("zone_cut", {1, 2}, [1]),
+            ("own_link", {1, 2, 3}, []),
+        ]
+    )
+    def test_timeouts(self, _, dead, ended):
+        """A VM's link is full of configurations; no check gets through.
+
+        Taken for dead endpoints, every flow that passes by would be reset
+        though its endpoint serves, and clients would lose their sessions.
+        """
+        self.assertEqual(ended, self._ended(dead))
+
 
 class WakeTest(TestCase):
     """The checker looks when a look is due and sleeps otherwise."""
--- a/tests/entry_gossip_test.py
+++ b/tests/entry_gossip_test.py
@@ -9,7 +9,7 @@
 from pollenmast.counters import Counters
 from pollenmast.entry import _snapshot as snapshot
 from pollenmast.entry._gossip import EVERY_S, Gossip
-from pollenmast.steering import EndpointAnnounced, Update
+from pollenmast.steering import CheckResult, EndpointAnnounced, Update
 from pollenmast.steering._load import REPORT_LIFE_S
 from tests import steering_group as group
 
@@ -242,6 +242,49 @@
             self.assertEqual(11, vm.core.revision)
             self.assertEqual([], vm.peers.behind_of)
 
+    def _checking(self, network: _Network) -> list[str]:
+        return [
+            vm.name for vm in network.up() if vm.core.due_checks(network.now)
+        ]
+
+    def test_false_report(self):
+        """A slow VM takes ten living endpoints for dead and reports them.
+
+        If all VMs asked at once, the endpoints' machines could not take the
+        connections, more checks would fail, and more would be reported.
+        """
+        network = self._network(a=12)
+        network.round(12)
+        readers = network.readers("a")
+        slow = next(vm for n, vm in network.vms.items() if n not in readers)
+        for endpoint in ENDPOINTS:
+            record = slow.core.catalog.get(endpoint.name)
+            record.health.on_check(CheckResult.REFUSED, network.now)
+        network.round(2)
+        asking = set(self._checking(network)) - {slow.name}
+        self.assertEqual(set(readers), asking)
+
+    def test_dead_endpoint(self):
+        """A reader finds an endpoint dead; a VM with flows there asks too.
+
+        Its idle clients have to be told; the others only keep away.
+        """
+        network = self._network(a=12)
+        network.round(12)
+        readers = network.readers("a")
+        dead = ENDPOINTS[0]
+        for name in readers:
+            record = network.vms[name].core.catalog.get(dead.name)
+            record.health.on_check(CheckResult.REFUSED, network.now)
+        plain = [vm for n, vm in network.vms.items() if n not in readers]
+        opened = group.segment(group.flow(1), dead.token)
+        plain[0].core.on_segment(opened, network.now)
+        network.round(2)
+        asking = set(self._checking(network)) - set(readers)
+        self.assertEqual({plain[0].name}, asking)
+        health = plain[1].core.catalog.get(dead.name).health
+        self.assertFalse(health.is_sure(network.now))
+
     def test_load_is_forgotten(self):
         """A VM dies with its load; the total follows within seconds."""
         network = self._network(a=5)
--- a/tests/entry_pause_test.py
+++ b/tests/entry_pause_test.py
@@ -11,12 +11,27 @@
     EndpointAnnounced,
     EndpointRemoved,
     Presence,
+    Route,
+    RoutesPublished,
+    RouteTable,
+    Split,
     Update,
 )
 from pollenmast.steering._journal import MOST_CHANGES
 from tests import steering_group as group
 
 
+def _routes(version: int, count: int) -> RouteTable:
+    """Returns a configuration of many routes to one service."""
+    routes = {
+        (group.VIP, port): Route(
+            f"r-{port}", group.VIP, port, (Split("registry", 1),), True
+        )
+        for port in range(443, 443 + count)
+    }
+    return RouteTable(version, routes, {"registry": "/health"}, 15.0)
+
+
 class PauseTest(TestCase):
     """A VM notices that it stood still."""
 
@@ -62,6 +77,58 @@
         record = learner.catalog.get(group.endpoint(1).name)
         self.assertIs(Presence.LAPSED, record.presence)
 
+    def test_changed_route(self):
+        """A route is added to hundreds; a peer is told that one only.
+
+        Told whole, the configuration fills the link of whoever tells it.
+        """
+        many = _routes(1, 300)
+        known = group.steering(group.endpoint(1), routes=many)
+        learner = group.steering(group.endpoint(1), routes=many)
+        published = RoutesPublished(_routes(2, 301), 11)
+        known.apply(Update((published,), 11), 1.0)
+        told = snapshot.encode(known, 10)
+        self.assertLess(len(told), 300)
+        learner.apply(snapshot.decode(told).ok_value, 1.0)
+        self.assertEqual(known.table, learner.table)
+        gone = RoutesPublished(_routes(3, 200), 12)
+        known.apply(Update((gone,), 12), 1.0)
+        told = snapshot.decode(snapshot.encode(known, 11)).ok_value
+        learner.apply(told, 1.0)
+        self.assertEqual(200, len(learner.table.routes))
+        self.assertEqual(3, learner.table.version)
+
+    def test_other_base(self):
+        """The change does not start from the version that this VM has.
+
+        Taken in, routes would be missing without anybody noticing; it is
+        left, and the revision stays, so that the VM asks again for all.
+        """
+        known = group.steering(group.endpoint(1), routes=_routes(2, 5))
+        learner = group.steering(group.endpoint(1), routes=_routes(1, 4))
+        published = RoutesPublished(_routes(7, 6), 11)
+        known.apply(Update((published,), 11), 1.0)
+        told = snapshot.decode(snapshot.encode(known, 10)).ok_value
+        self.assertFalse(learner.fits(told))
+        learner.apply(told, 1.0)
+        self.assertEqual((1, 10), (learner.table.version, learner.revision))
+        whole = snapshot.decode(snapshot.encode(known, 0)).ok_value
+        self.assertTrue(learner.fits(whole))
+        learner.apply(whole, 1.0)
+        self.assertEqual(known.table, learner.table)
+
+    def test_known_already(self):
+        """A change that was heard of by another way changes nothing."""
+        known = group.steering(group.endpoint(1), routes=_routes(1, 4))
+        learner = group.steering(group.endpoint(1), routes=_routes(1, 4))
+        published = RoutesPublished(_routes(2, 5), 11)
+        known.apply(Update((published,), 11), 1.0)
+        learner.apply(Update((published,), 11), 1.0)
+        told = snapshot.decode(snapshot.encode(known, 10)).ok_value
+        self.assertTrue(learner.fits(told))
+        learner.apply(told, 1.0)
+        self.assertEqual(known.table, learner.table)
+
     def test_too_far_behind(self):
         """A peer that missed more than is kept is told everything."""
         known = group.steering(group.endpoint(1))
--- a/tests/steering_group.py
+++ b/tests/steering_group.py
@@ -78,9 +78,11 @@
     return segment(key, syn=True, syn_copies=copies)
 
 
-def steering(*endpoints: Endpoint, now: float = 0.0, zone=ZONE) -> Steering:
+def steering(
+    *endpoints: Endpoint, now: float = 0.0, zone=ZONE, routes=None
+) -> Steering:
     """Returns the beliefs of a VM that has read a list."""
     core = Steering(zone, Counters(), random.Random(1))
-    core.apply(listing(*endpoints), now)
+    core.apply(listing(*endpoints, routes=routes), now)
     core.on_confirmed(now)
     return core
--- a/tests/steering_health_test.py
+++ b/tests/steering_health_test.py
@@ -4,12 +4,14 @@
 from testtools import TestCase
 
 from pollenmast.steering._health import (
+    AVOID_S,
     CALM_S,
     FAILED_CHECKS,
     MOST_PENDING,
     OPEN_S,
     RECHECK_MOST_S,
     RECHECK_S,
+    SILENT_FACTOR,
     SILENT_S,
     TRUST_S,
     CheckResult,
@@ -133,6 +135,30 @@
         self.assertLessEqual(checks, 5.0 / TRUST_S + 1)
 
 
+class BusyTest(TestCase):
+    """When answers take long everywhere, silence says less."""
+
+    def test_usual_answer(self):
+        """A rush makes every endpoint slow; none is checked for it.
+
+        Each check takes a slot and makes the next answer later still.
+        """
+        health = Health()
+        health.on_request(1.0, 0.1)
+        health.look(1.0 + 0.9 * SILENT_FACTOR * 0.1)
+        self.assertFalse(health.due(2.0))
+        health.look(1.0 + 1.01 * SILENT_FACTOR * 0.1)
+        self.assertTrue(health.due(2.0))
+
+    def test_avoided(self):
+        """What another VM finds down takes no new flows for a while."""
+        health = Health()
+        self.assertTrue(health.is_sure(1.0))
+        health.avoid(1.0)
+        self.assertFalse(health.is_sure(1.0 + AVOID_S / 2))
+        self.assertTrue(health.is_sure(1.0 + AVOID_S))
+
+
 class CheckTest(TestCase):
     """What health checks make of an endpoint."""
 
