--- a/docs_tool/_settings.py
+++ b/docs_tool/_settings.py
@@ -45,6 +45,49 @@
 """
 
 
+_PLATFORM = """\
+## The program of the platform
+
+`python -m pollenmast.platform` has a settings file in the platform's own
+format, lines `a.b=value`, named by the environment variable
+`POLLENMAST_CONFIG`. Other fields are ignored. `pollenmast settings check FILE
+--adapter platform` shows what follows from a file, in the names of the first
+column; an operator's configuration is checked by `pollenmast manifest check
+FILE --adapter platform`.
+
+"""
+
+_FIELDS = (
+    ("vm", "the VM's name, in its log lines", "nodeId"),
+    ("zone", "its availability zone: endpoints there come first", "zone"),
+    (
+        "packets",
+        "where clients' packets arrive, UDP",
+        "listenAddrs.datagramAddr",
+    ),
+    ("ready", "where readiness is asked for", "listenAddrs.ready"),
+    ("control", "where other VMs ask, or none", "listenAddrs.control"),
+    ("metrics", "port 9464 of the same address", "listenAddrs.ready"),
+    (
+        "gossip",
+        "where other VMs' reports arrive, UDP: the first of the ports",
+        "internalPorts",
+    ),
+    ("directory", "the store", "platform.address"),
+    ("seeds", "control addresses of some VMs", "seedNodes"),
+    (
+        "apply_s",
+        "seconds within which a change must be in force: the lesser bound",
+        "bounds.configApplyMs, bounds.drainMs",
+    ),
+    (
+        "grace_s",
+        "seconds from the signal to stop until the process is killed",
+        "bounds.graceS",
+    ),
+)
+
+
 def page() -> str:
     """Returns the page."""
     text = HEAD + _INTRODUCTION
@@ -52,7 +95,8 @@
         rows = [_row(key) for key in KEYS if key.section == section]
         heads = ("Key", "Meaning", "Allowed", "Default")
         text += f"## [{section}]\n\n{table(heads, rows)}\n"
-    return text.rstrip("\n") + "\n"
+    fields = [(code(name), words, code(key)) for name, words, key in _FIELDS]
+    return text + _PLATFORM + table(("Setting", "Meaning", "From"), fields)
 
 
 def _row(key: Key) -> tuple[object, ...]:
--- /dev/null
+++ b/standins/_tagged.py
@@ -0,0 +1,55 @@
+"""Packets of callers and upstreams, by a tag that each of them carries."""
+
+import hashlib
+
+_INITIAL_BYTES = 1200
+_MARK = b"caller:"
+
+
+def initial(tag: str, early: bytes = b"") -> bytes:
+    """Returns the Initial of a caller, with 0-RTT behind it if given."""
+    payload = _MARK + tag.encode() + b";"
+    head = b"\xc0\x00\x00\x00\x01\x08" + tag.encode().ljust(8, b"-")[:8]
+    head += b"\x04abcd\x00"
+    length = _INITIAL_BYTES - len(head) - 2 - len(early)
+    packet = head + (0x4000 | length).to_bytes(2, "big")
+    return packet + payload.ljust(length, b"\0") + early
+
+
+def early_data(tag: str) -> bytes:
+    """Returns a 0-RTT packet that carries a request."""
+    payload = (_MARK + tag.encode() + b";run").ljust(60, b"\1")
+    head = b"\xd0\x00\x00\x00\x01\x08" + b"12345678" + b"\x04abcd"
+    return head + (0x4000 | len(payload)).to_bytes(2, "big") + payload
+
+
+def short(tag: str, text: str = "") -> bytes:
+    """Returns a packet of a session in progress."""
+    body = _MARK + f"{tag};{text}".encode().ljust(40, b"\0")
+    return b"\x41" + cid_of(tag) + body
+
+
+def cid_of(tag: str) -> bytes:
+    """Returns the connection id that the upstream chose for a caller."""
+    return hashlib.blake2b(tag.encode(), digest_size=8).digest()
+
+
+def server_initial(tag: str) -> bytes:
+    """Returns the upstream's first answer, which names its connection id."""
+    head = b"\xc0\x00\x00\x00\x01\x04abcd\x08" + cid_of(tag) + b"\x00"
+    payload = (_MARK + tag.encode() + b";").ljust(100, b"\0")
+    return head + (0x4000 | len(payload)).to_bytes(2, "big") + payload
+
+
+def tag_of(data: bytes) -> str | None:
+    """Returns whose packet it is."""
+    start = data.find(_MARK)
+    if start < 0:
+        return None
+    return data[start + len(_MARK) : data.index(b";", start)].decode()
+
+
+def text_of(data: bytes) -> str:
+    """Returns what a session's packet says."""
+    start = data.index(b";", data.index(_MARK))
+    return data[start + 1 :].rstrip(b"\0").decode()
