No circle between packages, and a page that shows it

Cause: peers imported decisions for the key of a manifest, and decisions imported peers' messages. The key is the manifest's own (manifest/_key). docs/IMPORTS.md is made from the sources; tests/docs_pages_test.py fails where a package imports one above it. No behaviour changes.

--- a/src/pollenmast/agent/_gossip_loop.py
+++ b/src/pollenmast/agent/_gossip_loop.py
@@ -6,7 +6,6 @@
 
 from pollenmast import events
 from pollenmast.agent._node import Node
-from pollenmast.decisions._acceptance import ManifestKey
 from pollenmast.decisions._dissemination import (
     SENDS_PER_LOG,
     ByteBudget,
@@ -15,6 +14,7 @@
 from pollenmast.decisions._heartbeats import Send
 from pollenmast.decisions._members import Change, Why
 from pollenmast.fleet import Vm, VmState
+from pollenmast.manifest import ManifestKey
 from pollenmast.peers import _gossip
 from pollenmast.peers._gossip import Act, Gossip, ProbeNews
 from pollenmast.peers._gossip_socket import GossipSocket
--- a/src/pollenmast/agent/_link_loop.py
+++ b/src/pollenmast/agent/_link_loop.py
@@ -7,8 +7,8 @@
 from pollenmast import events
 from pollenmast.agent._gossip_loop import GossipLoop
 from pollenmast.agent._node import Node
-from pollenmast.decisions._acceptance import ManifestKey
 from pollenmast.fleet import EndpointReport
+from pollenmast.manifest import ManifestKey
 from pollenmast.peers._link import Link
 from pollenmast.peers._messages import (
     DrainOrder,
--- a/src/pollenmast/agent/_manifest_loop.py
+++ b/src/pollenmast/agent/_manifest_loop.py
@@ -8,8 +8,8 @@
 from pollenmast.configuration import Platform
 from pollenmast.counters import MANIFESTS, ManifestOutcome
 from pollenmast.decisions import _readers
-from pollenmast.decisions._acceptance import ManifestKey
 from pollenmast.fleet import Vm
+from pollenmast.manifest import ManifestKey
 from pollenmast.peers._fetch import Fetcher
 
 ROLE_CHECK_S = 1.0
--- a/src/pollenmast/decisions/_acceptance.py
+++ b/src/pollenmast/decisions/_acceptance.py
@@ -9,24 +9,12 @@
 import attrs
 
 from pollenmast.counters import ManifestOutcome
-from pollenmast.manifest import Manifest
+from pollenmast.manifest import Manifest, ManifestKey
 
 MOST_REFUSED = 64
 """Refused contents remembered, so that each is fetched and logged once."""
 
 
-@attrs.frozen(order=True)
-class ManifestKey:
-    """The place of a manifest in the order over all manifests.
-
-    Two contents under one version are ordered by their digests: which of the
-    two wins is arbitrary, but it is the same one on every VM.
-    """
-
-    version: int = 0
-    digest: str = ""
-
-
 @attrs.frozen
 class Offer:
     """What became of an offered manifest.
--- a/src/pollenmast/decisions/_freshness.py
+++ b/src/pollenmast/decisions/_freshness.py
@@ -8,7 +8,7 @@
 and goes on with what it reaches.
 """
 
-from pollenmast.decisions._acceptance import ManifestKey
+from pollenmast.manifest import ManifestKey
 
 
 class Freshness:
--- a/src/pollenmast/decisions/_membership.py
+++ b/src/pollenmast/decisions/_membership.py
@@ -15,7 +15,6 @@
 import attrs
 
 from pollenmast.decisions import _membership_times as figures
-from pollenmast.decisions._acceptance import ManifestKey
 from pollenmast.decisions._freshness import Freshness
 from pollenmast.decisions._heartbeats import (
     Address,
@@ -33,6 +32,7 @@
 )
 from pollenmast.decisions._membership_times import Times
 from pollenmast.fleet import Vm, VmState
+from pollenmast.manifest import ManifestKey
 from pollenmast.peers._gossip import Act, Gossip
 
 
--- a/src/pollenmast/manifest/__init__.py
+++ b/src/pollenmast/manifest/__init__.py
@@ -2,6 +2,7 @@
 
 from pollenmast.manifest._diff import Difference, Effect, differences
 from pollenmast.manifest._faults import MOST_FAULTS, ManifestFault
+from pollenmast.manifest._key import ManifestKey
 from pollenmast.manifest._model import (
     Endpoint,
     EndpointState,
@@ -33,6 +34,7 @@
     "Limits",
     "Manifest",
     "ManifestFault",
+    "ManifestKey",
     "Object",
     "Service",
     "ServiceKind",
--- a/src/pollenmast/peers/_fetch.py
+++ b/src/pollenmast/peers/_fetch.py
@@ -14,7 +14,7 @@
     Counters,
     EnvelopeFault,
 )
-from pollenmast.decisions._acceptance import ManifestKey
+from pollenmast.manifest import ManifestKey
 from pollenmast.peers import _nng
 from pollenmast.peers._envelope import Opened, Opener, Sealer
 from pollenmast.peers._kinds import Kind
--- a/tests/agent_gossip_test.py
+++ b/tests/agent_gossip_test.py
@@ -9,11 +9,11 @@
 from pollenmast.agent._gossip_loop import BURST_BYTES, GossipLoop
 from pollenmast.agent._node import new_node
 from pollenmast.counters import CONTROL_BYTES
-from pollenmast.decisions._acceptance import ManifestKey
 from pollenmast.decisions._heartbeats import Send
 from pollenmast.decisions._members import Members, Why
 from pollenmast.decisions._membership_times import PAGE_BYTES
 from pollenmast.fleet import EndpointReport
+from pollenmast.manifest import ManifestKey
 from pollenmast.peers import _gossip
 from pollenmast.peers._gossip import Act, Gossip, ProbeNews
 from tests.agent_manifest_test import LOG, SETTINGS
--- a/tests/agent_manifest_test.py
+++ b/tests/agent_manifest_test.py
@@ -13,9 +13,8 @@
 from pollenmast.configuration import Platform, PlatformFault
 from pollenmast.counters import MANIFESTS, ManifestOutcome
 from pollenmast.decisions import _readers
-from pollenmast.decisions._acceptance import ManifestKey
 from pollenmast.events import EventLog
-from pollenmast.manifest import parse
+from pollenmast.manifest import ManifestKey, parse
 from pollenmast.settings import (
     FleetSettings,
     PlatformSettings,
--- a/tests/decisions_acceptance_test.py
+++ b/tests/decisions_acceptance_test.py
@@ -8,12 +8,8 @@
 from testtools import TestCase
 
 from pollenmast.counters import ManifestOutcome
-from pollenmast.decisions._acceptance import (
-    MOST_REFUSED,
-    Acceptance,
-    ManifestKey,
-)
-from pollenmast.manifest import Manifest
+from pollenmast.decisions._acceptance import MOST_REFUSED, Acceptance
+from pollenmast.manifest import Manifest, ManifestKey
 
 LOW, HIGH = "aa" * 16, "bb" * 16
 
--- a/tests/decisions_membership_test.py
+++ b/tests/decisions_membership_test.py
@@ -6,8 +6,8 @@
 from parameterized import parameterized
 from testtools import TestCase
 
-from pollenmast.decisions._acceptance import ManifestKey
 from pollenmast.fleet import Vm, VmState
+from pollenmast.manifest import ManifestKey
 from pollenmast.peers._gossip import Act, Gossip
 from tests.membership_group import Group, Node, vm
 
--- a/tests/docs_pages_test.py
+++ b/tests/docs_pages_test.py
@@ -9,6 +9,7 @@
 from testtools import TestCase
 
 from docs_tool import PAGES
+from docs_tool._imports import imports, levels
 from pollenmast import manifest, settings
 
 _DOCS = pathlib.Path(__file__).parent.parent / "docs"
@@ -22,6 +23,18 @@
         """The page is what `python -m docs_tool` writes."""
         self.assertEqual(PAGES[name](), (_DOCS / name).read_text())
 
+    def test_no_circle(self):
+        """No package imports one that imports it, however far around.
+
+        A newcomer reads from the bottom up, and a package can be tested
+        without those above it.
+        """
+        above = set()
+        for level in reversed(levels(imports())):
+            for package in level:
+                self.assertFalse(imports()[package] & above, package)
+            above |= set(level)
+
     def test_example_manifest(self):
         """The manifest that the page shows is taken."""
         text = _block(PAGES["MANIFEST.md"](), "json")
--- a/tests/membership_group.py
+++ b/tests/membership_group.py
@@ -11,11 +11,11 @@
 
 import attrs
 
-from pollenmast.decisions._acceptance import ManifestKey
 from pollenmast.decisions._dissemination import Dissemination
 from pollenmast.decisions._heartbeats import Send
 from pollenmast.decisions._membership import Membership
 from pollenmast.fleet import Vm, VmState
+from pollenmast.manifest import ManifestKey
 from pollenmast.peers import _gossip
 from pollenmast.peers._gossip import Act, Gossip
 
--- a/tests/proof/_agents.py
+++ b/tests/proof/_agents.py
@@ -9,9 +9,10 @@
     rule,
 )
 
-from pollenmast.decisions._acceptance import Acceptance, ManifestKey
+from pollenmast.decisions._acceptance import Acceptance
 from pollenmast.decisions._membership_times import Times
 from pollenmast.fleet import VmState
+from pollenmast.manifest import ManifestKey
 from tests.membership_group import Group, Node, vm
 from tests.proof import _traffic as traffic
 from tests.proof._node import parse
--- a/tests/proof/_node.py
+++ b/tests/proof/_node.py
@@ -8,8 +8,9 @@
 
 from pollenmast import manifest as manifests
 from pollenmast.counters import ManifestOutcome
-from pollenmast.decisions._acceptance import Acceptance, ManifestKey
+from pollenmast.decisions._acceptance import Acceptance
 from pollenmast.fleet import Vm
+from pollenmast.manifest import ManifestKey
 from pollenmast.peers import _messages as messages
 from pollenmast.relay._core import RelayCore
 from pollenmast.relay._flows import Listener
