--- a/soak/without.py
+++ b/soak/without.py
@@ -7,33 +7,26 @@
 
 from pollenmast.entry import _follow
 from pollenmast.platform import __main__ as program
-from pollenmast.platform import _packet
-from pollenmast.steering import Reset, Steering, _catalog
-from pollenmast.steering._core import ResetReason
+from pollenmast.platform import _probe
+from pollenmast.steering import CheckResult, _catalog
 
 
-def _reset_unknown() -> None:
-    """A packet whose endpoint is not known is answered by a reset."""
-    decide = Steering._decide
+def _doubt_only() -> None:
+    """An endpoint that seems silent counts as dead without a check."""
 
-    def replaced(self, segment, now):
-        known = self._catalog.by_token(segment.token) is not None
-        if segment.syn or known:
-            return decide(self, segment, now)
-        reason = ResetReason.ENDPOINT_GONE
-        return Reset(segment.flow, segment.acknowledged, reason, "")
+    async def refused(self, endpoint, path, extra_s):
+        return CheckResult.REFUSED
 
-    Steering._decide = replaced
+    _probe.EndpointProbe.check = refused
 
 
-def _any_endpoint() -> None:
-    """Packets do not name the endpoint that they are meant for."""
-    for_endpoint = _packet.PlatformPackets.for_endpoint
+def _no_draining() -> None:
+    """A leaving endpoint goes on taking new flows."""
 
-    def replaced(self, segment, endpoint):
-        return bytes(8) + for_endpoint(self, segment, endpoint)[8:]
+    def serving(self, service):
+        return [r for r in self.records if r.endpoint.service == service]
 
-    _packet.PlatformPackets.for_endpoint = replaced
+    _catalog.Catalog.serving = serving
 
 
 def _no_proof() -> None:
@@ -42,25 +35,10 @@
     _follow.STALE_PART = 1000.0
 
 
-def _no_lapse() -> None:
-    """An entry that vanishes counts as gone at once, without a check."""
-    _catalog.LAPSE_S = 0.0
-    remove = _catalog.Catalog._remove
-
-    def replaced(self, name, revision, now):
-        records = remove(self, name, revision, now)
-        for record in records:
-            record.presence = _catalog.Presence.GONE
-        return records
-
-    _catalog.Catalog._remove = replaced
-
-
 PROTECTIONS = {
-    "unknown-tokens": _reset_unknown,
-    "endpoint-ids": _any_endpoint,
+    "checks": _doubt_only,
+    "draining": _no_draining,
     "proof-of-life": _no_proof,
-    "lapses": _no_lapse,
 }
 
 
