--- a/soak/_vm.py
+++ b/soak/_vm.py
@@ -50,8 +50,10 @@
         self.disturbed_at = anyio.current_time()
 
     def start(self) -> None:
-        """Starts the process."""
+        """Starts the process, unless another fault has started it already."""
         self.disturb()
+        if self.running:
+            return
         environment = {
             **os.environ,
             "POLLENMAST_CONFIG": str(self._file),
