--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -49,12 +49,10 @@
     troubles: list[tuple[float, float]]
     judged_from: float
 
-    def calm(self, start: float, end: float) -> bool:
-        """Whether nothing unplanned touched a span or the seconds before."""
-        start = min(start, end - STABLE_S)
+    def calm(self, at: float) -> bool:
+        """Whether nothing unplanned touched a moment or the seconds before."""
         return all(
-            end < began or over + STABLE_S < start
-            for began, over in self.troubles
+            at < began or over + STABLE_S < at for began, over in self.troubles
         )
 
 
@@ -122,7 +120,9 @@
         late = [
             at - since
             for at in endpoint.opened_at
-            if at > since + APPLY_S + SLACK_S and seen.calm(since, at)
+            if at > since + APPLY_S + SLACK_S
+            and seen.calm(since)
+            and seen.calm(at)
         ]
         found += [f"{endpoint.name} got a flow after {s:.1f} s" for s in late]
     return found
@@ -144,11 +144,8 @@
         settled = APPLY_S + SLACK_S
         new = [f for f in past if f.at < asked.opened_at - settled]
         allowed = {f.service for f in past if f not in new[:-1]}
-        if (
-            new
-            and service not in allowed
-            and seen.calm(new[-1].at, asked.opened_at)
-        ):
+        late = new and service not in allowed
+        if late and seen.calm(asked.opened_at):
             found.append(f"{asked.name} went to {service}, not {allowed}")
     return found
 
@@ -161,7 +158,7 @@
         endpoint = by_name[reset.endpoint]
         ended = endpoint.ended_at is not None and endpoint.ended_at <= reset.at
         hurt = reset.at - endpoint.disturbed_at < STABLE_S
-        if not ended and not hurt and seen.calm(reset.at, reset.at):
+        if not ended and not hurt and seen.calm(reset.at):
             found.append(f"a flow of {endpoint.name} at {reset.at:.1f}")
     return found
 
