--- a/soak/_vm.py
+++ b/soak/_vm.py
@@ -12,6 +12,9 @@
 
 PACKETS, READY, CONTROL, GOSSIP = 8172, 8167, 8166, 7720
 GRACE_S = 6.0
+TOO_LATE = -1
+"""Noted in place of an exit code where a VM did not end in time."""
+
 _ROOT = pathlib.Path(__file__).parent.parent
 
 
@@ -27,6 +30,7 @@
         self._file = folder / f"{host}.conf"
         self._log = folder / f"{host}.log"
         self._process: subprocess.Popen | None = None
+        self._killed: subprocess.Popen | None = None
         listed = ",".join(f"{seed}:{CONTROL}" for seed in seeds)
         self._file.write_text(
             f"nodeId=vm-{host}\nzone={zone}\n"
@@ -82,18 +86,24 @@
         return answer.is_ok() and answer.ok_value.status == 200
 
     async def stop(self) -> None:
-        """Stops it in order, and notes its exit code."""
+        """Stops it in order, and notes how it ended.
+
+        Not if another fault kills it meanwhile, or starts the next process.
+        """
         process = self._process
         self.signal(signal.SIGTERM)
         with anyio.move_on_after(GRACE_S):
             while process.poll() is None:
                 await anyio.sleep(0.05)
-        self.exit_codes.append(process.poll() if not self.running else -9)
-        self.kill()
+        code = process.poll()
+        if process is self._process and process is not self._killed:
+            self.exit_codes.append(TOO_LATE if code is None else code)
+            self.kill()
 
     def kill(self) -> None:
         """Ends the process at once; a frozen one as well."""
         self.disturb()
         if self._process is not None:
+            self._killed = self._process
             self._process.kill()
             self._process.wait()
