--- a/soak/_world.py
+++ b/soak/_world.py
@@ -33,7 +33,10 @@
 """For requests under way at the end; a client repeats for three seconds."""
 
 RESTART_S = (0.1, 0.5, 1.5)
-DRAIN_S = APPLY_S + 1.0
+DRAIN_S = APPLY_S + 3.0
+"""How long an endpoint serves after it said that it leaves: some seconds longer
+than new flows may come, so that a late one is seen."""
+
 REUSE_S = 2.0
 BACK_S = 1.5
 """Entries that lapsed are back so soon after the store."""
