--- a/src/pollenmast/entry/__init__.py
+++ b/src/pollenmast/entry/__init__.py
@@ -1,27 +1,41 @@
-"""The program of a VM whose packets name their endpoint by a token."""
+"""The program of a VM whose packets name their endpoint by a token.
 
+`run` loads most of the program, and packets are carried meanwhile: see `_boot`.
+"""
+
+from pollenmast.entry._boot import Boot, Early, FirstRead, early
 from pollenmast.entry._ports import (
+    EXIT_FAILED,
+    EXIT_OK,
+    EXIT_SETTINGS,
     Address,
     EntrySettings,
     HealthProbe,
     PacketFormat,
     Ports,
 )
-from pollenmast.entry._program import (
-    EXIT_FAILED,
-    EXIT_OK,
-    EXIT_SETTINGS,
-    run,
-)
+
+
+def run(parts: Early, ports: Ports) -> int:
+    """Runs the program of a VM until it is stopped; returns its exit code."""
+    # Loaded by then, or only now: `Boot` decides when.
+    from pollenmast.entry import _program
+
+    return _program.run(parts, ports)
+
 
 __all__ = [
     "EXIT_FAILED",
     "EXIT_OK",
     "EXIT_SETTINGS",
     "Address",
+    "Boot",
+    "Early",
     "EntrySettings",
+    "FirstRead",
     "HealthProbe",
     "PacketFormat",
     "Ports",
+    "early",
     "run",
 ]
--- a/src/pollenmast/entry/_checks.py
+++ b/src/pollenmast/entry/_checks.py
@@ -4,7 +4,7 @@
 import anyio.abc
 
 from pollenmast.counters import CHECK_TIME, PROBES, Counters, Histograms
-from pollenmast.entry._packets import PacketLoop
+from pollenmast.entry._carrier import Carrier
 from pollenmast.entry._pause import PauseWatch
 from pollenmast.entry._ports import HealthProbe
 from pollenmast.events import (
@@ -48,7 +48,7 @@
         self,
         probe: HealthProbe,
         steering: Steering,
-        packets: PacketLoop,
+        carrier: Carrier,
         pauses: PauseWatch,
         counters: Counters,
         histograms: Histograms,
@@ -56,7 +56,7 @@
     ):
         self._probe = probe
         self._steering = steering
-        self._packets = packets
+        self._carrier = carrier
         self._pauses = pauses
         self._counters = counters
         self._histograms = histograms
@@ -169,7 +169,7 @@
         before = record.presence
         now = anyio.current_time()
         resets = self._steering.on_check(record, result, now)
-        self._packets.end(resets, now)
+        self._carrier.end(resets, now)
         event = self._event(record, before)
         if event is not None:
             self._log.write(
--- a/src/pollenmast/entry/_packets.py
+++ b/src/pollenmast/entry/_packets.py
@@ -1,25 +1,10 @@
-"""The socket of clients' datagrams."""
-
-import socket
+"""Clients' datagrams, from the event loop."""
 
 import anyio
-from result import Err
 
-from pollenmast import counters as c
-from pollenmast.counters import Counters, DropReason
+from pollenmast.entry._carrier import Carrier
 from pollenmast.entry._pause import PauseWatch
-from pollenmast.entry._ports import Address, PacketFormat
-from pollenmast.events import (
-    FLOW_PLACED,
-    FLOW_RESET,
-    REQUEST_CARRIED,
-    SEGMENT_DROPPED,
-    EventLog,
-)
-from pollenmast.steering import Drop, Forward, Reset, Segment, Steering
-
-BATCH = 64
-"""Datagrams read in a row before other tasks get their turn, about 3 ms."""
+from pollenmast.steering import Steering
 
 HOLD_S = 0.8
 """How long packets wait for the first routes and endpoints after a start. A
@@ -28,58 +13,24 @@
 
 HOLD_TICK_S = 0.005
 
-_MOST_DATAGRAM_BYTES = 2048
-
 
 class PacketLoop:
-    """Takes clients' datagrams and sends them where steering says."""
+    """Has datagrams carried as they arrive."""
 
     def __init__(
-        self,
-        sock: socket.socket,
-        packets: PacketFormat,
-        steering: Steering,
-        pauses: PauseWatch,
-        counters: Counters,
-        log: EventLog,
+        self, carrier: Carrier, steering: Steering, pauses: PauseWatch
     ):
-        self._sock = sock
-        self._packets = packets
+        self._carrier = carrier
         self._steering = steering
         self._pauses = pauses
-        self._counters = counters
-        self._log = log
-        self._skip_syns = False
-
-    def close(self) -> None:
-        """Closes the socket."""
-        self._sock.close()
-
-    def on_pause(self) -> None:
-        """The VM stood still: SYNs that waited are from clients long gone.
-
-        Passed on, each would take a connection of an endpoint for nobody.
-        """
-        self._skip_syns = True
 
     async def run(self) -> None:
         """Carries datagrams until cancelled."""
         await self._hold()
         while True:
-            await anyio.wait_readable(self._sock)
+            await anyio.wait_readable(self._carrier.sock)
             self._pauses.look()
-            now = anyio.current_time()
-            for _ in range(BATCH):
-                try:
-                    datagram = self._sock.recv(_MOST_DATAGRAM_BYTES)
-                except BlockingIOError:
-                    self._skip_syns = False
-                    break
-                except OSError:
-                    # A datagram sent before found no listener; the error is
-                    # reported here and says nothing of this socket.
-                    continue
-                self._carry(datagram, now)
+            self._carrier.carry_waiting(anyio.current_time())
             await anyio.lowlevel.checkpoint()
 
     async def _hold(self) -> None:
@@ -90,95 +41,3 @@
         with anyio.move_on_after(HOLD_S):
             while not self._steering.ready:
                 await anyio.sleep(HOLD_TICK_S)
-
-    def end(self, resets: list[Reset], now: float) -> None:
-        """Tells clients that their flows have ended."""
-        for reset in resets:
-            self._send_reset(reset, "", now)
-
-    def _carry(self, datagram: bytes, now: float) -> None:
-        decoded = self._packets.decode(datagram)
-        if isinstance(decoded, Err):
-            self._counters.add(c.DROPS, decoded.err_value)
-            self._log.write(
-                SEGMENT_DROPPED, reason=decoded.err_value, length=len(datagram)
-            )
-            return
-        segment = decoded.ok_value
-        if segment.syn and self._skip_syns:
-            self._counters.add(c.DROPS, DropReason.BACKLOG)
-            return
-        outcome = self._steering.on_segment(segment, now)
-        if isinstance(outcome, Forward):
-            endpoint = outcome.endpoint
-            data = self._packets.for_endpoint(segment, endpoint)
-            self._send(data, (endpoint.host, endpoint.port))
-            self._tell_forward(segment, outcome, now)
-        elif isinstance(outcome, Reset):
-            self._send_reset(outcome, self._packets.request_id(segment), now)
-        else:
-            self._tell_drop(segment, outcome, now)
-
-    def _send_reset(self, reset: Reset, request: str, now: float) -> None:
-        data, address = self._packets.for_reset(reset)
-        self._send(data, address)
-        self._log.write(
-            FLOW_RESET,
-            flow=str(reset.flow),
-            reason=reset.reason,
-            endpoint=reset.endpoint,
-            request=request,
-            **self._inputs(now),
-        )
-
-    def _send(self, data: bytes, address: Address) -> None:
-        try:
-            self._sock.sendto(data, address)
-        except OSError:
-            # The link's queue is full or the address is out of reach; the
-            # ends send again, and the counter tells.
-            self._counters.add(c.DROPS, DropReason.SEND_FAILED)
-
-    def _tell_forward(
-        self, segment: Segment, outcome: Forward, now: float
-    ) -> None:
-        if outcome.placed is not None:
-            self._log.write(
-                FLOW_PLACED,
-                flow=str(segment.flow),
-                endpoint=outcome.endpoint.name,
-                reason=outcome.placed,
-                copies=segment.syn_copies,
-                **self._inputs(now),
-            )
-        elif segment.length:
-            request = self._packets.request_id(segment)
-            if request:
-                self._log.write(
-                    REQUEST_CARRIED,
-                    request=request,
-                    flow=str(segment.flow),
-                    endpoint=outcome.endpoint.name,
-                )
-
-    def _tell_drop(self, segment: Segment, outcome: Drop, now: float) -> None:
-        self._log.write(
-            SEGMENT_DROPPED,
-            reason=outcome.reason,
-            flow=str(segment.flow),
-            token=segment.token,
-            **self._inputs(now),
-        )
-
-    def _inputs(self, now: float) -> dict[str, object]:
-        """Returns what decisions rest on, for the log: versions and age."""
-        table = self._steering.table
-        return {
-            "routes": table.version if table is not None else 0,
-            "revision": self._steering.revision,
-            "age_ms": _milliseconds(self._steering.age_s(now)),
-        }
-
-
-def _milliseconds(seconds: float) -> int:
-    return int(min(seconds, 1e6) * 1000)
--- a/src/pollenmast/entry/_ports.py
+++ b/src/pollenmast/entry/_ports.py
@@ -17,6 +17,11 @@
 
 Address = tuple[str, int]
 
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+"""The settings file cannot be used."""
+
 
 @attrs.frozen
 class EntrySettings:
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -1,11 +1,7 @@
 """The program of a VM: joins socket, directory, peers, checks and signals."""
 
 import gc
-import os
-import random
 import signal
-import socket
-import sys
 from collections.abc import AsyncIterator
 
 import anyio
@@ -13,36 +9,23 @@
 from result import Err
 
 from pollenmast import http1
-from pollenmast.counters import Counters, Histograms
+from pollenmast.entry._boot import Early
 from pollenmast.entry._checks import Checker
 from pollenmast.entry._follow import Follower
 from pollenmast.entry._gossip import Gossip
 from pollenmast.entry._packets import PacketLoop
 from pollenmast.entry._pause import PauseWatch
 from pollenmast.entry._peers import PeerReader
-from pollenmast.entry._ports import EntrySettings, Ports
+from pollenmast.entry._ports import EXIT_FAILED, EXIT_OK, Ports
 from pollenmast.entry._site import Site
 from pollenmast.events import (
     PAUSED,
     SETTINGS_REFUSED,
     SETTINGS_RELOADED,
     START_FAILED,
-    STARTED,
     STOPPED,
     STOPPING,
-    BoundedStream,
-    EventLog,
-    JsonSink,
 )
-from pollenmast.steering import Steering
-
-PROGRAM = "entry"
-"""The program's name in its log lines."""
-
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_SETTINGS = 2
-"""The settings file cannot be used."""
 
 LEAVE_S = 1.8
 """How long a stopping VM goes on carrying packets: readiness is asked twice a
@@ -59,42 +42,30 @@
 class _Program:
     """One running VM."""
 
-    def __init__(
-        self,
-        settings: EntrySettings,
-        ports: Ports,
-        counters: Counters,
-        sock: socket.socket,
-    ):
-        self._settings = settings
+    def __init__(self, parts: Early, ports: Ports):
+        self._settings = parts.settings
         self._ports = ports
-        self._counters = counters
-        self._histograms = Histograms()
-        self._stream = BoundedStream(sys.stdout.fileno())
-        sink = JsonSink(self._stream)
-        self._log = EventLog(PROGRAM, settings.vm, sink=sink)
-        self._rng = random.Random(f"{settings.vm} {os.getpid()}")
-        self._steering = Steering(
-            settings.zone, counters, self._rng, self._histograms
-        )
+        self._counters = parts.counters
+        self._histograms = parts.histograms
+        self._stream = parts.stream
+        self._log = parts.log
+        self._rng = parts.rng
+        self._steering = parts.steering
+        self._carrier = parts.carrier
         self._site = Site(
-            settings.ready_path, self._steering, counters, self._histograms
+            parts.settings.ready_path,
+            parts.steering,
+            parts.counters,
+            parts.histograms,
         )
         self._pauses = PauseWatch()
-        self._packets = PacketLoop(
-            sock,
-            ports.packets,
-            self._steering,
-            self._pauses,
-            counters,
-            self._log,
-        )
+        self._packets = PacketLoop(parts.carrier, parts.steering, self._pauses)
         self._checker = Checker(
             ports.probe,
             self._steering,
-            self._packets,
+            self._carrier,
             self._pauses,
-            counters,
+            self._counters,
             self._histograms,
             self._log,
         )
@@ -136,7 +107,6 @@
         """Runs until it is stopped; returns the exit code."""
         signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with anyio.open_signal_receiver(*signals) as received:
-            self._log.write(STARTED, zone=self._settings.zone, pid=os.getpid())
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._follower.run)
                 await self._listen(tasks)
@@ -151,7 +121,7 @@
                 tasks.start_soon(self._upkeep)
                 await self._obey(received)
                 tasks.cancel_scope.cancel()
-        self._packets.close()
+        self._carrier.close()
         self._gossip.close()
         self._log.write(STOPPED, flows=len(self._steering.flows))
         self._log.flush()
@@ -199,7 +169,7 @@
     def _on_pause(self, gap_s: float) -> None:
         self._log.write(PAUSED, gap_s=round(gap_s, 3))
         self._steering.on_pause(gap_s)
-        self._packets.on_pause()
+        self._carrier.skip_syns()
         self._follower.refresh()
 
     async def _upkeep(self) -> None:
@@ -209,41 +179,27 @@
             self._stream.flush()
 
 
-def run(
-    settings: EntrySettings,
-    ports: Ports,
-    counters: Counters,
-    sock: socket.socket,
-) -> int:
+def run(parts: Early, ports: Ports) -> int:
     """Runs the program of a VM until it is stopped.
 
     Args:
-        settings: The VM's settings.
+        parts: What the first stage has made.
         ports: What the program needs from the place it runs in.
-        counters: Counted into by the ports too.
-        sock: A non-blocking UDP socket at the address of clients' packets.
 
     Returns:
         The exit code: 0 after a graceful shutdown, 1 if it could not start.
     """
-    # Start-up objects live as long as the process; walking them again in
-    # each collection would only delay packets.
-    gc.collect()
+    # Start-up objects live as long as the process; walking them in each
+    # collection would only delay packets.
     gc.freeze()
-    return anyio.run(_run, settings, ports, counters, sock)
+    gc.enable()
+    return anyio.run(_run, parts, ports)
 
 
-async def _run(
-    settings: EntrySettings,
-    ports: Ports,
-    counters: Counters,
-    sock: socket.socket,
-) -> int:
+async def _run(parts: Early, ports: Ports) -> int:
     try:
-        return await _Program(settings, ports, counters, sock).run()
+        return await _Program(parts, ports).run()
     except* OSError as group:
-        sink = JsonSink(BoundedStream(sys.stdout.fileno()))
-        log = EventLog(PROGRAM, settings.vm, sink=sink)
         for error in group.exceptions:
-            log.write(START_FAILED, error=str(error))
+            parts.log.write(START_FAILED, error=str(error))
     return EXIT_FAILED
--- a/src/pollenmast/http1/_client.py
+++ b/src/pollenmast/http1/_client.py
@@ -3,10 +3,16 @@
 import enum
 
 import anyio
-import attrs
-import h11
 from result import Err, Ok, Result
 
+from pollenmast.exchange import (
+    EndedError,
+    Exchange,
+    ProtocolError,
+    Response,
+    TooLargeError,
+)
+
 MOST_BODY_BYTES = 1 << 20
 """The platform's values are a megabyte at most; more is a fault."""
 
@@ -25,25 +31,6 @@
     OVERSIZED = "oversized"
 
 
-@attrs.frozen
-class Response:
-    """A whole response.
-
-    Attributes:
-        status: The status code.
-        body: The content.
-        headers: Names in lower case, and values.
-    """
-
-    status: int
-    body: bytes
-    headers: dict[str, str] = attrs.field(factory=dict)
-
-
-class _TooLargeError(Exception):
-    """The body is larger than allowed."""
-
-
 class Connection:
     """Asks one server, over one connection that is kept between requests.
 
@@ -56,7 +43,7 @@
         self._port = port
         self._most = most
         self._stream: anyio.abc.SocketStream | None = None
-        self._protocol = h11.Connection(h11.CLIENT)
+        self._exchange = self._new_exchange()
         self._sent = 0
 
     @property
@@ -103,17 +90,17 @@
 
     async def _attempt(self, target: str) -> Result[Response, HttpFault]:
         try:
-            response = await self._exchange(target)
-        except (OSError, anyio.BrokenResourceError, anyio.EndOfStream):
+            response = await self._ask(target)
+        except (OSError, anyio.BrokenResourceError, EndedError):
             await self.aclose()
             return Err(HttpFault.UNREACHABLE)
         except anyio.ClosedResourceError:
             await self.aclose()
             return Err(HttpFault.UNREACHABLE)
-        except h11.ProtocolError:
+        except ProtocolError:
             await self.aclose()
             return Err(HttpFault.PROTOCOL)
-        except _TooLargeError:
+        except TooLargeError:
             await self.aclose()
             return Err(HttpFault.OVERSIZED)
         except BaseException:
@@ -122,52 +109,34 @@
         await self._settle()
         return Ok(response)
 
-    async def _exchange(self, target: str) -> Response:
+    def _new_exchange(self) -> Exchange:
+        return Exchange(f"{self._address}:{self._port}", self._most)
+
+    async def _ask(self, target: str) -> Response:
         if self._stream is None:
             await self._open()
-        request = h11.Request(
-            method="GET",
-            target=target,
-            headers=[("Host", f"{self._address}:{self._port}")],
-        )
-        data = self._protocol.send(request)
-        data += self._protocol.send(h11.EndOfMessage())
+        data = self._exchange.request(target)
         self._sent += len(data)
         await self._stream.send(data)
         return await self._read()
 
     async def _open(self) -> None:
         self._stream = await anyio.connect_tcp(self._address, self._port)
-        self._protocol = h11.Connection(h11.CLIENT)
+        self._exchange = self._new_exchange()
 
     async def _read(self) -> Response:
-        status, parts, size, begun = 0, [], 0, False
-        headers: dict[str, str] = {}
+        begun = False
         while True:
-            event = self._protocol.next_event()
-            if event is h11.NEED_DATA:
-                data = await self._receive()
-                if not data and not begun:
-                    # Closed without a byte of an answer: most often a kept
-                    # connection that the server gave up while it was idle.
-                    raise anyio.EndOfStream
-                begun = True
-                self._protocol.receive_data(data)
-            elif isinstance(event, h11.Response):
-                status = event.status_code
-                headers = {
-                    name.decode("latin-1"): value.decode("latin-1")
-                    for name, value in event.headers
-                }
-            elif isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self._most:
-                    raise _TooLargeError
-                parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return Response(status, b"".join(parts), headers)
-            elif isinstance(event, h11.ConnectionClosed):
-                raise anyio.EndOfStream
+            data = await self._receive()
+            if not data and not begun:
+                # Closed without a byte of an answer: most often a kept
+                # connection that the server gave up while it was idle.
+                raise EndedError
+            begun = True
+            self._exchange.feed(data)
+            response = self._exchange.response()
+            if response is not None:
+                return response
 
     async def _receive(self) -> bytes:
         try:
@@ -176,10 +145,7 @@
             return b""
 
     async def _settle(self) -> None:
-        done = (h11.DONE, h11.DONE)
-        if (self._protocol.our_state, self._protocol.their_state) == done:
-            self._protocol.start_next_cycle()
-        else:
+        if not self._exchange.next_cycle():
             await self.aclose()
 
 
--- a/src/pollenmast/platform/__main__.py
+++ b/src/pollenmast/platform/__main__.py
@@ -1,9 +1,10 @@
 """`python -m pollenmast.platform`: the program of a VM on the platform."""
 
+import gc
 import os
 import sys
 
-from pollenmast.platform._early import packet_socket
+from pollenmast.platform._early import packet_socket, store_socket
 
 SETTINGS_VARIABLE = "POLLENMAST_CONFIG"
 """The environment variable that holds the path of the settings file."""
@@ -17,16 +18,26 @@
 
 def main() -> int:
     """Runs the program; returns its exit code."""
+    # What is loaded stays: collections meanwhile took a tenth of the time
+    # from start to first packet. They begin when the event loop runs.
+    gc.disable()
     try:
         text = _read()
         sock = packet_socket(text)
+        store = store_socket(text)
     except OSError as error:
         print(f"{SETTINGS_VARIABLE}: {error}", file=sys.stderr)
         return 1
-    # Loaded only now, when clients' packets already have a place to wait.
+    # Loaded only now, when clients' packets already have a place to wait,
+    # and in two steps, so that the store answers during the longer one.
+    from pollenmast.platform._question import StoreQuestion
+
+    question = StoreQuestion(store) if store is not None else None
+    if question is not None and not question.begin():
+        question = None
     from pollenmast.platform._start import start
 
-    return start(text, sock, _read)
+    return start(text, sock, question, _read)
 
 
 if __name__ == "__main__":
--- a/src/pollenmast/platform/_early.py
+++ b/src/pollenmast/platform/_early.py
@@ -1,9 +1,12 @@
-"""Opens the packet socket before the rest of the program is loaded.
+"""What a VM does before the rest of its program is loaded.
 
 When many VMs are restarted at once, clients' packets arrive while the
 programs still load their modules, a fifth of a second on a small VM. Without
 a socket each is lost, and its client sends it again only after 0.2 to 1.6 s:
-requests miss their deadlines. With one they wait in its buffer.
+requests miss their deadlines. With one they wait in its buffer. The store is
+asked as early, so that its answer waits when it can be understood.
+
+Nothing but `socket` is imported here: everything else costs time.
 """
 
 import socket
@@ -11,16 +14,35 @@
 BUFFER_BYTES = 1 << 20
 """Receive buffer: about 0.5 s of 2,000 packets of 1,200 bytes a second."""
 
-_NAME = "listenAddrs.datagramAddr="
+_PACKETS = "listenAddrs.datagramAddr="
+_STORE = "platform.address="
+
+Address = tuple[str, int]
 
 
 def packet_socket(settings: str) -> socket.socket | None:
     """Returns the socket, or None if the settings do not say where."""
-    for line in settings.splitlines():
-        host, colon, port = line.removeprefix(_NAME).rpartition(":")
-        if line.startswith(_NAME) and colon and port.strip().isdigit():
-            return open_socket(host.strip(), int(port))
-    return None
+    address = _address(settings, _PACKETS)
+    return open_socket(*address) if address is not None else None
+
+
+def store_socket(settings: str) -> socket.socket | None:
+    """Returns a socket that is being connected to the store, or None.
+
+    A connection that cannot be begun is left to the program, which asks
+    again in its own time and says so in its log.
+    """
+    address = _address(settings, _STORE)
+    if address is None:
+        return None
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    try:
+        sock.connect_ex(address)
+    except OSError:
+        sock.close()
+        return None
+    return sock
 
 
 def open_socket(host: str, port: int) -> socket.socket:
@@ -30,3 +52,11 @@
     sock.setblocking(False)
     sock.bind((host, port))
     return sock
+
+
+def _address(settings: str, name: str) -> Address | None:
+    for line in settings.splitlines():
+        host, colon, port = line.removeprefix(name).rpartition(":")
+        if line.startswith(name) and colon and port.strip().isdigit():
+            return host.strip(), int(port)
+    return None
--- /dev/null
+++ b/src/pollenmast/platform/_items.py
@@ -0,0 +1,87 @@
+"""Items of the platform's store, as changes of endpoints and routes."""
+
+import base64
+import binascii
+from typing import Any
+
+from result import Err, Ok, Result
+
+from pollenmast.platform._entries import (
+    CONFIGURATION_KEY,
+    ENDPOINT_PREFIX,
+    parse_configuration,
+    parse_endpoint,
+)
+from pollenmast.steering import (
+    Change,
+    EndpointAnnounced,
+    EndpointRemoved,
+    RoutesPublished,
+    Update,
+)
+
+
+def read_items(items: list[Any], revision: int, *, whole: bool) -> Update:
+    """Returns what items tell; those that say nothing usable are refused.
+
+    Args:
+        items: The store's items or events.
+        revision: The store's revision up to which they are complete.
+        whole: Whether they are all that there is.
+    """
+    changes, refused = [], []
+    for item in items:
+        parsed = _change(item)
+        if isinstance(parsed, Ok):
+            if parsed.ok_value is not None:
+                changes.append(parsed.ok_value)
+            continue
+        refused.append(parsed.err_value)
+        removed = _unusable(item)
+        if removed is not None:
+            changes.append(removed)
+    return Update(tuple(changes), revision, whole, tuple(refused))
+
+
+def _key(item: Any) -> str | None:
+    if not isinstance(item, dict):
+        return None
+    key, revision = item.get("key"), item.get("revision")
+    known = isinstance(key, str) and isinstance(revision, int)
+    return key if known else None
+
+
+def _change(item: Any) -> Result[Change | None, str]:
+    """Returns an item's change, None for keys that say nothing to us."""
+    key = _key(item)
+    if key is None:
+        return Err("item without key or revision")
+    revision = item["revision"]
+    is_endpoint = key.startswith(ENDPOINT_PREFIX)
+    name = key.removeprefix(ENDPOINT_PREFIX)
+    if not is_endpoint and key != CONFIGURATION_KEY:
+        return Ok(None)
+    if item.get("deleted") is True:
+        gone = EndpointRemoved(name, revision) if is_endpoint else None
+        return Ok(gone)
+    try:
+        value = base64.b64decode(item.get("value"), validate=True)
+    except (TypeError, ValueError, binascii.Error):
+        return Err(f"{key}: value is not base64")
+    if is_endpoint:
+        endpoint = parse_endpoint(name, value)
+        return endpoint.map(lambda known: EndpointAnnounced(known, revision))
+    table = parse_configuration(value)
+    return table.map(lambda known: RoutesPublished(known, revision))
+
+
+def _unusable(item: Any) -> EndpointRemoved | None:
+    """Returns the removal of an endpoint whose entry became unreadable.
+
+    The entry no longer names an endpoint to use, so new flows stay away; its
+    open flows go on while it answers.
+    """
+    key = _key(item)
+    if key is None or not key.startswith(ENDPOINT_PREFIX):
+        return None
+    return EndpointRemoved(key.removeprefix(ENDPOINT_PREFIX), item["revision"])
--- a/src/pollenmast/platform/_start.py
+++ b/src/pollenmast/platform/_start.py
@@ -9,20 +9,24 @@
 from pollenmast import entry
 from pollenmast.counters import Counters
 from pollenmast.entry import EntrySettings
+from pollenmast.platform._first_read import StoreFirstRead
 from pollenmast.platform._packet import PlatformPackets
-from pollenmast.platform._probe import EndpointProbe
+from pollenmast.platform._question import StoreQuestion
 from pollenmast.platform._settings import read_settings
-from pollenmast.platform._store import StoreDirectory
 
 
 def start(
-    text: str, sock: socket.socket | None, read: Callable[[], str]
+    text: str,
+    sock: socket.socket | None,
+    question: StoreQuestion | None,
+    read: Callable[[], str],
 ) -> int:
     """Runs the program of a VM.
 
     Args:
         text: The settings file's text.
         sock: The socket of clients' packets.
+        question: The first question to the store, or None.
         read: Reads the settings file again; it may raise OSError.
 
     Returns:
@@ -34,6 +38,24 @@
         return entry.EXIT_SETTINGS
     settings = checked.ok_value
     counters = Counters()
+    packets = PlatformPackets(settings.packets[1])
+    first_read = None
+    if question is not None:
+        first_read = StoreFirstRead(question, counters)
+    parts = entry.early(settings, packets, counters, sock)
+    entry.Boot(parts, first_read).load()
+    return entry.run(parts, _ports(settings, packets, counters, read))
+
+
+def _ports(
+    settings: EntrySettings,
+    packets: PlatformPackets,
+    counters: Counters,
+    read: Callable[[], str],
+) -> entry.Ports:
+    """Returns what only the whole program needs."""
+    from pollenmast.platform._probe import EndpointProbe
+    from pollenmast.platform._store import StoreDirectory
 
     def load() -> Result[EntrySettings, str]:
         try:
@@ -41,10 +63,9 @@
         except OSError as error:
             return Err(str(error))
 
-    ports = entry.Ports(
-        packets=PlatformPackets(settings.packets[1]),
+    return entry.Ports(
+        packets=packets,
         directory=StoreDirectory(*settings.directory, counters),
         probe=EndpointProbe(),
         load=load,
     )
-    return entry.run(settings, ports, counters, sock)
--- a/src/pollenmast/platform/_store.py
+++ b/src/pollenmast/platform/_store.py
@@ -1,7 +1,5 @@
 """Reads and watches the platform's metadata store."""
 
-import base64
-import binascii
 import json
 import urllib.parse
 from typing import Any
@@ -10,21 +8,9 @@
 
 from pollenmast import http1
 from pollenmast.counters import CONTROL_BYTES, PLATFORM_CALLS, Counters
-from pollenmast.platform._entries import (
-    CONFIGURATION_KEY,
-    ENDPOINT_PREFIX,
-    parse_configuration,
-    parse_endpoint,
-)
-from pollenmast.steering import (
-    Change,
-    Directory,
-    DirectoryFault,
-    EndpointAnnounced,
-    EndpointRemoved,
-    RoutesPublished,
-    Update,
-)
+from pollenmast.platform._items import read_items
+from pollenmast.platform._question import EVERYTHING_PATH, MOST_BODY_BYTES
+from pollenmast.steering import Directory, DirectoryFault, Update
 
 READ_TIMEOUT_S = 1.0
 """The store answers in 4 ms; a second without an answer means that it is away
@@ -33,9 +19,6 @@
 WATCH_MARGIN_S = 0.5
 """How much longer than the asked wait a watch is given to answer."""
 
-MOST_BODY_BYTES = 2 << 20
-"""A page holds a megabyte of items, a third more as base64 text."""
-
 MOST_PAGES = 200
 """Pages read in one go, 500 items each; far above the users' 11,000."""
 
@@ -68,7 +51,7 @@
         items: list[Any] = []
         revision, after = None, ""
         for _ in range(MOST_PAGES):
-            target = f"/kv-range?prefix={_EVERYTHING}{after}"
+            target = EVERYTHING_PATH + after
             answer = await self._get(self._reader, target, READ_TIMEOUT_S)
             if isinstance(answer, Err):
                 return answer
@@ -108,18 +91,7 @@
     ) -> Result[Update, DirectoryFault]:
         if not isinstance(revision, int):
             return self._malformed()
-        changes, refused = [], []
-        for item in items:
-            parsed = _change(item)
-            if isinstance(parsed, Ok):
-                if parsed.ok_value is not None:
-                    changes.append(parsed.ok_value)
-                continue
-            refused.append(parsed.err_value)
-            removed = _unusable(item)
-            if removed is not None:
-                changes.append(removed)
-        return Ok(Update(tuple(changes), revision, whole, tuple(refused)))
+        return Ok(read_items(items, revision, whole=whole))
 
     def _malformed(self) -> Err[DirectoryFault]:
         self._counters.add(PLATFORM_CALLS, "malformed")
@@ -155,47 +127,3 @@
     if status in _BUSY:
         return DirectoryFault.BUSY
     return DirectoryFault.STATUS
-
-
-def _key(item: Any) -> str | None:
-    if not isinstance(item, dict):
-        return None
-    key, revision = item.get("key"), item.get("revision")
-    known = isinstance(key, str) and isinstance(revision, int)
-    return key if known else None
-
-
-def _change(item: Any) -> Result[Change | None, str]:
-    """Returns an item's change, None for keys that say nothing to us."""
-    key = _key(item)
-    if key is None:
-        return Err("item without key or revision")
-    revision = item["revision"]
-    is_endpoint = key.startswith(ENDPOINT_PREFIX)
-    name = key.removeprefix(ENDPOINT_PREFIX)
-    if not is_endpoint and key != CONFIGURATION_KEY:
-        return Ok(None)
-    if item.get("deleted") is True:
-        gone = EndpointRemoved(name, revision) if is_endpoint else None
-        return Ok(gone)
-    try:
-        value = base64.b64decode(item.get("value"), validate=True)
-    except (TypeError, ValueError, binascii.Error):
-        return Err(f"{key}: value is not base64")
-    if is_endpoint:
-        endpoint = parse_endpoint(name, value)
-        return endpoint.map(lambda known: EndpointAnnounced(known, revision))
-    table = parse_configuration(value)
-    return table.map(lambda known: RoutesPublished(known, revision))
-
-
-def _unusable(item: Any) -> EndpointRemoved | None:
-    """Returns the removal of an endpoint whose entry became unreadable.
-
-    The entry no longer names an endpoint to use, so new flows stay away; its
-    open flows go on while it answers.
-    """
-    key = _key(item)
-    if key is None or not key.startswith(ENDPOINT_PREFIX):
-        return None
-    return EndpointRemoved(key.removeprefix(ENDPOINT_PREFIX), item["revision"])
--- /dev/null
+++ b/tests/entry_boot_test.py
@@ -0,0 +1,231 @@
+"""Tests of entry._boot and of the platform's first question."""
+
+import io
+import random
+import socket
+import time
+
+from parameterized import parameterized
+from result import Err, Ok
+from testtools import TestCase
+
+from pollenmast.counters import (
+    PLATFORM_CALLS,
+    SEGMENTS,
+    Counters,
+    Histograms,
+)
+from pollenmast.entry import Boot, Early, FirstRead
+from pollenmast.entry._carrier import BATCH, Carrier
+from pollenmast.events import EventLog, JsonSink
+from pollenmast.platform._first_read import StoreFirstRead
+from pollenmast.platform._packet import PlatformPackets
+from pollenmast.platform._question import StoreQuestion
+from pollenmast.steering import DirectoryFault, Steering
+from standins import segments
+from tests import steering_group as group
+
+MODULES = ("json", "socket", "random")
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+PAGE = b'{"items": [], "morePages": false, "asOf": 7}'
+
+
+class _FirstRead(FirstRead):
+    """Answers at a given look, or never."""
+
+    def __init__(self, answer, at_look: int = 1):
+        self._answer = answer
+        self._at_look = at_look
+        self.looks = 0
+        self.closed = False
+
+    def poll(self, wait_s):
+        self.looks += 1
+        return self._answer if self.looks >= self._at_look else None
+
+    def close(self):
+        self.closed = True
+
+
+class BootTest(TestCase):
+    """Packets are carried before the program is loaded."""
+
+    def setUp(self):
+        """Makes an endpoint that packets can be sent to."""
+        super().setUp()
+        self._endpoint = segments.bind("127.0.0.1", 0)
+        self.addCleanup(self._endpoint.close)
+        host, port = self._endpoint.getsockname()
+        self._listing = group.listing(group.endpoint(1, host=host, port=port))
+        self._counters = Counters()
+
+    def _boot(self, first_read) -> Boot:
+        sock = segments.bind("127.0.0.1", 0)
+        self.addCleanup(sock.close)
+        self._address = sock.getsockname()
+        stream = io.BytesIO()
+        log = EventLog("t", "vm", sink=JsonSink(stream))
+        self.core = Steering(group.ZONE, self._counters, random.Random(1))
+        carrier = Carrier(
+            sock, PlatformPackets(9), self.core, self._counters, log
+        )
+        parts = Early(
+            None,
+            self._counters,
+            Histograms(),
+            stream,
+            log,
+            random.Random(1),
+            self.core,
+            carrier,
+        )
+        return Boot(parts, first_read)
+
+    def _send(self, flows: int) -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as client:
+            for number in range(flows):
+                key = group.flow(number)
+                head = segments.Head(
+                    0,
+                    key.client_port,
+                    key.client_host,
+                    key.service_port,
+                    key.service_host,
+                    1,
+                    0,
+                    segments.SYN,
+                )
+                client.sendto(head.encode(), self._address)
+
+    def _carried(self) -> int:
+        return self._counters.value(SEGMENTS)
+
+    @parameterized.expand([("at_once", 1), ("slow", 3)])
+    def test_carried_while_loading(self, _, at_look):
+        """All VMs were killed; their clients' packets wait in the sockets.
+
+        Each tenth of a second until the first is carried is one in which
+        nobody is served. A slow directory's answer is taken between two
+        modules.
+        """
+        first_read = _FirstRead(Ok(self._listing), at_look)
+        boot = self._boot(first_read)
+        self._send(3)
+        boot.load(MODULES)
+        self.assertEqual(3, self._carried())
+        self.assertTrue(first_read.closed)
+        self.assertEqual(at_look, first_read.looks)
+        self.assertLess(self.core.age_s(time.monotonic()), 5.0)
+
+    @parameterized.expand(
+        [
+            ("away", Err(DirectoryFault.UNREACHABLE), 1),
+            ("busy", Err(DirectoryFault.STATUS), 2),
+            ("silent", None, 1),
+        ]
+    )
+    def test_directory_away(self, _, answer, at_look):
+        """The directory is away while a VM starts.
+
+        Its packets stay in the socket until the program has learned from
+        other VMs; thrown away, each would come again only after 0.2 s.
+        """
+        first_read = _FirstRead(answer, at_look)
+        boot = self._boot(first_read)
+        self._send(1)
+        boot.load(MODULES)
+        self.assertEqual((False, 0), (self.core.ready, self._carried()))
+        self.assertTrue(first_read.closed)
+        self.core.apply(self._listing, 1.0)
+        boot.step()
+        self.assertEqual(1, self._carried())
+
+    def test_no_question(self):
+        """The settings name no directory that could be asked so early."""
+        boot = self._boot(None)
+        boot.load(MODULES)
+        self.assertFalse(self.core.ready)
+
+    def test_flood(self):
+        """More packets wait than are carried in one turn.
+
+        Loading goes on between two turns: a VM that never finished would
+        stay out of rotation.
+        """
+        boot = self._boot(_FirstRead(Ok(self._listing)))
+        self._send(2 * BATCH + 5)
+        boot.load(MODULES)
+        self.assertEqual(2 * BATCH + 5, self._carried())
+
+    def test_module_missing(self):
+        """A module cannot be loaded: the process ends and says which."""
+        boot = self._boot(_FirstRead(Ok(self._listing)))
+        names = (*MODULES, "pollenmast.no_such_module")
+        self.assertRaises(ModuleNotFoundError, boot.load, names)
+
+
+class QuestionTest(TestCase):
+    """The store's answer, read without an event loop."""
+
+    def setUp(self):
+        """Connects a question with a stand-in for the store."""
+        super().setUp()
+        ours, self.store = socket.socketpair()
+        ours.setblocking(False)
+        self.question = StoreQuestion(ours)
+        self.counters = Counters()
+        self.read = StoreFirstRead(self.question, self.counters)
+        self.addCleanup(self.store.close)
+        self.addCleanup(self.read.close)
+
+    def test_in_pieces(self):
+        """The answer comes in pieces, as over a narrow link."""
+        self.assertTrue(self.question.begin())
+        self.assertIn(b"/kv-range?prefix= ", self.store.recv(4096))
+        answer = HEAD % len(PAGE) + PAGE
+        for piece in (answer[:9], answer[9:50], answer[50:-1]):
+            self.store.sendall(piece)
+            self.assertIsNone(self.read.poll(0.0))
+        self.store.sendall(answer[-1:])
+        self.assertEqual(7, self.read.poll(0.0).ok_value.revision)
+        self.assertEqual(1, self.counters.value(PLATFORM_CALLS, "answered"))
+
+    @parameterized.expand(
+        [
+            ("busy", b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", "status"),
+            ("junk", b"\x00\xff\r\n\r\n", "malformed"),
+            ("no_json", HEAD % 3 + b"{{{", "malformed"),
+            ("a_list", HEAD % 2 + b"[]", "malformed"),
+            ("no_items", HEAD % 2 + b"{}", "malformed"),
+            (
+                "long_list",
+                HEAD % 40 + b'{"items":[],"morePages":true,"asOf":7}  ',
+                "malformed",
+            ),
+            ("too_large", HEAD % (1 << 30) + bytes(1 << 16), None),
+        ]
+    )
+    def test_unusable(self, _, answer, fault):
+        """What cannot be used is left to the program, which asks again."""
+        self.question.begin()
+        self.store.sendall(answer)
+        polled = self.read.poll(0.0)
+        if fault is None:
+            self.assertIsNone(polled)
+        else:
+            self.assertEqual(Err(DirectoryFault(fault)), polled)
+            self.assertEqual(1, self.counters.value(PLATFORM_CALLS, "failed"))
+
+    def test_closed(self):
+        """The store closes the connection instead of answering."""
+        self.question.begin()
+        self.store.close()
+        self.assertTrue(self.read.poll(0.0).is_err())
+
+    def test_trickle(self):
+        """The store sends a byte now and then; loading is not held up."""
+        self.question.begin()
+        began = time.monotonic()
+        self.store.sendall(b"H")
+        self.assertIsNone(self.read.poll(0.01))
+        self.assertLess(time.monotonic() - began, 5.0)
--- a/tests/entry_packets_test.py
+++ b/tests/entry_packets_test.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 
 from pollenmast.counters import DROPS, Counters, DropReason
+from pollenmast.entry._carrier import Carrier
 from pollenmast.entry._packets import PacketLoop
 from pollenmast.entry._pause import PAUSE_S, PauseWatch
 from pollenmast.events import EventLog
@@ -47,20 +48,20 @@
                 group.endpoint(1, host=host, port=port), now=now
             )
             pauses = PauseWatch(lambda: next(times))
-            loop = PacketLoop(
+            carrier = Carrier(
                 sock,
                 PlatformPackets(9),
                 core,
-                pauses,
                 counters,
                 EventLog("t", "vm"),
             )
-            pauses.notify(lambda gap_s: loop.on_pause())
+            loop = PacketLoop(carrier, core, pauses)
+            pauses.notify(lambda gap_s: carrier.skip_syns())
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as client:
                 client.sendto(_syn(), sock.getsockname())
             with anyio.move_on_after(0.2):
                 await loop.run()
-            loop.close()
+            carrier.close()
             endpoint.close()
 
         anyio.run(main)
