--- a/src/pollenmast/entry/_follow.py
+++ b/src/pollenmast/entry/_follow.py
@@ -60,6 +60,11 @@
 IDLE_LEAST_S = 0.02
 """The least between two such looks."""
 
+JOIN_S = 0.3
+"""How long a VM that knows everything from its first stage waits before it asks
+on. It hears within this who its zone's readers are; until then it would take
+itself for one, and each start would cost a second call."""
+
 FIRST_RETRY_S = 0.1
 """Pause after the first failure; it doubles up to the next figure."""
 
@@ -79,7 +84,19 @@
         log: EventLog,
         apply_s: float,
         rng: random.Random,
+        known: bool = False,
     ):
+        """Takes what it works with.
+
+        Args:
+            directory: The directory to follow.
+            steering: The beliefs to keep up to date.
+            histograms: Takes the times of reads.
+            log: Takes what changes.
+            apply_s: Seconds within which a change has to be in force.
+            rng: Spreads the VMs' questions.
+            known: Whether everything has just been read.
+        """
         self._directory = directory
         self._steering = steering
         self._histograms = histograms
@@ -89,7 +106,7 @@
         self._is_reader: Callable[[], bool] = _always
         self._on_news: Callable[[], None] = _nothing
         self._patience_s = 0.0
-        self._read = False
+        self._read = known
         self._pause_s = 0.0
         self._lost_at: float | None = None
         self._scope: anyio.CancelScope | None = None
@@ -120,7 +137,11 @@
 
     async def run(self) -> None:
         """Follows the directory until cancelled."""
-        self._lost_at = anyio.current_time()
+        if self._read:
+            self._draw_patience()
+            await anyio.sleep(JOIN_S)
+        else:
+            self._lost_at = anyio.current_time()
         while True:
             with anyio.CancelScope() as self._scope:
                 await self._step()
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -82,6 +82,7 @@
             self._log,
             settings.apply_s,
             self._rng,
+            known=self._steering.ready,
         )
         self._peers = PeerReader(
             settings.seeds,
--- a/tests/platform_store_test.py
+++ b/tests/platform_store_test.py
@@ -177,7 +177,7 @@
 class FollowerTest(_StoreCase):
     """A VM's beliefs follow the store through its troubles."""
 
-    def _follow(self, script, join=None):
+    def _follow(self, script, join=None, known=False):
         core = group.steering()
         follower = Follower(
             self.directory,
@@ -186,6 +186,7 @@
             EventLog("t", "vm"),
             APPLY_S,
             random.Random(1),
+            known,
         )
         if join is not None:
             follower.join(lambda: False, join)
@@ -273,6 +274,24 @@
 
         self._follow(script, join=lambda: news.append(1))
 
+    @parameterized.expand([("known", True, 0), ("unknown", False, 1)])
+    def test_start(self, _, known, calls):
+        """A VM that read everything in its first stage does not ask again.
+
+        When a hundred VMs start at once, each would cost a second call. A VM
+        that knows nothing asks at once.
+        """
+
+        async def script(core, follower):
+            self.assertEqual(calls, self.store.calls)
+            self.assertIsNone(follower.lost_at)
+            self.store.put("op/config", {**CONFIGURATION, "version": 9})
+            core.on_confirmed(-APPLY_S)
+            await anyio.sleep(APPLY_S)
+            self.assertEqual(9, core.table.version)
+
+        self._follow(script, join=lambda: None, known=known)
+
     def test_told_by_peers(self):
         """Peers say that nothing is newer: the store is not asked."""
 
