--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -53,8 +53,6 @@
     ENDPOINT_GONE = "endpoint_gone"
     """The endpoint has left the directory and answers no more."""
 
-    ROUTE_REMOVED = "route_removed"
-
 
 class PlacementReason(str, enum.Enum):
     """Why a new flow went where it went."""
--- a/src/pollenmast/entry/_checks.py
+++ b/src/pollenmast/entry/_checks.py
@@ -8,6 +8,7 @@
 from pollenmast.entry._pause import PauseWatch
 from pollenmast.entry._ports import HealthProbe
 from pollenmast.events import (
+    CHECKS_UNSURE,
     ENDPOINT_DOWN,
     ENDPOINT_GONE,
     ENDPOINT_UP,
@@ -131,6 +132,12 @@
             return False
         if result is CheckResult.TIMEOUT and controls and not any(reached):
             record.health.postpone(anyio.current_time())
+            self._log.write(
+                CHECKS_UNSURE,
+                endpoint=record.endpoint.name,
+                controls=[other.endpoint.name for other in controls],
+                lag_ms=round(1000.0 * self._pauses.lag_s),
+            )
             return False
         self._take(record, result)
         return True
--- a/src/pollenmast/entry/_gossip.py
+++ b/src/pollenmast/entry/_gossip.py
@@ -24,6 +24,7 @@
 from pollenmast.counters import CONTROL_BYTES, ENVELOPE_FAULTS, Counters
 from pollenmast.entry import _report as reports
 from pollenmast.entry import _snapshot as snapshot
+from pollenmast.entry._pause import PauseWatch
 from pollenmast.entry._peers import PeerReader
 from pollenmast.entry._ports import Address
 from pollenmast.entry._report import MOST_CHANGE_BYTES, Kind, Report
@@ -66,7 +67,9 @@
         counters: Counters,
         rng: random.Random,
         link_mbps: int = 0,
+        pauses: PauseWatch | None = None,
     ):
+        self._pauses = pauses or PauseWatch()
         self._vm = vm
         self._zone = zone
         self._link_mbps = link_mbps
@@ -111,10 +114,27 @@
             self.tell_news(anyio.current_time())
             await anyio.sleep(NEWS_PAUSE_S)
 
+    def discard_waiting(self) -> None:
+        """The VM stood still: what waits was sent before or meanwhile.
+
+        A report tells how old its sender's view was when it was sent. Taken
+        in seconds later it would make this VM's old view look young: clients
+        of a route added meanwhile would be told that there is none.
+        """
+        while True:
+            try:
+                self._sock.recvfrom(_MOST_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError:
+                continue
+
     async def receive(self) -> None:
         """Takes in reports until cancelled."""
         while True:
             await anyio.wait_readable(self._sock)
+            # A pause that has just ended discards what waits here.
+            self._pauses.look()
             now = anyio.current_time()
             for _ in range(_BATCH):
                 try:
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -101,6 +101,7 @@
             self._counters,
             self._rng,
             settings.link_mbps,
+            self._pauses,
         )
         self._follower.join(self._gossip.is_reader, self._gossip.push)
 
@@ -171,6 +172,7 @@
         self._log.write(PAUSED, gap_s=round(gap_s, 3))
         self._steering.on_pause(gap_s)
         self._carrier.skip_syns()
+        self._gossip.discard_waiting()
         self._follower.refresh()
 
     async def _upkeep(self) -> None:
--- a/src/pollenmast/events/__init__.py
+++ b/src/pollenmast/events/__init__.py
@@ -2,6 +2,7 @@
 
 from pollenmast.events._catalogue import (
     CATALOGUE,
+    CHECKS_UNSURE,
     CUT,
     ENDPOINT_CHANGED,
     ENDPOINT_DOWN,
@@ -54,6 +55,7 @@
     "CUT",
     "ENDPOINT_CHANGED",
     "ENDPOINT_DOWN",
+    "CHECKS_UNSURE",
     "ENDPOINT_GONE",
     "ENDPOINT_LAPSED",
     "ENDPOINT_UP",
--- a/src/pollenmast/events/_catalogue.py
+++ b/src/pollenmast/events/_catalogue.py
@@ -228,6 +228,13 @@
     "An endpoint that vanished does not answer; its flows were ended.",
     "Nothing, if it was meant to stop.",
 )
+CHECKS_UNSURE = Event(
+    308,
+    "checks_unsure",
+    "An endpoint did not answer, nor did others that had just shown life:"
+    " this VM's own link or processor is at fault.",
+    "Look at this VM's link if it goes on.",
+)
 ROUTES_IN_FORCE = Event(
     421, "routes_in_force", "A configuration came into force.", "Nothing."
 )
@@ -288,6 +295,7 @@
     ENDPOINT_DOWN,
     ENDPOINT_UP,
     ENDPOINT_GONE,
+    CHECKS_UNSURE,
     ROUTES_IN_FORCE,
     ENTRY_REFUSED,
     HISTORY_GONE,
--- a/tests/entry_report_test.py
+++ b/tests/entry_report_test.py
@@ -1,7 +1,9 @@
 """Tests of entry._report and entry._gossip."""
 
 import random
+import socket
 
+import anyio
 import attrs
 import msgpack
 from hypothesis import given, settings
@@ -12,6 +14,7 @@
 from pollenmast.counters import ENVELOPE_FAULTS, Counters
 from pollenmast.entry import _gossip as gossip
 from pollenmast.entry import _report as reports
+from pollenmast.entry._pause import PauseWatch
 from pollenmast.entry._report import Kind, Report
 from tests import steering_group as group
 
@@ -147,6 +150,41 @@
         self._take(5.0, revision=revision, age_s=0.8)
         self.assertEqual(age_s, round(self.core.age_s(5.0), 3))
 
+    @parameterized.expand([("stood", 4.0, True), ("ran", 0.1, False)])
+    def test_waited_in_socket(self, _, gap_s, discarded):
+        """A VM wakes, and a report from before its pause is in its socket.
+
+        It says that its sender's view was young then. Taken in now, this VM
+        would believe its own old view confirmed, and refuse clients of a
+        route that was added meanwhile.
+        """
+        times = iter([0.0, *[gap_s] * 1000])
+        pauses = PauseWatch(lambda: next(times))
+        woken = gossip.Gossip(
+            "vm-1",
+            group.ZONE,
+            ("127.0.0.1", 0),
+            (),
+            self.core,
+            self.peers,
+            self.counters,
+            random.Random(1),
+            pauses=pauses,
+        )
+        self.addCleanup(woken.close)
+        pauses.notify(lambda gap_s: woken.discard_waiting())
+        heard = []
+        woken.take = lambda datagram, host, now: heard.append(datagram)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+            peer.sendto(b"report", woken._sock.getsockname())
+
+        async def main() -> None:
+            with anyio.move_on_after(0.2):
+                await woken.receive()
+
+        anyio.run(main)
+        self.assertEqual([] if discarded else [b"report"], heard)
+
     @parameterized.expand(
         [("empty", b""), ("junk", b"\xc1\xff"), ("int", b"\x01")]
     )
