--- a/tests/entry_boot_test.py
+++ b/tests/entry_boot_test.py
@@ -84,18 +84,8 @@
     def _send(self, flows: int) -> None:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as client:
             for number in range(flows):
-                key = group.flow(number)
-                head = segments.Head(
-                    0,
-                    key.client_port,
-                    key.client_host,
-                    key.service_port,
-                    key.service_host,
-                    1,
-                    0,
-                    segments.SYN,
-                )
-                client.sendto(head.encode(), self._address)
+                syn = group.syn_datagram(group.flow(number))
+                client.sendto(syn, self._address)
 
     def _carried(self) -> int:
         return self._counters.value(SEGMENTS)
--- a/tests/entry_checks_test.py
+++ b/tests/entry_checks_test.py
@@ -55,6 +55,31 @@
         self.ended += resets
 
 
+def _checker(probe, core, packets, pauses=None) -> Checker:
+    return Checker(
+        probe,
+        core,
+        packets,
+        pauses or PauseWatch(lambda: 0.0),
+        Counters(),
+        Histograms(),
+        EventLog("t", "vm"),
+    )
+
+
+def _three_endpoints(now: float):
+    """Returns endpoints of two zones, with a flow on each, and a core."""
+    known = [
+        group.endpoint(1),
+        group.endpoint(2),
+        group.endpoint(3, zone=group.OTHER_ZONE),
+    ]
+    core = group.steering(*known, now=now)
+    for number in (1, 2, 3):
+        core.on_segment(group.segment(group.flow(number), number), now)
+    return known, core
+
+
 class CheckerTest(TestCase):
     """Doubted endpoints are asked, and the flows of dead ones ended."""
 
@@ -68,15 +93,7 @@
             core.on_segment(group.syn(key), now)
             core.on_segment(group.segment(key, 1), now)
             core.catalog.get(group.endpoint(1).name).health.ask(now)
-            checker = Checker(
-                probe,
-                core,
-                packets,
-                pauses or PauseWatch(lambda: 0.0),
-                Counters(),
-                Histograms(),
-                EventLog("t", "vm"),
-            )
+            checker = _checker(probe, core, packets, pauses)
             with anyio.move_on_after(within_s):
                 await checker.run()
 
@@ -152,24 +169,9 @@
 
         async def main() -> None:
             now = anyio.current_time()
-            known = [
-                group.endpoint(1),
-                group.endpoint(2),
-                group.endpoint(3, zone=group.OTHER_ZONE),
-            ]
-            core = group.steering(*known, now=now)
-            for number in (1, 2, 3):
-                core.on_segment(group.segment(group.flow(number), number), now)
+            known, core = _three_endpoints(now)
             core.catalog.get(known[0].name).health.ask(now)
-            checker = Checker(
-                Probe(None),
-                core,
-                packets,
-                PauseWatch(lambda: 0.0),
-                Counters(),
-                Histograms(),
-                EventLog("t", "vm"),
-            )
+            checker = _checker(Probe(None), core, packets)
             with anyio.move_on_after(2.0):
                 await checker.run()
 
@@ -207,23 +209,8 @@
 
         async def main() -> None:
             now = anyio.current_time()
-            known = [
-                group.endpoint(1),
-                group.endpoint(2),
-                group.endpoint(3, zone=group.OTHER_ZONE),
-            ]
-            core = group.steering(*known, now=now)
-            for number in (1, 2, 3):
-                core.on_segment(group.segment(group.flow(number), number), now)
-            checker = Checker(
-                Probe(None),
-                core,
-                packets,
-                PauseWatch(lambda: 0.0),
-                Counters(),
-                Histograms(),
-                EventLog("t", "vm"),
-            )
+            known, core = _three_endpoints(now)
+            checker = _checker(Probe(None), core, packets)
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(checker.run)
                 for _ in range(60):
@@ -259,15 +246,7 @@
             core = group.steering(group.endpoint(1))
             inner = core.due_checks
             core.due_checks = lambda now: (looks.append(now), inner(now))[1]
-            checker = Checker(
-                _Probe(CheckResult.ANSWERED),
-                core,
-                _Packets(),
-                PauseWatch(lambda: 0.0),
-                Counters(),
-                Histograms(),
-                EventLog("t", "vm"),
-            )
+            checker = _checker(_Probe(CheckResult.ANSWERED), core, _Packets())
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(checker.run)
                 for number in range(10):
--- a/tests/entry_packets_test.py
+++ b/tests/entry_packets_test.py
@@ -16,21 +16,6 @@
 from tests import steering_group as group
 
 
-def _syn() -> bytes:
-    key = group.flow()
-    head = segments.Head(
-        0,
-        key.client_port,
-        key.client_host,
-        key.service_port,
-        key.service_host,
-        1,
-        0,
-        segments.SYN,
-    )
-    return head.encode()
-
-
 class BacklogTest(TestCase):
     """A SYN that waited in the socket while the VM stood still."""
 
@@ -58,7 +43,9 @@
             loop = PacketLoop(carrier, core, pauses)
             pauses.notify(lambda gap_s: carrier.skip_syns())
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as client:
-                client.sendto(_syn(), sock.getsockname())
+                client.sendto(
+                    group.syn_datagram(group.flow()), sock.getsockname()
+                )
             with anyio.move_on_after(0.2):
                 await loop.run()
             carrier.close()
--- a/tests/entry_report_test.py
+++ b/tests/entry_report_test.py
@@ -101,7 +101,10 @@
         self.core = group.steering(group.endpoint(1), group.endpoint(2))
         self.peers = _Peers()
         self.counters = Counters()
-        self.gossip = gossip.Gossip(
+        self.gossip = self._gossip()
+
+    def _gossip(self, **fields) -> gossip.Gossip:
+        made = gossip.Gossip(
             "vm-1",
             group.ZONE,
             ("127.0.0.1", 0),
@@ -111,8 +114,10 @@
             self.counters,
             random.Random(1),
             10,
+            **fields,
         )
-        self.addCleanup(self.gossip.close)
+        self.addCleanup(made.close)
+        return made
 
     def _take(self, now: float = 1.0, **fields) -> None:
         report = Report(**{**_values(REPORT), **fields})
@@ -160,18 +165,7 @@
         """
         times = iter([0.0, *[gap_s] * 1000])
         pauses = PauseWatch(lambda: next(times))
-        woken = gossip.Gossip(
-            "vm-1",
-            group.ZONE,
-            ("127.0.0.1", 0),
-            (),
-            self.core,
-            self.peers,
-            self.counters,
-            random.Random(1),
-            pauses=pauses,
-        )
-        self.addCleanup(woken.close)
+        woken = self._gossip(pauses=pauses)
         pauses.notify(lambda gap_s: woken.discard_waiting())
         heard = []
         woken.take = lambda datagram, host, now: heard.append(datagram)
--- a/tests/steering_group.py
+++ b/tests/steering_group.py
@@ -15,6 +15,7 @@
     Steering,
     Update,
 )
+from standins import segments
 
 VIP = "198.18.0.1"
 PORT = 443
@@ -78,6 +79,21 @@
     return segment(key, syn=True, syn_copies=copies)
 
 
+def syn_datagram(key: FlowKey) -> bytes:
+    """Returns the datagram of a flow's SYN."""
+    head = segments.Head(
+        0,
+        key.client_port,
+        key.client_host,
+        key.service_port,
+        key.service_host,
+        1,
+        0,
+        segments.SYN,
+    )
+    return head.encode()
+
+
 def steering(
     *endpoints: Endpoint, now: float = 0.0, zone=ZONE, routes=None
 ) -> Steering:
