--- a/src/pollenmast/steering/_load.py
+++ b/src/pollenmast/steering/_load.py
@@ -29,6 +29,11 @@
 """For so long a sum over more VMs is kept against one over fewer: a VM that
 has just become a reader has heard from few yet."""
 
+SETTLED_S = 4.0
+"""How long a VM has to hear from others before it compares zones. When a fleet
+of 91 VMs starts at once, each zone hears of the others' load, and of all of it,
+within 3.5 s (played on a network without delay)."""
+
 LATE_WINDOW_S = 6.0
 """For how long a late request counts: the usual length of such a trouble."""
 
@@ -87,6 +92,8 @@
         self._zones: dict[str, _Report] = {}
         self._told: _Report | None = None
         self._reported: Rates = {}
+        self._heard_since = float("-inf")
+        self._heard_at = float("-inf")
 
     def on_work(self, endpoint: int, now: float) -> None:
         """This VM sent a request, or a new flow, to an endpoint."""
@@ -98,10 +105,12 @@
 
     def on_mate(self, vm: str, rates: Rates, now: float) -> None:
         """A VM of the same zone told what it sends."""
+        self._on_heard(now)
         self._mates[vm] = _Report(now, rates)
 
     def on_zone(self, zone: str, rates: Rates, vms: int, now: float) -> None:
         """A reader of another zone told what its zone's VMs send."""
+        self._on_heard(now)
         report = _Report(now, rates, vms)
         if report.replaces(self._zones.get(zone)):
             self._zones[zone] = report
@@ -114,6 +123,7 @@
             vms: How many VMs of this zone it has heard from.
             now: The runtime's clock in seconds.
         """
+        self._on_heard(now)
         report = _Report(now, rates, vms)
         if report.replaces(self._told):
             self._told = report
@@ -145,6 +155,23 @@
         """
         return _total([self.zone(now), *_fresh(self._zones, now)])
 
+    def is_settled(self, now: float) -> bool:
+        """Whether the zones' loads can be compared.
+
+        A VM hears of its own zone's load before it hears of the others', and
+        of those from few VMs first. While all VMs start, each zone would take
+        the others for idle: of 408 flows placed in the second after 91 VMs had
+        power again, 268 left their zone, and a cut of a zone then breaks them.
+        """
+        if now - self._heard_at > REPORT_LIFE_S:
+            return False
+        return now - self._heard_since >= SETTLED_S
+
+    def _on_heard(self, now: float) -> None:
+        if now - self._heard_at > REPORT_LIFE_S:
+            self._heard_since = now
+        self._heard_at = now
+
     def rate(self, endpoint: int, now: float) -> float:
         """Returns what all VMs send to an endpoint, in requests a second.
 
--- a/src/pollenmast/steering/_placement.py
+++ b/src/pollenmast/steering/_placement.py
@@ -104,6 +104,8 @@
         if not near or not far:
             return self._draw(near or far, now)
         own = self._draw(near, now)
+        if not self._load.is_settled(now):
+            return own
         other = self._draw(far, now)
         bearable = ZONE_FACTOR * self._cost(other, now) + ZONE_ADVANTAGE
         return other if self._cost(own, now) > bearable else own
--- a/tests/steering_load_test.py
+++ b/tests/steering_load_test.py
@@ -7,7 +7,7 @@
 
 from pollenmast.counters import PlacementReason
 from pollenmast.steering import Catalog, LoadBook
-from pollenmast.steering._load import REPORT_LIFE_S, WINDOW_S
+from pollenmast.steering._load import REPORT_LIFE_S, SETTLED_S, WINDOW_S
 from pollenmast.steering._placement import (
     ZONE_ADVANTAGE,
     ZONE_FACTOR,
@@ -93,6 +93,7 @@
         catalog = Catalog()
         catalog.apply(group.listing(*endpoints), 0.0)
         load = LoadBook(group.ZONE)
+        load.on_zone(group.OTHER_ZONE, rates, 1, 100.0 - SETTLED_S)
         load.on_zone(group.OTHER_ZONE, rates, 1, 100.0)
         placement = Placement(group.ZONE, catalog, load, random.Random(1))
         return placement.choose("registry", tried, 100.0)
@@ -116,6 +117,31 @@
         """
         self.assertEqual(reason, self._choose(rates, FIRST, FAR).reason)
 
+    @parameterized.expand(
+        [
+            ("just_started", (99.5, 100.0), PlacementReason.OWN_ZONE),
+            ("settled", (96.0, 98.0, 100.0), PlacementReason.OTHER_ZONE),
+            ("cut_off_since", (90.0, 94.0), PlacementReason.OWN_ZONE),
+            ("heard_again", (90.0, 99.0), PlacementReason.OWN_ZONE),
+        ]
+    )
+    def test_settled(self, _, heard_at, reason):
+        """All VMs start at once; each zone knows its own load first.
+
+        The other zones look idle, as few of their VMs were heard yet. Each
+        zone would send most of its new flows to the others, and a cut between
+        them would break all of these.
+        """
+        catalog = Catalog()
+        catalog.apply(group.listing(FIRST, FAR), 0.0)
+        load = LoadBook(group.ZONE)
+        for at in heard_at:
+            load.on_mate("vm-2", {1: 60.0}, at)
+            load.on_zone(group.OTHER_ZONE, {3: 2.0}, 1, at)
+        placement = Placement(group.ZONE, catalog, load, random.Random(1))
+        placed = placement.choose("registry", (), 100.0)
+        self.assertEqual(reason, placed.reason)
+
     def test_least_loaded(self):
         """Within the zone the endpoint with the least work is chosen."""
         placed = self._choose({1: 20.0, 2: 10.0}, FIRST, SECOND)
