--- a/src/pollenmast/steering/_load.py
+++ b/src/pollenmast/steering/_load.py
@@ -179,7 +179,7 @@
         the rates of a few endpoints: adding up those of all took most of the
         time of placing it.
         """
-        own = self._own_rate(endpoint, now)
+        own = self.own_rate(endpoint, now)
         if self._told_vms(now) <= self.vms(now):
             reports = [*_fresh(self._mates, now), *_fresh(self._zones, now)]
             return own + sum(rates.get(endpoint, 0.0) for rates in reports)
@@ -187,7 +187,8 @@
         # The part that the told sum has of this VM is older than its own.
         return max(0.0, told + own - self._reported.get(endpoint, 0.0))
 
-    def _own_rate(self, endpoint: int, now: float) -> float:
+    def own_rate(self, endpoint: int, now: float) -> float:
+        """Returns what this VM sends to an endpoint, in requests a second."""
         meter, late = self._meters.get(endpoint), self._late.get(endpoint)
         rate = meter.count(now) / WINDOW_S if meter is not None else 0.0
         return rate + (LATE_RATE * late.count(now) if late is not None else 0.0)
--- a/src/pollenmast/steering/_placement.py
+++ b/src/pollenmast/steering/_placement.py
@@ -10,12 +10,19 @@
 drawn at random. Another zone's is used when it has clearly less, or when the
 own zone has no endpoint that answers.
 
-What is known of the load is up to two seconds old, and alike at all VMs. If
-each took the least loaded of all endpoints, all would take the same one until
-the next reports: one that has just started got 186 of a zone's 250 new flows
-in its first second, and turned away most of their requests. Of two drawn at
-random the less loaded is nearly as good a choice, and no endpoint gets more
-than twice its share.
+What all VMs know of the load is up to two seconds old, and alike at all of
+them. If each took the least loaded of all endpoints, all would take the same
+one until the next reports: one endpoint got half of a zone's 200 new flows of a
+second, and turned most of their requests away. Of two drawn at random the less
+loaded is nearly as good a choice, and no endpoint gets more than twice its
+share.
+
+Nor are the two compared by what all VMs sent: when everything is full, the
+choice would swing with the reports between those that were busy and those that
+were not. A VM's own requests are a sample of all, and up to date: in bursts of
+three times the clients of 91 VMs, 1,928 requests were answered that there is no
+room, and 5,349 by the sum of all. That sum decides whether to leave the zone,
+of which a VM's own requests say nothing.
 """
 
 import random
@@ -107,8 +114,8 @@
         if not self._load.is_settled(now):
             return own
         other = self._draw(far, now)
-        bearable = ZONE_FACTOR * self._cost(other, now) + ZONE_ADVANTAGE
-        return other if self._cost(own, now) > bearable else own
+        bearable = ZONE_FACTOR * self._total_cost(other, now) + ZONE_ADVANTAGE
+        return other if self._total_cost(own, now) > bearable else own
 
     def _last_resort(self, records: list[Record], now: float) -> Placed:
         """Tries what is doubted: a service must not be emptied by doubts.
@@ -126,14 +133,21 @@
         # Ties are broken at random: VMs that all start at once would else
         # begin with the same endpoint.
         return min(
-            records, key=lambda r: (self._cost(r, now), self._rng.random())
+            records, key=lambda r: (self._own_cost(r, now), self._rng.random())
         )
 
-    def _cost(self, record: Record, now: float) -> float:
-        """Returns requests a second and slot, more for one still cold."""
-        endpoint = record.endpoint
-        rate = self._load.rate(endpoint.number, now)
-        return rate / (endpoint.slots * record.warmth(now))
+    def _own_cost(self, record: Record, now: float) -> float:
+        rate = self._load.own_rate(record.endpoint.number, now)
+        return _cost(record, rate, now)
+
+    def _total_cost(self, record: Record, now: float) -> float:
+        rate = self._load.rate(record.endpoint.number, now)
+        return _cost(record, rate, now)
+
+
+def _cost(record: Record, rate: float, now: float) -> float:
+    """Returns requests a second and slot, more for an endpoint still cold."""
+    return rate / (record.endpoint.slots * record.warmth(now))
 
 
 def _usable(record: Record) -> bool:
