--- a/src/pollenmast/entry/__init__.py
+++ b/src/pollenmast/entry/__init__.py
@@ -16,12 +16,12 @@
 )
 
 
-def run(parts: Early, ports: Ports) -> int:
+def run(parts: Early, ports: Ports, boot: Boot) -> int:
     """Runs the program of a VM until it is stopped; returns its exit code."""
     # Loaded by then, or only now: `Boot` decides when.
     from pollenmast.entry import _program
 
-    return _program.run(parts, ports)
+    return _program.run(parts, ports, boot)
 
 
 __all__ = [
--- a/src/pollenmast/entry/_boot.py
+++ b/src/pollenmast/entry/_boot.py
@@ -13,9 +13,10 @@
 4. in slices, the event loop, HTTP and what learns from other VMs. Between two
    slices the packets that have arrived are carried.
 
-Then the event loop takes over with the same beliefs. Where the directory does
-not answer, nothing is known to carry packets by until step 4 is done, and the
-program asks it and other VMs as it always does.
+Then the event loop takes over with the same beliefs. An answer that has begun
+to arrive by then is awaited there: asked for again it would come as slowly, and
+other VMs may tell the same sooner. Where the directory does not answer, nothing
+is known to carry packets by until then, and the program asks it and other VMs.
 """
 
 import abc
@@ -50,11 +51,6 @@
 100 kB comes in parts some milliseconds apart; loading a module in between would
 take longer. Over a narrow link it takes longer still, and loading goes on."""
 
-REST_WAIT_S = 0.4
-"""How long the rest of an answer is awaited that has begun to arrive when all
-is loaded: 250 kB at 5 Mbit/s. Given up, it would be asked for again, and come
-as slowly; of 91 VMs that started at once on such links 34 lost 0.15 s so."""
-
 LATE_MODULES = (
     *("ssl", "concurrent.futures", "subprocess", "asyncio.events"),
     *("asyncio", "anyio", "anyio._backends._asyncio"),
@@ -138,21 +134,26 @@
         for name in modules:
             importlib.import_module(name)
             self.step()
-        if self._first_read is not None and self._first_read.begun:
-            self.step(REST_WAIT_S)
-        self._give_up()
+        if self._first_read is not None and not self._first_read.begun:
+            self.give_up()
+
+    @property
+    def pending(self) -> bool:
+        """Whether an answer has begun to arrive and is not whole yet."""
+        return self._first_read is not None
 
     def step(self, wait_s: float = 0.0) -> None:
         """Takes the answer if it is there, and carries what waits."""
         if self._first_read is not None:
             answer = self._first_read.poll(wait_s)
             if answer is not None:
-                self._give_up()
+                self.give_up()
                 self._take(answer)
         if self._parts.steering.ready:
             self._parts.carrier.carry_waiting(_now())
 
-    def _give_up(self) -> None:
+    def give_up(self) -> None:
+        """Takes no answer any more."""
         if self._first_read is not None:
             self._first_read.close()
             self._first_read = None
--- a/src/pollenmast/entry/_follow.py
+++ b/src/pollenmast/entry/_follow.py
@@ -84,7 +84,6 @@
         log: EventLog,
         apply_s: float,
         rng: random.Random,
-        known: bool = False,
     ):
         """Takes what it works with.
 
@@ -95,7 +94,6 @@
             log: Takes what changes.
             apply_s: Seconds within which a change has to be in force.
             rng: Spreads the VMs' questions.
-            known: Whether everything has just been read.
         """
         self._directory = directory
         self._steering = steering
@@ -106,7 +104,7 @@
         self._is_reader: Callable[[], bool] = _always
         self._on_news: Callable[[], None] = _nothing
         self._patience_s = 0.0
-        self._read = known
+        self._read = False
         self._pause_s = 0.0
         self._lost_at: float | None = None
         self._scope: anyio.CancelScope | None = None
@@ -135,9 +133,14 @@
         if self._scope is not None:
             self._scope.cancel()
 
-    async def run(self) -> None:
-        """Follows the directory until cancelled."""
-        if self._read:
+    async def run(self, known: bool = False) -> None:
+        """Follows the directory until cancelled.
+
+        Args:
+            known: Whether everything has just been read.
+        """
+        self._read = known
+        if known:
             self._draw_patience()
             await anyio.sleep(JOIN_S)
         else:
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -9,7 +9,7 @@
 from result import Err
 
 from pollenmast import http1
-from pollenmast.entry._boot import Early
+from pollenmast.entry._boot import Boot, Early
 from pollenmast.entry._checks import Checker
 from pollenmast.entry._follow import Follower
 from pollenmast.entry._gossip import Gossip
@@ -35,6 +35,12 @@
 LEAVE_PART = 0.5
 """The same as a part of the time until the process is killed, if less."""
 
+FIRST_READ_S = 1.0
+"""How long an answer is awaited that has begun to arrive: 600 kB, two thousand
+routes, at 5 Mbit/s. Another VM of the zone has mostly told the same by then."""
+
+FIRST_READ_TICK_S = 0.01
+
 UPKEEP_S = 0.5
 """Between two rounds of forgetting and of writing out the log."""
 
@@ -42,7 +48,8 @@
 class _Program:
     """One running VM."""
 
-    def __init__(self, parts: Early, ports: Ports):
+    def __init__(self, parts: Early, ports: Ports, boot: Boot):
+        self._boot = boot
         self._settings = parts.settings
         self._ports = ports
         self._counters = parts.counters
@@ -82,7 +89,6 @@
             self._log,
             settings.apply_s,
             self._rng,
-            known=self._steering.ready,
         )
         self._peers = PeerReader(
             settings.seeds,
@@ -110,7 +116,7 @@
         signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with anyio.open_signal_receiver(*signals) as received:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._follower.run)
+                tasks.start_soon(self._follow)
                 await self._listen(tasks)
                 tasks.start_soon(self._packets.run)
                 tasks.start_soon(self._peers.run)
@@ -130,6 +136,15 @@
         self._stream.flush()
         return EXIT_OK
 
+    async def _follow(self) -> None:
+        """Follows the directory, once its first answer is taken in."""
+        with anyio.move_on_after(FIRST_READ_S):
+            while self._boot.pending and not self._steering.ready:
+                self._boot.step()
+                await anyio.sleep(FIRST_READ_TICK_S)
+        self._boot.give_up()
+        await self._follower.run(known=self._steering.ready)
+
     async def _listen(self, tasks: anyio.abc.TaskGroup) -> None:
         addresses = {self._settings.ready, self._settings.metrics}
         if self._settings.control is not None:
@@ -182,12 +197,13 @@
             self._stream.flush()
 
 
-def run(parts: Early, ports: Ports) -> int:
+def run(parts: Early, ports: Ports, boot: Boot) -> int:
     """Runs the program of a VM until it is stopped.
 
     Args:
         parts: What the first stage has made.
         ports: What the program needs from the place it runs in.
+        boot: The first stage, whose answer may still be arriving.
 
     Returns:
         The exit code: 0 after a graceful shutdown, 1 if it could not start.
@@ -196,12 +212,12 @@
     # collection would only delay packets.
     gc.freeze()
     gc.enable()
-    return anyio.run(_run, parts, ports)
+    return anyio.run(_run, parts, ports, boot)
 
 
-async def _run(parts: Early, ports: Ports) -> int:
+async def _run(parts: Early, ports: Ports, boot: Boot) -> int:
     try:
-        return await _Program(parts, ports).run()
+        return await _Program(parts, ports, boot).run()
     except* OSError as group:
         for error in group.exceptions:
             parts.log.write(START_FAILED, error=str(error))
--- a/src/pollenmast/platform/_start.py
+++ b/src/pollenmast/platform/_start.py
@@ -44,8 +44,9 @@
     if asked is not None:
         first_read = StoreFirstRead(StoreQuestion(*asked), counters)
     parts = entry.early(settings, packets, counters, sock)
-    entry.Boot(parts, first_read).load()
-    return entry.run(parts, _ports(settings, packets, counters, read))
+    boot = entry.Boot(parts, first_read)
+    boot.load()
+    return entry.run(parts, _ports(settings, packets, counters, read), boot)
 
 
 def _ports(
