--- a/src/pollenmast/entry/_boot.py
+++ b/src/pollenmast/entry/_boot.py
@@ -35,6 +35,7 @@
 from pollenmast.entry._carrier import Carrier
 from pollenmast.entry._ports import EntrySettings, PacketFormat
 from pollenmast.events import (
+    ENTRY_REFUSED,
     ROUTES_IN_FORCE,
     STARTED,
     BoundedStream,
@@ -128,6 +129,11 @@
         self._parts = parts
         self._first_read = first_read
 
+    @property
+    def pending(self) -> bool:
+        """Whether an answer is still expected."""
+        return self._first_read is not None
+
     def load(self, modules: Iterable[str] = LATE_MODULES) -> None:
         """Loads modules, and looks at the socket after each."""
         self.step(FIRST_WAIT_S)
@@ -137,11 +143,6 @@
         if self._first_read is not None and not self._first_read.begun:
             self.give_up()
 
-    @property
-    def pending(self) -> bool:
-        """Whether an answer has begun to arrive and is not whole yet."""
-        return self._first_read is not None
-
     def step(self, wait_s: float = 0.0) -> None:
         """Takes the answer if it is there, and carries what waits."""
         if self._first_read is not None:
@@ -166,6 +167,10 @@
         steering = self._parts.steering
         applied = steering.apply(answer.ok_value, now)
         steering.on_confirmed(now)
+        for refused in answer.ok_value.refused:
+            self._parts.log.write(
+                ENTRY_REFUSED, entry=refused, source="directory"
+            )
         if applied.table is not None:
             self._parts.log.write(
                 ROUTES_IN_FORCE,
--- a/tests/entry_boot_test.py
+++ b/tests/entry_boot_test.py
@@ -5,6 +5,7 @@
 import socket
 import time
 
+import attrs
 from parameterized import parameterized
 from result import Err, Ok
 from testtools import TestCase
@@ -69,7 +70,7 @@
         sock = segments.bind("127.0.0.1", 0)
         self.addCleanup(sock.close)
         self._address = sock.getsockname()
-        stream = io.BytesIO()
+        stream = self._stream = io.BytesIO()
         log = EventLog("t", "vm", sink=JsonSink(stream))
         self.core = Steering(group.ZONE, self._counters, random.Random(1))
         carrier = Carrier(
@@ -113,6 +114,16 @@
         self.assertEqual(at_look, first_read.looks)
         self.assertLess(self.core.age_s(time.monotonic()), 5.0)
 
+    def test_unusable_entry(self):
+        """Another writer's entry cannot be read; the log says which.
+
+        The first answer is the only whole one that a VM reads: left out here,
+        nobody would learn why an endpoint gets no flows.
+        """
+        update = attrs.evolve(self._listing, refused=("i-bad: state",))
+        self._boot(_FirstRead(Ok(update))).load(MODULES)
+        self.assertIn(b'"entry": "i-bad: state"', self._stream.getvalue())
+
     @parameterized.expand(
         [
             ("away", Err(DirectoryFault.UNREACHABLE), 1),
