--- a/tests/entry_boot_test.py
+++ b/tests/entry_boot_test.py
@@ -5,7 +5,10 @@
 import socket
 import time
 
+import anyio
 import attrs
+import trio
+import trio.testing
 from parameterized import parameterized
 from result import Err, Ok
 from testtools import TestCase
@@ -18,6 +21,7 @@
 )
 from pollenmast.entry import Boot, Early, FirstRead
 from pollenmast.entry._carrier import BATCH, Carrier
+from pollenmast.entry._program import FIRST_READ_S, _Program
 from pollenmast.events import EventLog, JsonSink
 from pollenmast.exchange import Exchange
 from pollenmast.platform._early import EVERYTHING_PATH, QUESTION
@@ -186,6 +190,60 @@
         self.assertRaises(ModuleNotFoundError, boot.load, names)
 
 
+class _Follower:
+    """Notes when it began, and whether everything was known."""
+
+    def __init__(self):
+        self.began = None
+
+    async def run(self, known):
+        self.began = (round(anyio.current_time(), 1), known)
+
+
+class AwaitTest(TestCase):
+    """The event loop awaits an answer that has begun to arrive."""
+
+    @parameterized.expand(
+        [
+            ("whole", 0.5, None, (0.5, True)),
+            ("told_by_a_vm", None, 0.3, (0.3, True)),
+            ("cut_off", None, None, (FIRST_READ_S, False)),
+            ("known_already", 0.0, None, (0.0, True)),
+        ]
+    )
+    def test_begun(self, _, whole_at, told_at, expected):
+        """A thousand routes arrive over a narrow link while a VM starts.
+
+        Asked for again they would come as slowly. What another VM tells
+        meanwhile is as good, and what never comes is asked for anew.
+        """
+        program = object.__new__(_Program)
+        program._follower = _Follower()
+
+        class _Begun:
+            pending = whole_at != 0.0
+
+            def step(self):
+                if whole_at is not None and anyio.current_time() >= whole_at:
+                    self.pending = False
+
+            def give_up(self):
+                self.pending = False
+
+        class _Beliefs:
+            @property
+            def ready(self):
+                now = anyio.current_time()
+                times = (whole_at, told_at)
+                return any(at is not None and now >= at for at in times)
+
+        program._boot, program._steering = _Begun(), _Beliefs()
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(program._follow, clock=clock)
+        self.assertEqual(expected, program._follower.began)
+        self.assertFalse(program._boot.pending)
+
+
 class QuestionTest(TestCase):
     """The store's answer, read without an event loop."""
 
