--- a/src/pollenmast/platform/_early.py
+++ b/src/pollenmast/platform/_early.py
@@ -19,9 +19,9 @@
 """Asks for the first page of everything: endpoints and the configuration."""
 
 QUESTION = f"GET {EVERYTHING_PATH} HTTP/1.1\r\nHost: store\r\n\r\n".encode()
-"""The first question. It is written here by hand, as loading what writes
-requests takes a third of the time until it could be answered; what reads the
-answer is loaded meanwhile."""
+"""The first question. It is written here by hand: loading what writes requests
+takes 29 ms of processor time (time.process_time after importing attrs and h11).
+What reads the answer is loaded while it is on its way."""
 
 CONNECT_S = 0.01
 """How long the connection is awaited before loading goes on: some ways to the
