The fabric traces datagrams; what a dead or frozen program costs callers

Nothing told the hypotheses about test_relay_killed apart: the fabric counted datagrams in sum, and relays count only what they read. The stand-in fabric now counts what each VM was handed and, on request, writes each datagram's way; `python -m standins.journeys FOLDER` tells each lost flow datagram by datagram. `python -m bench run program_faults` kills or freezes one program of one VM of three while the platform lists the VM.

--- /dev/null
+++ b/bench/program_faults.py
@@ -0,0 +1,144 @@
+"""One program of one VM of three killed or frozen, its VM still listed.
+
+The fabric goes on handing that VM a third of all datagrams. What new flows
+meet that open when the fleet should have noticed, and how sessions fare.
+"""
+
+import signal
+
+import anyio
+import attrs
+
+from bench import _fleet_run
+from standins import _ledger, _records, fleet
+from standins.world import Outcome, World
+
+NAME = "program_faults"
+DESCRIPTION = "Relay or agent of one VM of 3 dead or frozen, VM listed."
+
+_VMS = 3
+_SESSIONS = 30
+_IMAGES_PER_S = 20.0
+_DEADLINE_S = 40.0
+_CALM_S = 4.0
+_WATCHED_S = 60.0
+_LATE_S = 1.0
+"""A handshake that took so long met the first or second repeat of a packet."""
+
+
+@attrs.frozen
+class Fault:
+    """What goes wrong, or nothing.
+
+    Attributes:
+        name: What the table calls it.
+        program: Which program of the VM it meets, empty for none.
+        sent: The signal that it is sent.
+    """
+
+    name: str
+    program: str = ""
+    sent: signal.Signals = signal.SIGKILL
+
+
+FAULTS = (
+    Fault("none"),
+    Fault("relay killed", "relay"),
+    Fault("relay frozen", "relay", signal.SIGSTOP),
+    Fault("agent killed", "agent"),
+    Fault("agent frozen", "agent", signal.SIGSTOP),
+)
+
+
+def _is_late(flow: _records.FlowRecord, began: float) -> bool:
+    opened_after = flow.opened > began + _ledger.DETECT_S
+    return opened_after and flow.service == fleet.BARCODES.name
+
+
+def _quantile(values: list[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[int(len(ordered) * share)] if ordered else 0.0
+
+
+def _new_flows(outcome: Outcome, began: float) -> dict:
+    """Returns what came of the image flows opened after detection."""
+    flows = [
+        flow
+        for result in outcome.results
+        for flow in result.flows
+        if _is_late(flow, began)
+    ]
+    waits = [each.connected - each.opened for each in flows if each.connected]
+    lost = (_records.Fate.BROKEN, _records.Fate.UNOPENED)
+    return {
+        "new_flows": len(flows),
+        "lost": sum(each.fate in lost for each in flows),
+        "late": sum(wait >= _LATE_S for wait in waits),
+        "connect_p50_s": _quantile(waits, 0.5),
+        "connect_p99_s": _quantile(waits, 0.99),
+        "connect_most_s": max(waits, default=0.0),
+    }
+
+
+def _sessions(outcome: Outcome, began: float) -> dict:
+    """Returns what came of the sessions that lived through the fault."""
+    hit = outcome.ledger.after_loss
+    return {
+        "sessions_broken": sum(
+            flow.fate is _records.Fate.BROKEN
+            for result in outcome.results
+            for flow in result.flows
+            if flow.service == fleet.REGISTRY.name
+        ),
+        "requests_lost": hit.lost + hit.cut + outcome.ledger.promised.lost,
+        "latest_alert_s": _fleet_run.silence_after(outcome, began),
+        "never_allowed": outcome.ledger.promised.never_excused()
+        + hit.never_excused(),
+    }
+
+
+async def play(world: World, fault: Fault, watched_s: float) -> dict:
+    """Plays one fault in a running world; returns a row of the table."""
+    world.start_callers(
+        "publishers",
+        "session",
+        fleet.REGISTRY,
+        count=_SESSIONS,
+        rate=0.5,
+        ramp_s=1.0,
+        deadline_s=_DEADLINE_S,
+    )
+    world.start_callers(
+        "images",
+        "image",
+        fleet.BARCODES,
+        rate=_IMAGES_PER_S,
+        deadline_s=_DEADLINE_S,
+    )
+    await anyio.sleep(_CALM_S)
+    world.mark_loss()
+    if fault.program:
+        world.vms[2].programs[fault.program].signal(fault.sent)
+    await anyio.sleep(watched_s)
+    counts = await world.around.fabric_counts()
+    outcome = await world.end_callers()
+    began = world.loss.at
+    return {
+        "fault": fault.name,
+        **_new_flows(outcome, began),
+        **_sessions(outcome, began),
+        "datagrams_to_it": counts.get(f"to {world.place(2).address}", 0),
+        "datagrams": counts.get("to_vms", 0),
+    }
+
+
+def run() -> dict:
+    """Runs the measurement."""
+    rows = []
+    for fault in FAULTS:
+
+        async def script(world: World, fault: Fault = fault) -> dict:
+            return await play(world, fault, _WATCHED_S)
+
+        rows.append(_fleet_run.run_in_world(_VMS, script))
+    return {"faults": rows}
--- a/standins/_flow.py
+++ b/standins/_flow.py
@@ -53,6 +53,7 @@
         self._owner = owner
         self._closing = False
         self._socket = _reactor.udp_socket(local)
+        record.port = self._socket.getsockname()[1]
         quic = connection.QuicConnection(
             configuration=_quic.client_configuration(idle_s)
         )
--- a/standins/_records.py
+++ b/standins/_records.py
@@ -73,6 +73,7 @@
         silence_s: Greatest time between two alerts, in seconds.
         lateness_s: Greatest age of an alert when it came, in seconds.
         stalls: Alerts that came late, the first ones of them.
+        port: The caller's UDP port.
     """
 
     service: str
@@ -85,6 +86,7 @@
     silence_s: float = 0.0
     lateness_s: float = 0.0
     stalls: list[Stall] = attrs.field(factory=list)
+    port: int = 0
 
 
 @attrs.define
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -1,15 +1,20 @@
 """A stand-in for the fabric: hands each datagram to a VM picked at random.
 
 It keeps one socket for each caller and service, bound to the caller's own
-IP number, so that relays see a stable flow and know callers apart.
+IP number, so that relays see a stable flow and know callers apart. On request
+it writes the way of every datagram to a file, so that what a lost flow met can
+be told datagram by datagram.
 """
 
 import argparse
 import collections
+import contextlib
 import functools
 import json
+import pathlib
 import random
 import socket
+from typing import TextIO
 
 import anyio
 import attrs
@@ -19,6 +24,9 @@
 LIST_EVERY_S = 0.2
 IDLE_S = 30.0
 SWEEP_EVERY_S = 1.0
+LONG_HEADER = 0x80
+"""Set in the first byte of a packet of the handshake."""
+
 MOST_CALLERS = 16_000
 """Below the usual bound of open files; the longest idle one goes first."""
 
@@ -43,10 +51,12 @@
         spray: _spray.Spray,
         address: str,
         ports: list[int],
+        trace: TextIO | None = None,
     ):
         self.spray = spray
         self.counts: collections.Counter[str] = collections.Counter()
         self._reactor = reactor
+        self._trace = trace
         self._callers: collections.OrderedDict[
             tuple[int, _reactor.Address], _Caller
         ] = collections.OrderedDict()
@@ -81,6 +91,8 @@
             self.counts["nowhere"] += 1
             return
         self.counts["to_vms"] += 1
+        self.counts[f"to {target.address}"] += 1
+        self._note(caller, "to", target.address, data)
         self._deliver(caller.socket, data, (target.address, port))
 
     def _to_caller(self, caller: _Caller, data: bytes, source) -> None:
@@ -89,8 +101,23 @@
             self.counts["cut"] += 1
             return
         self.counts["to_callers"] += 1
+        self._note(caller, "from", source[0], data)
         self._deliver(caller.service, data, caller.address)
 
+    def _note(self, caller: _Caller, way: str, vm: str, data: bytes) -> None:
+        """Writes one datagram's way, if that was asked for."""
+        if self._trace is None:
+            return
+        line = {
+            "at": anyio.current_time(),
+            "caller": caller.address[1],
+            "way": way,
+            "vm": vm,
+            "bytes": len(data),
+            "long": bool(data and data[0] & LONG_HEADER),
+        }
+        self._trace.write(json.dumps(line) + "\n")
+
     def _zone_of(self, address: str) -> str:
         if not self.spray.faults.cut_zones:
             return ""
@@ -178,9 +205,19 @@
 
 async def serve(options: argparse.Namespace) -> None:
     """Serves until cancelled."""
+    with contextlib.ExitStack() as files:
+        trace = None
+        if options.trace is not None:
+            trace = files.enter_context(options.trace.open("w"))
+        await _serve(options, trace)
+
+
+async def _serve(options: argparse.Namespace, trace: TextIO | None) -> None:
     reactor = _reactor.Reactor()
     spray = _spray.Spray(random.Random(options.seed))
-    fabric = Fabric(reactor, spray, options.address, options.service_ports)
+    fabric = Fabric(
+        reactor, spray, options.address, options.service_ports, trace
+    )
     async with anyio.create_task_group() as tasks:
         admin = AdminPort(fabric)
         await tasks.start(
@@ -202,6 +239,7 @@
     parser.add_argument("--platform-address", default="127.0.3.1")
     parser.add_argument("--platform-admin-port", type=int, default=8101)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--trace", type=pathlib.Path, default=None)
     _programs.run(functools.partial(serve, parser.parse_args()))
 
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -59,13 +59,17 @@
     def start(self) -> None:
         """Starts both programs."""
         for program in ("relay", "agent"):
-            self.programs[program] = self._processes.start(
-                f"{self.place.name}-{program}",
-                "pollenmast",
-                program,
-                "--settings",
-                str(self._settings),
-            )
+            self.start_program(program)
+
+    def start_program(self, program: str) -> None:
+        """Starts one program, for the first time or after its end."""
+        self.programs[program] = self._processes.start(
+            f"{self.place.name}-{program}",
+            "pollenmast",
+            program,
+            "--settings",
+            str(self._settings),
+        )
 
     def signal(self, number: int = signal.SIGTERM) -> None:
         """Sends a signal to both programs."""
@@ -121,8 +125,20 @@
         self._addresses = addresses
         self.upstreams: dict[str, Upstream] = {}
 
-    async def start(self, places: list[Upstream], lag_s: float = 1.0) -> bool:
-        """Starts all but the callers; returns whether all became ready."""
+    async def start(
+        self,
+        places: list[Upstream],
+        lag_s: float = 1.0,
+        trace: pathlib.Path | None = None,
+    ) -> bool:
+        """Starts all but the callers; returns whether all became ready.
+
+        Args:
+            places: The upstreams.
+            lag_s: How far the platform's list lags.
+            trace: Where the fabric writes each datagram's way, if anywhere.
+        """
+        traced = ("--trace", str(trace)) if trace else ()
         started = [
             self._processes.start(
                 "platform",
@@ -135,6 +151,7 @@
                 "standins.fabric",
                 *("--address", self._addresses.fabric),
                 *("--platform-address", self._addresses.platform),
+                *traced,
             ),
             *[self.start_upstream(place) for place in places],
         ]
@@ -203,6 +220,13 @@
         """Sets the fabric's faults; without any it is whole."""
         await self._fabric("/fault", faults)
 
+    async def fabric_counts(self) -> dict[str, int]:
+        """Returns how many datagrams went where."""
+        answer = await http.fetch(
+            self._addresses.fabric, FABRIC_ADMIN_PORT, "/counts"
+        )
+        return json.loads(answer.body)
+
     async def forget_callers(self) -> None:
         """Has the fabric give every caller a new source port."""
         await self._fabric("/forget", {})
--- /dev/null
+++ b/standins/journeys.py
@@ -0,0 +1,73 @@
+"""Prints the datagrams of each flow that a traced run has lost.
+
+`python -m standins.journeys FOLDER` reads what the callers recorded there and
+what the fabric traced: to which VM it handed each datagram, and what came
+back. It tells a flow lost by the way from one that an upstream left alone.
+"""
+
+import collections
+import json
+import pathlib
+import sys
+
+from standins import _records
+
+_LOST = (_records.Fate.BROKEN, _records.Fate.UNOPENED)
+_SLACK_S = 0.005
+"""Callers and fabric read one clock, each once in a turn of its loop. Of two
+flows from one port the times tell which one a datagram belongs to."""
+
+
+def journeys(folder: pathlib.Path) -> list[str]:
+    """Returns lines that tell each lost flow of a run."""
+    steps = collections.defaultdict(list)
+    for line in (folder / "fabric.trace").read_text().splitlines():
+        step = json.loads(line)
+        steps[step["caller"]].append(step)
+    lines = []
+    for flow in _lost(folder):
+        lines.append(_head(flow))
+        lines.extend(
+            _told(step, flow)
+            for step in steps[flow.port]
+            if flow.opened - _SLACK_S <= step["at"] <= flow.ended + _SLACK_S
+        )
+    return lines
+
+
+def _lost(folder: pathlib.Path) -> list[_records.FlowRecord]:
+    flows = []
+    for file in sorted(folder.glob("*.out")):
+        text = file.read_text()
+        if text.startswith('{"flows"'):
+            flows += _records.from_json(json.loads(text)).flows
+    return [flow for flow in flows if flow.fate in _LOST]
+
+
+def _head(flow: _records.FlowRecord) -> str:
+    connected = "never"
+    if flow.connected is not None:
+        connected = f"after {flow.connected - flow.opened:.3f} s"
+    return (
+        f"{flow.service}, caller's port {flow.port}, {flow.fate.value}:"
+        f" opened at {flow.opened:.3f}, connected {connected}, {flow.reason}"
+    )
+
+
+def _told(step: dict, flow: _records.FlowRecord) -> str:
+    header = "long" if step["long"] else "short"
+    at = step["at"] - flow.opened
+    return (
+        f"  {at:8.3f} s  {step['way']:>4} {step['vm']}"
+        f"  {step['bytes']:>4} bytes, {header} header"
+    )
+
+
+def main() -> None:
+    """Runs the program."""
+    for line in journeys(pathlib.Path(sys.argv[1])):
+        print(line)
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/world.py
+++ b/standins/world.py
@@ -48,6 +48,7 @@
         folder: pathlib.Path,
         services: tuple[fleet.ServiceSize, ...] = fleet.SERVICES,
         overrides: dict[str, dict[str, str]] | None = None,
+        traced: bool = False,
     ):
         """Reserves addresses; nothing is started.
 
@@ -55,7 +56,10 @@
             folder: Keeps settings and logs.
             services: The services and their sizes.
             overrides: Settings of the VMs, by section and key.
+            traced: Whether the fabric writes each datagram's way into the
+                folder, as `fabric.trace`.
         """
+        self.trace = folder / "fabric.trace" if traced else None
         self.processes = _processes.Processes(folder)
         self._reservation = fleet.Reservation()
         self.addresses = self._reservation.addresses
@@ -75,7 +79,7 @@
         Raises:
             WorldError: Something did not become ready.
         """
-        if not await self.around.start(self.places):
+        if not await self.around.start(self.places, trace=self.trace):
             raise WorldError("a stand-in did not become ready")
         await self.publish(wait=False)
         numbers = list(range(1, vms + 1))
