An agent passes callers' packets on while its relay is dead or frozen

What callers saw: after one relay of three died, one new flow in a hundred took 3 s and more to open, about 0.07% were never answered, and it did not end after 1.5 s as docs/OPERATIONS.md said but lasted until somebody restarted the relay.

Cause: the platform lists VMs, not programs. The fabric goes on handing a listed VM its share of all datagrams, and nobody read them: a dead relay's port is closed, a frozen one's swallows.

Mend: the agent binds the services' ports while its relay is silent and sends each datagram to the relay that owns its flow, in the envelope that relays use for that already. A relay's ports are bound so that a second socket may follow: Linux hands datagrams to the one bound last, so the agent gets the port of a frozen relay, and a restarted relay gets it back by binding it. The agent takes a closed link for the relay's end at once; a frozen one still costs 1.5 s. With no relay in the whole fleet it refuses new flows, by a packet that only callers of whom nothing has run can read.

Envelopes go under a number of the agent's own, else the sequences of a relay that wakes would count as replayed; receivers map it to the VM and pass nothing back there, also while they believe the relay alive.

Fleet moved from relay to decisions, as agents need it too; Fleet.asked leaves out the VM that passed a packet on, hence the new argument in one mutation.

--- a/src/pollenmast/agent/_link_loop.py
+++ b/src/pollenmast/agent/_link_loop.py
@@ -7,6 +7,7 @@
 from pollenmast import events
 from pollenmast.agent._gossip_loop import GossipLoop
 from pollenmast.agent._node import Node
+from pollenmast.agent._standby import Standby
 from pollenmast.fleet import EndpointReport
 from pollenmast.manifest import ManifestKey
 from pollenmast.peers._link import Link
@@ -53,17 +54,21 @@
 class LinkLoop:
     """Views to the relay, reports from it."""
 
-    def __init__(self, node: Node, link: Link, gossip: GossipLoop):
+    def __init__(
+        self, node: Node, link: Link, gossip: GossipLoop, standby: Standby
+    ):
         """Wires the loop.
 
         Args:
             node: The VM.
             link: The way to the relay.
             gossip: Tells peers when this VM's own state has changed.
+            standby: Told when the relay leaves its ports unread.
         """
         self._node = node
         self._link = link
         self._gossip = gossip
+        self._standby = standby
         self._sequences = itertools.count(1)
         self._sent = (ManifestKey(), 0.0)
         self._told: dict[tuple[int, str], EndpointReport] = {}
@@ -79,6 +84,7 @@
             tasks.start_soon(self._send_views)
             tasks.start_soon(self._receive)
             tasks.start_soon(self._watch_relay)
+            tasks.start_soon(self._watch_link)
 
     async def order_drain(self, grace_s: float) -> None:
         """Tells the relay to hand over its flows and stop."""
@@ -158,7 +164,10 @@
         while True:
             message = await self._link.receive()
             if isinstance(message, RelayReport):
-                await self._take(message)
+                # The last words of a relay that has ended are read after its
+                # link has closed; taken, they would make it live again.
+                if self._link.connected:
+                    await self._take(message)
             elif isinstance(message, ExplainAnswer):
                 if message.identifier in self._answers:
                     self._answers[message.identifier] = message
@@ -183,9 +192,23 @@
             await anyio.sleep(WATCH_RELAY_S)
             await self._check_relay()
 
+    async def _watch_link(self) -> None:
+        """Takes a closed link for the relay's end, at once.
+
+        A process that ends closes its connections; to wait for its reports
+        until they are overdue would cost callers another second and a half.
+        """
+        while True:
+            await self._link.changed()
+            if not self._link.connected:
+                self._node.relay.lose()
+                await self._check_relay()
+
     async def _check_relay(self) -> None:
         node = self._node
-        up = node.relay.up(anyio.current_time())
+        now = anyio.current_time()
+        up = node.relay.up(now)
+        self._check_standby(up, now)
         if up != self._relay_up:
             self._relay_up = up
             node.log.write(events.RELAY_HEARD if up else events.RELAY_SILENT)
@@ -194,5 +217,16 @@
                 self._sent = (ManifestKey(), 0.0)
         node.membership.set_relay_up(up)
         if node.membership.has_urgent:
-            now = anyio.current_time()
             self._gossip.send(node.membership.tick(now))
+
+    def _check_standby(self, up: bool, now: float) -> None:
+        """Has the ports read until the relay has them again.
+
+        A relay that has just started reports before it has a manifest, and
+        without one it opens no port.
+        """
+        relay = self._node.relay
+        if up and relay.has_manifest:
+            self._standby.set_needed(False)
+        elif relay.silent(now):
+            self._standby.set_needed(True)
--- a/src/pollenmast/agent/_node.py
+++ b/src/pollenmast/agent/_node.py
@@ -128,7 +128,7 @@
         ),
         acceptance=Acceptance(),
         reports=Reports(sender_id(vm.name), wall_s),
-        relay=RelayState(),
+        relay=RelayState(now),
         sealer=Sealer(vm.name, settings.fleet.key),
         started_s=now,
     )
--- a/src/pollenmast/agent/_program.py
+++ b/src/pollenmast/agent/_program.py
@@ -15,6 +15,7 @@
 from pollenmast.agent._node import Node, new_node
 from pollenmast.agent._probe_loop import ProbeLoop
 from pollenmast.agent._shutdown import Shutdown
+from pollenmast.agent._standby import Standby
 from pollenmast.configuration import HttpPlatform
 from pollenmast.peers._fetch import Fetcher, FetchServer
 from pollenmast.peers._gossip_socket import GossipSocket, bind
@@ -86,7 +87,8 @@
         self._gossip = GossipLoop(node, socket, self._manifests.wanted)
         self._list = ListLoop(node, platform, self._gossip)
         self._probes = ProbeLoop(node, self._gossip)
-        self._link = LinkLoop(node, link, self._gossip)
+        self._standby = Standby(node)
+        self._link = LinkLoop(node, link, self._gossip, self._standby)
         self._shutdown = Shutdown(node, self._gossip, self._link)
 
     async def run(
@@ -104,6 +106,7 @@
                 self._join,
                 self._probes.run,
                 self._link.run,
+                self._standby.run,
             ):
                 tasks.start_soon(loop)
             tasks.start_soon(http1.serve, listener, site.handle)
--- a/src/pollenmast/agent/_relay_state.py
+++ b/src/pollenmast/agent/_relay_state.py
@@ -14,12 +14,12 @@
     """The relay's last report.
 
     Attributes:
+        heard_s: When the last report came, or the agent started.
         report: The last report, or None before the first.
-        heard_s: When it came.
     """
 
+    heard_s: float
     report: RelayReport | None = None
-    heard_s: float = 0.0
 
     def hear(self, report: RelayReport, now: float) -> None:
         """Takes a report; endpoints that it leaves out stay as they were."""
@@ -29,6 +29,19 @@
         self.report = report
         self.heard_s = now
 
+    def lose(self) -> None:
+        """Notes that the relay has closed the link, as one that ends does."""
+        self.heard_s = float("-inf")
+
     def up(self, now: float) -> bool:
         """Returns whether the relay reports."""
-        return self.report is not None and now - self.heard_s < SILENT_S
+        return self.report is not None and not self.silent(now)
+
+    def silent(self, now: float) -> bool:
+        """Returns whether the relay should have reported by now."""
+        return now - self.heard_s >= SILENT_S
+
+    @property
+    def has_manifest(self) -> bool:
+        """Whether the relay last said that it has a manifest, and so ports."""
+        return self.report is not None and self.report.version > 0
--- /dev/null
+++ b/src/pollenmast/agent/_standby.py
@@ -0,0 +1,208 @@
+"""Passes callers' datagrams on while this VM's relay does not.
+
+The fabric hands a VM its share of all datagrams for as long as the platform's
+list has it, and the list knows VMs, not programs. Were the ports of a relay
+that has died or hangs left to themselves, callers would see that share of
+their packets lost: handshakes of whole seconds, and some that never end. So
+the agent binds the ports as well, and sends each datagram to the relay that
+owns its flow, as any relay does with a flow that it does not know.
+"""
+
+import select
+import socket
+
+import anyio
+
+from pollenmast import counters as c
+from pollenmast import events
+from pollenmast.agent._node import Node
+from pollenmast.decisions._fleet import Fleet
+from pollenmast.decisions._ownership import flow_hash
+from pollenmast.fleet import Vm
+from pollenmast.manifest import Service
+from pollenmast.peers._envelope import Sealer, standby_name
+from pollenmast.peers._kinds import Kind
+from pollenmast.peers._records import Forwarded, pack_forwarded
+from pollenmast.peers._udp import service_socket
+
+TEND_S = 0.2
+"""Between two looks at the manifest, the fleet and the relay, in seconds: no
+more than heartbeats take to change them."""
+
+BATCH = 64
+"""Datagrams read from one port in a row. Passing one on takes some tens of
+microseconds, so that heartbeats wait for a few milliseconds at the most."""
+
+COME_BACK_MS = 1_000
+"""Told to a caller while no VM has a relay: programs restart within that."""
+
+_MOST_DATAGRAM_BYTES = 9_216
+_Address = tuple[str, int]
+
+
+class Standby:
+    """Stands in for the relay at the services' ports."""
+
+    def __init__(self, node: Node):
+        """Opens nothing yet.
+
+        Args:
+            node: The VM.
+        """
+        self._node = node
+        vm = node.settings.vm
+        self._fleet = Fleet(vm.name, vm.zone)
+        self._sealer = Sealer(standby_name(vm.name), node.settings.fleet.key)
+        self._epoll = select.epoll()
+        self._ports: dict[int, socket.socket] = {}
+        self._services: dict[int, int] = {}
+        self._refused_ports: set[int] = set()
+        self._needed = False
+        self._wanted = anyio.Event()
+        self._passed_on = 0
+        self._tended_s = 0.0
+
+    @property
+    def needed(self) -> bool:
+        """Whether the relay's ports are to be read here."""
+        return self._needed
+
+    @property
+    def ports(self) -> tuple[int, ...]:
+        """The ports that are read now."""
+        return tuple(self._ports)
+
+    def set_needed(self, needed: bool) -> None:
+        """Tells whether the relay leaves its callers' packets unread."""
+        if needed and not self._needed:
+            self._passed_on = 0
+            self._refused_ports.clear()
+            self._wanted.set()
+        self._needed = needed
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        try:
+            while True:
+                await self._wanted.wait()
+                await self._stand_in()
+                self._wanted = anyio.Event()
+        finally:
+            self._close_ports()
+            self._epoll.close()
+
+    async def _stand_in(self) -> None:
+        node = self._node
+        node.log.write(events.STANDBY_BEGAN)
+        while self._needed:
+            self._tend()
+            with anyio.move_on_after(TEND_S):
+                await anyio.wait_readable(self._epoll.fileno())
+            self.pass_on()
+            await anyio.sleep(0)
+        # What came before the relay had its ports back is not lost with them.
+        self.pass_on()
+        self._close_ports()
+        node.log.write(events.STANDBY_ENDED, passed_on=self._passed_on)
+
+    def _tend(self) -> None:
+        now = anyio.current_time()
+        if self._ports and now - self._tended_s < TEND_S:
+            return
+        self._tended_s = now
+        self._fleet.update(self._node.membership.vms(), now)
+        in_force = self._node.acceptance.in_force
+        services = in_force.manifest.services if in_force else ()
+        for service in services:
+            if service.port not in self._ports:
+                self._open(service)
+        for port in set(self._ports) - {each.port for each in services}:
+            self._close(port)
+
+    def _open(self, service: Service) -> None:
+        address = self._node.settings.vm.address
+        try:
+            port = service_socket(address, service.port)
+        except OSError as error:
+            self._note_refused(service, error)
+            return
+        self._ports[service.port] = port
+        self._services[port.fileno()] = service.port
+        self._epoll.register(port.fileno(), select.EPOLLIN)
+
+    def _note_refused(self, service: Service, error: OSError) -> None:
+        """Logs a port that cannot be had, once; it is tried again."""
+        if service.port not in self._refused_ports:
+            self._refused_ports.add(service.port)
+            self._node.log.write(
+                events.STANDBY_FAILED,
+                service=service.name,
+                port=service.port,
+                error=error.strerror,
+            )
+
+    def _close_ports(self) -> None:
+        for port in list(self._ports):
+            self._close(port)
+
+    def _close(self, port: int) -> None:
+        sock = self._ports.pop(port)
+        del self._services[sock.fileno()]
+        self._epoll.unregister(sock.fileno())
+        sock.close()
+
+    def pass_on(self) -> None:
+        """Reads a batch from each port that has something."""
+        for number, _ in self._epoll.poll(0):
+            port = self._services[number]
+            self._read(self._ports[port], port)
+
+    def _read(self, sock: socket.socket, port: int) -> None:
+        for _ in range(BATCH):
+            try:
+                data, caller = sock.recvfrom(_MOST_DATAGRAM_BYTES)
+            except OSError:
+                return
+            self._take(sock, port, data, caller)
+
+    def _take(
+        self, sock: socket.socket, port: int, data: bytes, caller: _Address
+    ) -> None:
+        ip, source_port = caller[:2]
+        owner = self._fleet.owner(flow_hash(port, ip, source_port))
+        vm = self._fleet.vm(owner.number) if owner else None
+        if vm is None:
+            self._refuse(sock, data, caller)
+            return
+        self._forward(sock, vm, Forwarded(port, ip, source_port, 1, data))
+
+    def _forward(
+        self, sock: socket.socket, vm: Vm, forwarded: Forwarded
+    ) -> None:
+        envelope = self._sealer.seal(Kind.FORWARD, pack_forwarded(forwarded))
+        counters = self._node.counters
+        try:
+            sock.sendto(envelope, (vm.address, vm.relay_port))
+        except OSError:
+            counters.add(c.DROPS, c.DropReason.SEND_FAILED)
+            return
+        self._passed_on += 1
+        counters.add(c.FORWARDS, c.ForwardReason.STANDBY)
+
+    def _refuse(
+        self, sock: socket.socket, data: bytes, caller: _Address
+    ) -> None:
+        # Loaded only now: QUIC's library would stay in memory for the agent's
+        # whole life, and is needed only while no VM has a relay.
+        from pollenmast.agent import _refusing
+
+        counters = self._node.counters
+        answer = _refusing.answer(data, COME_BACK_MS)
+        if answer.is_err():
+            counters.add(c.DROPS, answer.unwrap_err())
+            return
+        counters.add(c.REFUSALS, c.RefusalReason.NO_RELAY)
+        try:
+            sock.sendto(answer.unwrap(), caller)
+        except OSError:
+            counters.add(c.DROPS, c.DropReason.SEND_FAILED)
--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -98,6 +98,8 @@
 
     DRAINING = "draining"
     FLOW_TABLE_FULL = "flow_table_full"
+    NO_RELAY = "no_relay"
+    """No VM that is known has a relay; the agent of one answers."""
 
 
 class RetryReason(str, enum.Enum):
@@ -122,6 +124,8 @@
     HOLDER = "holder"
     ASK = "ask"
     RETURNED = "returned"
+    STANDBY = "standby"
+    """By an agent whose relay is silent."""
 
 
 class ManifestOutcome(str, enum.Enum):
--- a/src/pollenmast/decisions/_fleet.py
+++ b/src/pollenmast/decisions/_fleet.py
@@ -1,8 +1,8 @@
-"""What this relay believes of the other VMs, and whom it asks for what."""
+"""What this VM believes of the others: who owns a flow, and whom to ask."""
 
 from pollenmast.decisions._ownership import Member, Ring
 from pollenmast.fleet import Vm, VmState
-from pollenmast.peers._envelope import sender_id
+from pollenmast.peers._envelope import sender_id, standby_name
 
 ASKED = 2
 """VMs asked about a flow that nobody here knows: the one that owned it before
@@ -20,6 +20,7 @@
     def __init__(self, name: str, zone: str):
         self._me = Member(sender_id(name), name, zone)
         self._vms: dict[int, Vm] = {}
+        self._standbys: dict[int, int] = {}
         self._owners = Ring()
         self._holders = Ring()
         self._changed_at = 0.0
@@ -48,6 +49,10 @@
     def update(self, vms: tuple[Vm, ...], now: float) -> bool:
         """Takes a new list; returns whether the owners changed."""
         self._vms = {sender_id(vm.name): vm for vm in vms}
+        self._standbys = {
+            sender_id(standby_name(vm.name)): number
+            for number, vm in self._vms.items()
+        }
         owners = _members(self._vms, _OWNS)
         holders = _members(self._vms, (*_OWNS, VmState.LEAVING))
         if holders != self._holders.members:
@@ -63,6 +68,13 @@
         """Returns the VM with this number, unless it is dead."""
         return self._vms.get(number)
 
+    def vm_behind(self, sender: int) -> int:
+        """Returns the VM that an envelope's sender number stands for.
+
+        An agent that sends in its relay's place has a number of its own.
+        """
+        return self._standbys.get(sender, sender)
+
     def carries(self, number: int) -> bool:
         """Returns whether this VM's relay can be sent packets."""
         vm = self._vms.get(number)
@@ -87,14 +99,20 @@
         ranks = self._owners.ranks(key, KEEPERS)
         return [member.number for member in ranks]
 
-    def asked(self, key: int) -> list[int]:
-        """Returns the VMs to ask about a flow, the likeliest first."""
-        candidates = [*self._holders.ranks(key, ASKED + 1)]
+    def asked(self, key: int, but: int = 0) -> list[int]:
+        """Returns the VMs to ask about a flow, the likeliest first.
+
+        Args:
+            key: The flow's hash.
+            but: Number of a VM that need not be asked, or 0.
+        """
+        candidates = [*self._holders.ranks(key, ASKED + 2)]
         keeper = self._owners.backup(key, self._me)
         if keeper is not None:
             candidates.insert(1, keeper)
         numbers = dict.fromkeys(member.number for member in candidates)
-        numbers.pop(self._me.number, None)
+        for number in (self._me.number, but):
+            numbers.pop(number, None)
         return list(numbers)[:ASKED]
 
 
--- a/src/pollenmast/events/_catalogue.py
+++ b/src/pollenmast/events/_catalogue.py
@@ -160,6 +160,26 @@
 RELAY_HEARD = Event(
     512, "relay_heard", "The relay of this VM reports again.", "Nothing."
 )
+STANDBY_BEGAN = Event(
+    513,
+    "standby_began",
+    "The agent reads callers' packets in place of its relay and passes them"
+    " on to the relays that own their flows.",
+    "Look at the relay's log; restart the relay alone.",
+)
+STANDBY_ENDED = Event(
+    514,
+    "standby_ended",
+    "The relay reads its ports again; `passed_on` packets went by the agent.",
+    "Nothing.",
+)
+STANDBY_FAILED = Event(
+    515,
+    "standby_failed",
+    "The agent cannot have a service's port in place of its relay; the"
+    " fabric's packets for it are lost at this VM.",
+    "Take the VM off the fabric's list; look which program holds the port.",
+)
 
 PAUSED = Event(
     108,
@@ -283,6 +303,9 @@
     REFRESH_ENDED,
     RELAY_SILENT,
     RELAY_HEARD,
+    STANDBY_BEGAN,
+    STANDBY_ENDED,
+    STANDBY_FAILED,
     PAUSED,
     SETTINGS_RELOADED,
     SETTINGS_REFUSED,
--- a/src/pollenmast/peers/_envelope.py
+++ b/src/pollenmast/peers/_envelope.py
@@ -57,6 +57,16 @@
     return xxhash.xxh32_intdigest(name.encode())
 
 
+def standby_name(vm: str) -> str:
+    """Returns the name by which a VM's agent sends in its relay's place.
+
+    Under the VM's own name its sequences would mix with the relay's. After a
+    freeze the relay's would be the lower ones, and the other VMs would drop
+    what it sends as replayed for `FORGET_AFTER_S`. No VM's name has a space.
+    """
+    return f"{vm} standby"
+
+
 def _key_number(key: bytes) -> int:
     return hashlib.blake2b(key, digest_size=1, person=b"key number").digest()[0]
 
--- a/src/pollenmast/peers/_link.py
+++ b/src/pollenmast/peers/_link.py
@@ -1,5 +1,7 @@
 """The link between agent and relay of one VM: sealed messages over pynng."""
 
+import socket
+
 import anyio
 import pynng
 
@@ -15,6 +17,8 @@
 """A message that the other side does not take for so long is dropped: it would
 tell old news, and the next one says all again."""
 
+_MOST_NOTICES = 4096
+
 RECONNECT_MS = 200
 """Between two attempts to reach the other side, in milliseconds."""
 
@@ -31,6 +35,40 @@
         self._sealer = sealer
         self._opener = opener
         self._counters = counters
+        self._pipes: set[pynng.Pipe] = set()
+        self._noticed, self._notice = socket.socketpair()
+        for end in (self._noticed, self._notice):
+            end.setblocking(False)
+        self._socket.add_post_pipe_connect_cb(self._on_connected)
+        self._socket.add_post_pipe_remove_cb(self._on_removed)
+
+    @property
+    def connected(self) -> bool:
+        """Whether there is a connection to the other side."""
+        return bool(self._pipes)
+
+    async def changed(self) -> None:
+        """Returns once a connection has come or gone."""
+        await anyio.wait_readable(self._noticed)
+        self._noticed.recv(_MOST_NOTICES)
+
+    def _on_connected(self, pipe: pynng.Pipe) -> None:
+        self._pipes.add(pipe)
+        self._wake()
+
+    def _on_removed(self, pipe: pynng.Pipe) -> None:
+        # One that was turned away, as a second agent's is, never counted.
+        if pipe in self._pipes:
+            self._pipes.discard(pipe)
+            self._wake()
+
+    def _wake(self) -> None:
+        """Tells the loop; called on pynng's own threads."""
+        try:
+            self._notice.send(b"\0")
+        except OSError:
+            # Full: the loop has a notice to read already. Closed: it ends.
+            return
 
     def listen(self, address: str, port: int) -> None:
         """Waits for the other side, as the relay does.
@@ -70,6 +108,8 @@
     def close(self) -> None:
         """Closes the link."""
         self._socket.close()
+        self._noticed.close()
+        self._notice.close()
 
     def _open(self, data: bytes) -> object | None:
         opened = self._opener.open(data, anyio.current_time())
--- a/src/pollenmast/relay/_core.py
+++ b/src/pollenmast/relay/_core.py
@@ -11,6 +11,7 @@
     without_early_data,
 )
 from pollenmast.decisions import Dispatcher
+from pollenmast.decisions._fleet import Fleet
 from pollenmast.peers import _messages as messages
 from pollenmast.peers._envelope import Opener, Sealer
 from pollenmast.peers._kinds import Kind
@@ -19,7 +20,6 @@
 from pollenmast.relay._custody import Custody
 from pollenmast.relay._directory import Directory
 from pollenmast.relay._endpoint_loads import EndpointLoads
-from pollenmast.relay._fleet import Fleet
 from pollenmast.relay._flows import TICKS_PER_S, Flow, FlowState, Listener
 from pollenmast.relay._history import Decision, History
 from pollenmast.relay._openings import Openings
--- a/src/pollenmast/relay/_custody.py
+++ b/src/pollenmast/relay/_custody.py
@@ -1,6 +1,7 @@
 """Flow records between relays: who keeps them, who takes a flow over."""
 
 from pollenmast import counters as c
+from pollenmast.decisions._fleet import Fleet
 from pollenmast.peers._envelope import Opened
 from pollenmast.peers._kinds import Kind
 from pollenmast.peers._records import (
@@ -9,7 +10,6 @@
     unpack_records,
 )
 from pollenmast.relay._carrier import Carrier
-from pollenmast.relay._fleet import Fleet
 from pollenmast.relay._flows import Flow, FlowState
 from pollenmast.relay._outbox import (
     ACKNOWLEDGEMENT_BYTES,
--- a/src/pollenmast/relay/_directory.py
+++ b/src/pollenmast/relay/_directory.py
@@ -22,6 +22,7 @@
 
 from pollenmast import counters as c
 from pollenmast.callers import PacketType, read_packet
+from pollenmast.decisions._fleet import Fleet
 from pollenmast.decisions._ownership import connection_id_hash
 from pollenmast.manifest import ServiceKind
 from pollenmast.peers._envelope import Opened
@@ -37,7 +38,6 @@
     unpack_connection_ids,
 )
 from pollenmast.relay._carrier import Arrival, Carrier
-from pollenmast.relay._fleet import Fleet
 from pollenmast.relay._flows import TICKS_PER_S, Flow
 from pollenmast.relay._post import Post
 
--- a/src/pollenmast/relay/_post.py
+++ b/src/pollenmast/relay/_post.py
@@ -1,9 +1,9 @@
 """Sends sealed envelopes to other relays by their VM's number."""
 
 from pollenmast import counters as c
+from pollenmast.decisions._fleet import Fleet
 from pollenmast.peers._envelope import Sealer
 from pollenmast.peers._kinds import Kind
-from pollenmast.relay._fleet import Fleet
 from pollenmast.relay._table import Wire
 
 
--- a/src/pollenmast/relay/_routing.py
+++ b/src/pollenmast/relay/_routing.py
@@ -11,6 +11,7 @@
 
 from pollenmast import counters as c
 from pollenmast.callers import LONG_HEADER
+from pollenmast.decisions._fleet import Fleet
 from pollenmast.decisions._token_bucket import TokenBucket
 from pollenmast.peers._envelope import Opened
 from pollenmast.peers._kinds import Kind
@@ -25,7 +26,6 @@
 from pollenmast.relay._carrier import Arrival, Carrier
 from pollenmast.relay._custody import Custody
 from pollenmast.relay._directory import Directory
-from pollenmast.relay._fleet import Fleet
 from pollenmast.relay._post import Post
 from pollenmast.relay._replicas import Replica
 
@@ -115,7 +115,8 @@
         if arrival.opens and not recent:
             self._carrier.open(arrival, now)
             return
-        asked = self._fleet.asked(arrival.key)
+        # Who passed the packet on does not know its flow, or has no relay.
+        asked = self._fleet.asked(arrival.key, but=arrival.via)
         if asked and not self._questions.take(now):
             self._counters.add(c.DROPS, c.DropReason.UNKNOWN_FLOW)
             return
@@ -150,7 +151,10 @@
 
     def on_forward(self, opened: Opened, now: float) -> None:
         """Takes a datagram that another relay passed on."""
-        arrival = self._read(self._unpack(opened), opened.sender)
+        # To an agent that stands in for its relay nothing may be passed back:
+        # this VM may not have heard yet that the relay is gone.
+        via = self._fleet.vm_behind(opened.sender)
+        arrival = self._read(self._unpack(opened), via)
         if arrival is not None:
             self._carrier.on_datagram(arrival, now)
 
--- a/src/pollenmast/relay/_sockets.py
+++ b/src/pollenmast/relay/_sockets.py
@@ -14,6 +14,7 @@
 from pollenmast.callers import LONG_HEADER
 from pollenmast.events import LISTEN_FAILED, EventLog
 from pollenmast.manifest import Service
+from pollenmast.peers._udp import service_socket, udp_socket
 from pollenmast.relay._core import RelayCore
 from pollenmast.relay._flows import FlowState, Listener
 from pollenmast.relay._table import Wire
@@ -32,9 +33,6 @@
 """Rounds over all readable sockets before other tasks get their turn."""
 
 MOST_EVENTS = 512
-BUFFER_BYTES = 4 << 20
-"""Receive buffer asked for: about 0.3 s of 10,000 packets a second, so that a
-short pause of the process drops nothing."""
 
 
 class _SocketListener(Listener):
@@ -79,13 +77,13 @@
         self._log = log
         self._epoll = select.epoll()
         self._by_fd: dict[int, object] = {}
-        self._peers = self._bind(peer_port)
+        self._peers = udp_socket(address, peer_port)
         self._register(self._peers, None)
 
     def open_listener(self, service: Service) -> Listener | None:
         """Opens a service's port towards callers, None if it cannot."""
         try:
-            sock = self._bind(service.port)
+            sock = service_socket(self._address, service.port)
         except OSError as error:
             self._log.write(
                 LISTEN_FAILED,
@@ -105,7 +103,7 @@
             OSError: The system gives no more sockets. `MOST_PATHS` and the
                 limit that the program raises at its start keep this away.
         """
-        path = _SocketPath(self._bind(0))
+        path = _SocketPath(udp_socket(self._address, 0))
         self._register(path.sock, path)
         return path
 
@@ -141,18 +139,6 @@
         self._peers.close()
         self._epoll.close()
 
-    def _bind(self, port: int) -> socket.socket:
-        family = socket.AF_INET6 if ":" in self._address else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_DGRAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
-        try:
-            sock.bind((self._address, port))
-        except OSError:
-            sock.close()
-            raise
-        return sock
-
     def _register(self, sock: socket.socket, owner: object) -> None:
         self._by_fd[sock.fileno()] = owner
         self._epoll.register(sock.fileno(), select.EPOLLIN)
--- a/src/pollenmast/relay/_upkeep.py
+++ b/src/pollenmast/relay/_upkeep.py
@@ -6,6 +6,7 @@
 
 from pollenmast import counters as c
 from pollenmast.decisions import Dispatcher
+from pollenmast.decisions._fleet import Fleet
 from pollenmast.decisions._replication import is_due
 from pollenmast.decisions._silence import (
     BURST,
@@ -16,7 +17,6 @@
 )
 from pollenmast.decisions._token_bucket import TokenBucket
 from pollenmast.relay._custody import Custody
-from pollenmast.relay._fleet import Fleet
 from pollenmast.relay._flows import TICKS_PER_S, Flow, FlowState
 from pollenmast.relay._table import FlowTable
 from pollenmast.settings import RelaySettings
--- a/tests/agent_link_test.py
+++ b/tests/agent_link_test.py
@@ -12,6 +12,7 @@
 from pollenmast.agent import _link_loop, _shutdown
 from pollenmast.agent._gossip_loop import GossipLoop
 from pollenmast.agent._node import new_node
+from pollenmast.agent._standby import Standby
 from pollenmast.counters import Counters
 from pollenmast.fleet import VmState
 from pollenmast.manifest import parse
@@ -44,12 +45,15 @@
         report: What it reports twice a second, or None while it is silent.
         taken: The messages that it took, with their times.
         explains: Whether it answers queries.
+        connected: Whether there is a connection to it.
     """
 
     def __init__(self):
         self.report = REPORT
         self.taken = []
         self.explains = True
+        self.connected = True
+        self._changed = trio.Event()
         self._out, self._in = trio.open_memory_channel(math.inf)
 
     async def send(self, message) -> bool:
@@ -66,6 +70,23 @@
         """Returns the relay's next message."""
         return await self._in.receive()
 
+    async def changed(self) -> None:
+        """Returns once the connection has come or gone."""
+        await self._changed.wait()
+        self._changed = trio.Event()
+
+    def die(self) -> None:
+        """Ends as a killed process does: its connections are closed."""
+        self.report = None
+        self.connected = False
+        self._changed.set()
+
+    def restart(self) -> None:
+        """Comes back without a manifest."""
+        self.report = attrs.evolve(REPORT, version=0)
+        self.connected = True
+        self._changed.set()
+
     async def run(self) -> None:
         """Reports until cancelled."""
         while True:
@@ -92,7 +113,10 @@
         )
         self.gossip = GossipLoop(self.node, socket, lambda key, vm: None)
         self.relay = FakeRelay()
-        self.link = _link_loop.LinkLoop(self.node, self.relay, self.gossip)
+        self.standby = Standby(self.node)
+        self.link = _link_loop.LinkLoop(
+            self.node, self.relay, self.gossip, self.standby
+        )
 
     async def beat(self) -> None:
         """Runs membership without a network."""
@@ -241,6 +265,63 @@
         run(script)
         self.assertEqual([True, False, True], seen)
 
+    def test_killed_relay(self):
+        """The relay is killed; the fleet hears of it before a report is due.
+
+        Its flows would stand still for as long as its agent waits.
+        """
+        seen = []
+
+        async def script(agent):
+            await trio.sleep(2.0)
+            agent.relay.die()
+            await trio.sleep(0.05)
+            seen.append(agent.node.membership.own.relay_up)
+            seen.append(agent.standby.needed)
+
+        run(script)
+        self.assertEqual([False, True], seen)
+
+    def test_restarted_relay(self):
+        """A new relay reports before it has a manifest, and so before ports.
+
+        Were the ports given back with its first report, what the fabric sends
+        until it has opened them would be lost.
+        """
+        seen = []
+
+        async def script(agent):
+            await trio.sleep(2.0)
+            agent.relay.die()
+            await trio.sleep(1.0)
+            agent.relay.restart()
+            await trio.sleep(1.0)
+            seen.append(agent.standby.needed)
+            agent.relay.report = attrs.evolve(REPORT, version=1)
+            await trio.sleep(1.0)
+            seen.append(agent.standby.needed)
+
+        run(script)
+        self.assertEqual([True, False], seen)
+
+    def test_agent_starts_alone(self):
+        """An agent is restarted after its relay has died.
+
+        It never hears a report; it waits as long for the first as for any,
+        since a relay that lives reports within that.
+        """
+        seen = []
+
+        async def script(agent):
+            agent.relay.report = None
+            await trio.sleep(1.0)
+            seen.append(agent.standby.needed)
+            await trio.sleep(1.5)
+            seen.append(agent.standby.needed)
+
+        run(script)
+        self.assertEqual([False, True], seen)
+
     def test_draining_relay(self):
         """The relay alone is stopped, and replaced by a new one."""
         seen = []
--- /dev/null
+++ b/tests/agent_standby_test.py
@@ -0,0 +1,231 @@
+"""Tests of agent._standby: callers' packets while this VM's relay is gone."""
+
+import anyio
+import attrs
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast import counters as c
+from pollenmast.agent._node import Node, new_node
+from pollenmast.agent._standby import Standby
+from pollenmast.callers import PacketType, read_packet
+from pollenmast.decisions._members import Why
+from pollenmast.fleet import Vm
+from pollenmast.manifest import parse
+from pollenmast.peers._envelope import Opener, sender_id, standby_name
+from pollenmast.peers._kinds import Kind
+from pollenmast.peers._records import unpack_forwarded
+from pollenmast.peers._udp import service_socket, udp_socket
+from standins.memory import early_data, initial, short
+from tests.agent_manifest_test import LOG, SETTINGS, text
+
+_ADDRESS = "127.0.16.1"
+_PEER = "127.0.16.2"
+_CALLER = "127.0.16.3"
+_PORT = 4001
+_ENOUGH_S = 10
+_KEY = SETTINGS.fleet.key
+
+
+def _node(peers: tuple[Vm, ...]) -> Node:
+    """Returns the node of a VM with a manifest and these peers."""
+    at = attrs.evolve(SETTINGS.vm, address=_ADDRESS)
+    node = new_node(attrs.evolve(SETTINGS, vm=at), LOG, anyio.current_time())
+    data = text(1)
+    node.acceptance.offer(parse(data).unwrap(), data, anyio.current_time())
+    for peer in peers:
+        now = anyio.current_time()
+        node.membership._members.merge(peer, now, Why.JOINED)
+    return node
+
+
+_OTHER = Vm("vm-9", "hall-fres", _PEER, 7001, 7003, 7004)
+
+
+class _Place:
+    """The VM's agent, the port of another VM's relay, and a caller."""
+
+    def __init__(self, peers: tuple[Vm, ...] = (_OTHER,)):
+        self.node = _node(peers)
+        self.standby = Standby(self.node)
+        self.relay = service_socket(_ADDRESS, _PORT)
+        self.peer = service_socket(_PEER, 7001)
+        self.caller = service_socket(_CALLER, 0)
+        self.opener = Opener(_KEY)
+
+    def close(self) -> None:
+        """Closes the sockets."""
+        for each in (self.relay, self.peer, self.caller):
+            each.close()
+
+    def send(self, data: bytes) -> None:
+        """Sends a caller's datagram to the service's port."""
+        self.caller.sendto(data, (_ADDRESS, _PORT))
+
+    async def at_peer(self):
+        """Returns the next envelope that the other VM's relay was sent."""
+        data = await _received(self.peer)
+        return self.opener.open(data, anyio.current_time()).unwrap()
+
+    async def begun(self) -> None:
+        """Waits until the ports are read."""
+        self.standby.set_needed(True)
+        while not self.standby.ports:
+            await anyio.sleep(0.01)
+
+    async def ended(self) -> None:
+        """Waits until the ports are given back."""
+        self.standby.set_needed(False)
+        while self.standby.ports:
+            await anyio.sleep(0.01)
+
+
+async def _received(sock) -> bytes:
+    with anyio.fail_after(_ENOUGH_S):
+        await anyio.wait_readable(sock)
+    return sock.recv(9216)
+
+
+def _play(script, peers: tuple[Vm, ...] = (_OTHER,)) -> Node:
+    async def main() -> Node:
+        place = _Place(peers)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(place.standby.run)
+                await script(place)
+                tasks.cancel_scope.cancel()
+        finally:
+            place.close()
+        return place.node
+
+    return anyio.run(main)
+
+
+class PassOnTest(TestCase):
+    """No datagram of the fabric goes unread while an agent lives."""
+
+    @parameterized.expand(
+        [("first", initial("c1")), ("in_session", short("c1", "text"))]
+    )
+    def test_relay_hangs(self, _, data):
+        """A relay is frozen; its socket goes on taking what the fabric sends.
+
+        Callers would wait for it: one packet in three of every session and
+        handshake. The agent gets the port, and the owner gets the packet.
+        """
+
+        async def script(place):
+            await place.begun()
+            place.send(data)
+            envelope = await place.at_peer()
+            forwarded = unpack_forwarded(envelope.body).unwrap()
+            self.assertEqual(Kind.FORWARD, envelope.kind)
+            self.assertEqual(sender_id(standby_name("vm-0")), envelope.sender)
+            self.assertEqual(
+                (_PORT, *place.caller.getsockname(), 1, data),
+                (
+                    forwarded.service_port,
+                    forwarded.ip,
+                    forwarded.port,
+                    forwarded.hops,
+                    forwarded.data,
+                ),
+            )
+            self.assertRaises(BlockingIOError, place.relay.recv, 1)
+
+        node = _play(script)
+        reason = c.ForwardReason.STANDBY
+        self.assertEqual(1, node.counters.value(c.FORWARDS, reason))
+
+    def test_relay_wakes(self):
+        """The relay runs again; it gets its port back, with its flows."""
+
+        async def script(place):
+            await place.begun()
+            await place.ended()
+            place.send(b"after")
+            self.assertEqual(b"after", await _received(place.relay))
+
+        _play(script)
+
+    def test_relay_restarts(self):
+        """A new relay opens the port while the agent still has it.
+
+        The new one gets the packets at once; were it to wait for the agent,
+        or fail to open the port, the VM would stay without a relay.
+        """
+
+        async def script(place):
+            await place.begun()
+            place.relay.close()
+            place.relay = service_socket(_ADDRESS, _PORT)
+            place.send(b"to the new one")
+            self.assertEqual(b"to the new one", await _received(place.relay))
+
+        _play(script)
+
+    def test_port_in_use(self):
+        """Another program holds a service's port and shares it with nobody.
+
+        The agent goes on; it takes the port as soon as it is free.
+        """
+
+        async def script(place):
+            place.relay.close()
+            place.relay = udp_socket(_ADDRESS, _PORT)
+            place.standby.set_needed(True)
+            await anyio.sleep(0.05)
+            self.assertEqual((), place.standby.ports)
+            place.relay.close()
+            await place.begun()
+
+        _play(script)
+
+
+class RefuseTest(TestCase):
+    """No VM has a relay: callers are told so, and only what is true."""
+
+    def test_new_flow(self):
+        """Every relay is down; a new caller is refused at once.
+
+        It would else send its Initial until its library gives up.
+        """
+
+        async def script(place):
+            await place.begun()
+            place.send(initial("c1"))
+            answer = read_packet(await _received(place.caller)).unwrap()
+            self.assertEqual(PacketType.INITIAL, answer.type)
+
+        node = _play(script, peers=())
+        reason = c.RefusalReason.NO_RELAY
+        self.assertEqual(1, node.counters.value(c.REFUSALS, reason))
+
+    @parameterized.expand(
+        [
+            ("in_session", short("c1", "text"), c.DropReason.NO_OWNER),
+            (
+                "early_data",
+                initial("c1", early=early_data("c1")),
+                c.DropReason.NO_OWNER,
+            ),
+            ("small", initial("c1")[:900], c.DropReason.TRUNCATED_HEADER),
+            ("empty", b"", c.DropReason.EMPTY),
+        ]
+    )
+    def test_may_have_run(self, _, data, reason):
+        """What may carry a request, or is no first packet, is not refused.
+
+        A caller told that nothing was run would send its submission again.
+        """
+
+        async def script(place):
+            await place.begun()
+            place.send(data)
+            counters = place.node.counters
+            with anyio.fail_after(_ENOUGH_S):
+                while not counters.value(c.DROPS, reason):
+                    await anyio.sleep(0.01)
+            self.assertRaises(BlockingIOError, place.caller.recv, 1)
+
+        _play(script, peers=())
--- a/tests/peers_link_test.py
+++ b/tests/peers_link_test.py
@@ -60,6 +60,51 @@
 
         self.assertIsInstance(anyio.run(main, backend=backend), DrainOrder)
 
+    @parameterized.expand([("asyncio",), ("trio",)])
+    def test_other_side_ends(self, backend):
+        """A relay's process ends; its agent knows when the link is closed.
+
+        By its missing reports alone it would know a second and a half later.
+        """
+
+        async def until(link: Link, connected: bool) -> None:
+            with anyio.fail_after(_ENOUGH_S):
+                while link.connected is not connected:
+                    await link.changed()
+
+        async def main() -> None:
+            agent, relay = _link("vm-1"), _link("vm-1")
+            relay.listen(_ADDRESS, _PORT + 3)
+            agent.dial(_ADDRESS, _PORT + 3)
+            await until(agent, True)
+            relay.close()
+            await until(agent, False)
+            agent.close()
+
+        anyio.run(main, backend=backend)
+
+    def test_second_agent(self):
+        """Another agent dials a relay that has one; it is turned away.
+
+        To the first agent nothing has changed, and so to the relay.
+        """
+
+        async def main() -> bool:
+            relay, agent, second = _link("r"), _link("a"), _link("b")
+            relay.listen(_ADDRESS, _PORT + 4)
+            agent.dial(_ADDRESS, _PORT + 4)
+            with anyio.fail_after(_ENOUGH_S):
+                await relay.changed()
+            second.dial(_ADDRESS, _PORT + 4)
+            with anyio.move_on_after(1.0):
+                await relay.changed()
+            connected = relay.connected and agent.connected
+            for each in (relay, agent, second):
+                each.close()
+            return connected
+
+        self.assertTrue(anyio.run(main))
+
     def test_stranger(self):
         """Who dials without the fleet's key is not heard, and counted."""
 
--- a/tests/proof/_mutations.py
+++ b/tests/proof/_mutations.py
@@ -9,12 +9,12 @@
 
 from pollenmast.decisions._acceptance import Acceptance
 from pollenmast.decisions._endpoint import EndpointRecord
+from pollenmast.decisions._fleet import Fleet
 from pollenmast.peers import _envelope
 from pollenmast.relay import _core, _upkeep
 from pollenmast.relay._core import RelayCore
 from pollenmast.relay._custody import Custody
 from pollenmast.relay._directory import Directory
-from pollenmast.relay._fleet import Fleet
 from pollenmast.relay._flows import FlowState
 from pollenmast.relay._openings import Openings
 from pollenmast.relay._routing import Routing
@@ -104,7 +104,7 @@
         "a new owner asks two VMs about a flow that it does not know",
         "`Fleet.asked` names nobody, and no connection id is looked up",
         lambda: _both(
-            mock.patch.object(Fleet, "asked", lambda self, key: []),
+            mock.patch.object(Fleet, "asked", lambda self, key, but: []),
             _no_search(),
         ),
         scenarios.join_during_sessions,
--- a/tests/relay_routing_test.py
+++ b/tests/relay_routing_test.py
@@ -4,12 +4,28 @@
 from testtools import TestCase
 
 from pollenmast import counters as c
+from pollenmast.decisions._ownership import flow_hash
 from pollenmast.fleet import VmState
-from pollenmast.peers._envelope import Sealer
+from pollenmast.peers._envelope import Sealer, standby_name
 from pollenmast.peers._kinds import Kind
-from pollenmast.peers._records import FlowRecord, RecordFlag, pack_records
+from pollenmast.peers._records import (
+    FlowRecord,
+    Forwarded,
+    RecordFlag,
+    pack_forwarded,
+    pack_records,
+)
 from pollenmast.relay._carrier import Arrival
-from standins.memory import KEY, REGISTRY, Net, address_of, manifest, short, vm
+from standins.memory import (
+    KEY,
+    REGISTRY,
+    Net,
+    address_of,
+    initial,
+    manifest,
+    short,
+    vm,
+)
 from tests.relay_crowd import CALLERS, opened, say_all, unlike
 
 
@@ -49,6 +65,34 @@
         self.assertEqual({}, unlike(net, "before", "after"))
 
 
+class StandbyTest(TestCase):
+    """An agent passes on what its relay cannot take."""
+
+    def test_owner_not_known_dead(self):
+        """A relay dies, and its agent knows before the other VMs do.
+
+        Another relay that still believes in the dead one would send the
+        packet there, and the caller's handshake would wait for a second.
+        """
+        net = Net(vms=2)
+        port = net.relays[1].table.listener(REGISTRY).service.port
+        owner = net.relays[1].fleet.owner
+        owned = next(
+            tag
+            for tag in CALLERS
+            if owner(flow_hash(port, *address_of(tag))).name == "vm-2"
+        )
+        net.kill(2)
+        sealer = Sealer(standby_name("vm-2"), KEY)
+        body = pack_forwarded(
+            Forwarded(port, *address_of(owned), 1, initial(owned))
+        )
+        net.peer(2, sealer.seal(Kind.FORWARD, body), ("127.0.1.1", 0))
+        net.deliver()
+        self.assertEqual([1], net.holders(owned))
+        self.assertIn(owned, net.sessions)
+
+
 class TrustTest(TestCase):
     """Only the fleet can plant or take flows."""
 
