An agent that stood still does not take its relay for silent

Cause: the relay's silence was measured by the wall time since its last report, also where the agent itself had not run. Membership has long given others the time by which its own timers run late; the link did not.

Mend: a look at the relay that comes late by more than its interval gives the relay that time. test_paused_agent failed without it (the ports were asked for). A relay that dies while its agent is paused is found by its closed link.

--- a/src/pollenmast/agent/_link_loop.py
+++ b/src/pollenmast/agent/_link_loop.py
@@ -189,7 +189,11 @@
 
     async def _watch_relay(self) -> None:
         while True:
+            due = anyio.current_time() + WATCH_RELAY_S
             await anyio.sleep(WATCH_RELAY_S)
+            late_s = anyio.current_time() - due
+            if late_s > WATCH_RELAY_S:
+                self._node.relay.excuse(late_s)
             await self._check_relay()
 
     async def _watch_link(self) -> None:
--- a/src/pollenmast/agent/_relay_state.py
+++ b/src/pollenmast/agent/_relay_state.py
@@ -33,6 +33,14 @@
         """Notes that the relay has closed the link, as one that ends does."""
         self.heard_s = float("-inf")
 
+    def excuse(self, late_s: float) -> None:
+        """Gives the relay the time for which this process stood still.
+
+        Its reports wait in the link meanwhile. Without this, an agent that
+        wakes would tell the fleet that its relay is gone and take its ports.
+        """
+        self.heard_s += late_s
+
     def up(self, now: float) -> bool:
         """Returns whether the relay reports."""
         return self.report is not None and not self.silent(now)
--- a/tests/agent_link_test.py
+++ b/tests/agent_link_test.py
@@ -322,6 +322,31 @@
         run(script)
         self.assertEqual([False, True], seen)
 
+    def test_paused_agent(self):
+        """The agent stands still for seconds while its relay goes on.
+
+        The reports wait in the link. An agent that found its relay silent
+        then would take the ports of a relay that carries flows, and callers
+        would see their sessions pulled to and fro.
+        """
+        seen = []
+
+        async def main():
+            agent = Agent()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(agent.relay.run)
+                nursery.start_soon(agent.link.run)
+                await trio.sleep(2.2)
+                clock.jump(4.0)
+                await trio.sleep(0.001)
+                seen.append(agent.node.membership.own.relay_up)
+                seen.append(agent.standby.needed)
+                nursery.cancel_scope.cancel()
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(main, clock=clock)
+        self.assertEqual([True, False], seen)
+
     def test_draining_relay(self):
         """The relay alone is stopped, and replaced by a new one."""
         seen = []
