A new flow is opened by the next VM where its owner may not open it

What callers saw: while the agent of one VM of three was dead or frozen, one new flow in fifty took a second and more to open, some 13 s; no end to it while the platform lists the VM.

Cause: a relay whose beliefs are older than its lease opens no flows, rightly, and dropped the first packets of those that it takes for its own, with the counter `not_ready`: one in nine with three VMs, as the others no longer send it any. The same for a relay that has just started or woken, where all VMs do.

Mend: such a relay passes the packet to the VM that would own the flow without it, which opens it, as it comes from the VM that it may take for the owner. Once the relay's beliefs are fresh again it asks others about Initials for a while, as after a change of owners: else the second flight of a handshake that began elsewhere would be opened anew at an endpoint that does not know it.

Why it holds: test_opened_elsewhere failed before (no flow opened); test_second_flight_after_it failed with the passing on alone (two handshakes led to strangers). At most three hops, test_nobody_ready.

--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -124,6 +124,9 @@
     HOLDER = "holder"
     ASK = "ask"
     RETURNED = "returned"
+    NOT_READY = "not_ready"
+    """A new flow, by an owner whose beliefs are too old to open it."""
+
     STANDBY = "standby"
     """By an agent whose relay is silent."""
 
--- a/src/pollenmast/decisions/_acceptance.py
+++ b/src/pollenmast/decisions/_acceptance.py
@@ -45,7 +45,7 @@
     @property
     def key(self) -> ManifestKey:
         """Its place in the order."""
-        return ManifestKey(self.manifest.version, self.manifest.digest)
+        return self.manifest.key
 
 
 class Acceptance:
@@ -78,7 +78,7 @@
 
     def offer(self, manifest: Manifest, text: bytes, now: float) -> Offer:
         """Takes the manifest into force if it is greater."""
-        key = ManifestKey(manifest.version, manifest.digest)
+        key = manifest.key
         if key == self.key:
             return Offer(ManifestOutcome.KNOWN)
         conflict = key.version == self.key.version
--- a/src/pollenmast/decisions/_fleet.py
+++ b/src/pollenmast/decisions/_fleet.py
@@ -33,7 +33,7 @@
 
     @property
     def changed_at(self) -> float:
-        """When the ring of owners last changed, on the runtime's clock."""
+        """When flows may last have got other owners, on the runtime's clock."""
         return self._changed_at
 
     @property
@@ -64,6 +64,13 @@
         self._changes += 1
         return True
 
+    def note_absence(self, now: float) -> None:
+        """Notes that others may have opened flows which this VM owns.
+
+        They are to be asked as after a change of owners.
+        """
+        self._changed_at = now
+
     def vm(self, number: int) -> Vm | None:
         """Returns the VM with this number, unless it is dead."""
         return self._vms.get(number)
@@ -84,6 +91,13 @@
         """Returns the VM that owns the flow with this hash."""
         return self._owners.owner(key)
 
+    def successor(self, key: int) -> Member | None:
+        """Returns the VM that would own this VM's flow, were it gone."""
+        for member in self._owners.ranks(key, 2):
+            if member.number != self._me.number:
+                return member
+        return None
+
     def owns(self, key: int) -> bool:
         """Returns whether this VM owns the flow with this hash."""
         owner = self._owners.owner(key)
--- a/src/pollenmast/manifest/_model.py
+++ b/src/pollenmast/manifest/_model.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from pollenmast.manifest._key import ManifestKey
+
 
 class ServiceKind(str, enum.Enum):
     """How a service's flows behave, which decides what is counted."""
@@ -107,6 +109,11 @@
     services: tuple[Service, ...]
     digest: str
 
+    @property
+    def key(self) -> ManifestKey:
+        """Its place among all manifests."""
+        return ManifestKey(self.version, self.digest)
+
     def service(self, number: int) -> Service | None:
         """Returns the service with this number, if there is one."""
         for service in self.services:
--- a/src/pollenmast/relay/_carrier.py
+++ b/src/pollenmast/relay/_carrier.py
@@ -50,6 +50,10 @@
     def table(self) -> FlowTable:
         """The flow table."""
 
+    @abc.abstractmethod
+    def ready(self, now: float) -> bool:
+        """Returns whether this relay may open flows."""
+
     @abc.abstractmethod
     def on_datagram(self, arrival: Arrival, now: float) -> None:
         """Takes a datagram that another relay passed on."""
--- a/src/pollenmast/relay/_core.py
+++ b/src/pollenmast/relay/_core.py
@@ -31,8 +31,7 @@
 from pollenmast.settings import Settings
 
 COME_BACK_MS = 500
-"""Told to a caller that a leaving relay refuses: the fabric and the other VMs
-know of the leaving by then."""
+"""Told to a caller that a leaving relay refuses: others know of it by then."""
 
 
 class RelayCore(Carrier):
@@ -338,7 +337,10 @@
         self._dispatcher.set_fleet(max(1, len(self._fleet.owners)))
         for report in view.reports:
             self._dispatcher.on_report(report, now)
-        self._readiness.on_view(view, self._manifest, now)
+        if self._readiness.on_view(view, self._manifest, now):
+            # Others may have opened flows meanwhile; opened anew here, they
+            # would meet endpoints that have no such handshake, and hang.
+            self._fleet.note_absence(now)
 
     def _take_manifest(self, data: bytes, now: float) -> None:
         parsed = manifests.parse(data)
@@ -346,9 +348,7 @@
             self.counters.add(c.MANIFESTS, c.ManifestOutcome.INVALID)
             return
         manifest = parsed.unwrap()
-        known = self._manifest
-        key = (manifest.version, manifest.digest)
-        if known and key < (known.version, known.digest):
+        if self._manifest and manifest.key < self._manifest.key:
             self.counters.add(c.MANIFESTS, c.ManifestOutcome.OLDER)
             return
         self._manifest = manifest
--- a/src/pollenmast/relay/_readiness.py
+++ b/src/pollenmast/relay/_readiness.py
@@ -59,8 +59,13 @@
 
     def on_view(
         self, view: FleetView, manifest: Manifest | None, now: float
-    ) -> None:
-        """Takes the agent's view, with the manifest in force after it."""
+    ) -> bool:
+        """Takes the agent's view, with the manifest in force after it.
+
+        Returns:
+            Whether this relay's beliefs have been old until now.
+        """
+        was_fresh = self.fresh(now)
         if not self._informed:
             self._note_reports(view)
         if manifest is not None:
@@ -69,6 +74,7 @@
             self._informed = self._informed or self._knows_all(manifest)
         if view.fresh and view.wake_seen == self._wake:
             self._last_view = now
+        return self.fresh(now) and not was_fresh
 
     def _note_reports(self, view: FleetView) -> None:
         """A view may name only what has changed since the one before."""
--- a/src/pollenmast/relay/_routing.py
+++ b/src/pollenmast/relay/_routing.py
@@ -12,6 +12,7 @@
 from pollenmast import counters as c
 from pollenmast.callers import LONG_HEADER
 from pollenmast.decisions._fleet import Fleet
+from pollenmast.decisions._ownership import Member
 from pollenmast.decisions._token_bucket import TokenBucket
 from pollenmast.peers._envelope import Opened
 from pollenmast.peers._kinds import Kind
@@ -79,11 +80,34 @@
         owner = self._fleet.owner(arrival.key)
         if owner is None:
             self._carrier.without_owner(arrival, now)
+        elif self._cannot_open(owner, arrival, now):
+            self._pass_over(arrival, now)
         elif owner.number in (self._fleet.me.number, arrival.via):
             self._as_owner(arrival, now)
         else:
             self._forward(owner.number, arrival, c.ForwardReason.OWNER)
 
+    def _cannot_open(self, owner: Member, arrival: Arrival, now: float) -> bool:
+        """Whether this VM owns a new flow and may not open it."""
+        own = owner.number == self._fleet.me.number
+        return own and arrival.opens and not self._carrier.ready(now)
+
+    def _pass_over(self, arrival: Arrival, now: float) -> None:
+        """Leaves a new flow to the VM that would own it without this one.
+
+        This VM's beliefs are old: its agent is gone, or it has just started
+        or woken. Dropped here, the flow's first packet would be sent again
+        after a second, as often as the fabric picks this VM or another one
+        still believes in it. The next VM opens it, as it was passed on by
+        the one that it takes for the owner.
+        """
+        following = self._fleet.successor(arrival.key)
+        if following is None:
+            self._as_owner(arrival, now)
+        else:
+            reason = c.ForwardReason.NOT_READY
+            self._forward(following.number, arrival, reason)
+
     def _follow(self, replica: Replica, arrival: Arrival, now: float) -> bool:
         """Passes a datagram to its holder, or takes a dead holder's flow."""
         if self._fleet.carries(replica.holder):
--- a/tests/relay_routing_test.py
+++ b/tests/relay_routing_test.py
@@ -28,6 +28,9 @@
 )
 from tests.relay_crowd import CALLERS, opened, say_all, unlike
 
+_SETTLED_S = 6.0
+"""After so long an owner no longer asks before it opens a flow."""
+
 
 class ChangeTest(TestCase):
     """Flows open while the fleet changes are neither lost nor opened twice."""
@@ -93,6 +96,71 @@
         self.assertIn(owned, net.sessions)
 
 
+class NotReadyTest(TestCase):
+    """An owner that may open no flow leaves nobody waiting."""
+
+    def _stale(self) -> tuple[Net, list[str]]:
+        """Returns VMs of which the second has lost its agent, and callers.
+
+        The callers are those whose flows it owns.
+        """
+        net = Net(vms=3)
+        port = net.relays[1].table.listener(REGISTRY).service.port
+        owner = net.relays[1].fleet.owner
+        owned = [
+            tag
+            for tag in CALLERS
+            if owner(flow_hash(port, *address_of(tag))).name == "vm-2"
+        ]
+        self.assertGreater(len(owned), 5)
+        net.advance(_SETTLED_S)
+        for _ in range(8):
+            net.advance(0.5, renew=False)
+            net.publish(only=(1, 3))
+        self.assertFalse(net.relays[2].ready(net.now))
+        return net, owned
+
+    @parameterized.expand([("from_fabric", 2), ("by_1", 1), ("by_3", 3)])
+    def test_opened_elsewhere(self, _, to):
+        """A VM's agent has died or hangs; its relay believes old things.
+
+        It dropped the first packet of each flow that it thinks its own, one
+        in nine with three VMs, and of another VM's that does not know yet.
+        The next VM opens the flow.
+        """
+        net, owned = self._stale()
+        for tag in owned:
+            net.open(tag, to=to)
+        self.assertEqual(set(owned), set(net.sessions))
+        drops = net.dropped(c.DROPS, c.DropReason.NOT_READY)
+        self.assertEqual(0, drops)
+
+    def test_nobody_ready(self):
+        """No agent of the fleet lives; a packet does not go round for ever."""
+        net, owned = self._stale()
+        net.advance(4.0, renew=False)
+        net.open(owned[0], to=2)
+        self.assertEqual({}, net.sessions)
+
+    def test_second_flight_after_it(self):
+        """Its agent is back; a handshake that began elsewhere goes on.
+
+        Its second flight is an Initial as well. Opened anew at the owner it
+        would reach another endpoint, and the caller's handshake would hang.
+        """
+        net, owned = self._stale()
+        for tag in owned:
+            net.open(tag, to=2)
+        net.manifest = manifest(version=2, endpoints=5)
+        net.publish()
+        self.assertTrue(net.relays[2].ready(net.now))
+        for tag in owned:
+            net.open(tag, to=2)
+        self.assertEqual(set(owned), set(net.sessions))
+        self.assertEqual([], net.strangers)
+        self.assertEqual({1}, {len(net.holders(tag)) for tag in owned})
+
+
 class TrustTest(TestCase):
     """Only the fleet can plant or take flows."""
 
