Tests of the standby reserve addresses of their own

Two workers that ran tests of this file at once shared one service port, and the one that bound it last took the other's packets: three tests failed so once, run with four workers. The check stays as it was.

--- a/tests/agent_standby_test.py
+++ b/tests/agent_standby_test.py
@@ -16,20 +16,18 @@
 from pollenmast.peers._kinds import Kind
 from pollenmast.peers._records import unpack_forwarded
 from pollenmast.peers._udp import service_socket, udp_socket
+from standins._addresses import Reservation
 from standins.memory import early_data, initial, short
 from tests.agent_manifest_test import LOG, SETTINGS, text
 
-_ADDRESS = "127.0.16.1"
-_PEER = "127.0.16.2"
-_CALLER = "127.0.16.3"
 _PORT = 4001
 _ENOUGH_S = 10
 _KEY = SETTINGS.fleet.key
 
 
-def _node(peers: tuple[Vm, ...]) -> Node:
+def _node(address: str, peers: tuple[Vm, ...]) -> Node:
     """Returns the node of a VM with a manifest and these peers."""
-    at = attrs.evolve(SETTINGS.vm, address=_ADDRESS)
+    at = attrs.evolve(SETTINGS.vm, address=address)
     node = new_node(attrs.evolve(SETTINGS, vm=at), LOG, anyio.current_time())
     data = text(1)
     node.acceptance.offer(parse(data).unwrap(), data, anyio.current_time())
@@ -39,28 +37,30 @@
     return node
 
 
-_OTHER = Vm("vm-9", "hall-fres", _PEER, 7001, 7003, 7004)
-
-
 class _Place:
     """The VM's agent, the port of another VM's relay, and a caller."""
 
-    def __init__(self, peers: tuple[Vm, ...] = (_OTHER,)):
-        self.node = _node(peers)
+    def __init__(self, alone: bool = False):
+        self._reservation = Reservation()
+        addresses = self._reservation.addresses
+        self.address = addresses.vm(1)
+        self.relay = service_socket(self.address, _PORT)
+        self.peer = udp_socket(addresses.vm(9), 0)
+        self.caller = udp_socket(addresses.caller(1), 0)
+        other = Vm("vm-9", "hall-fres", *self.peer.getsockname(), 1, 1)
+        self.node = _node(self.address, () if alone else (other,))
         self.standby = Standby(self.node)
-        self.relay = service_socket(_ADDRESS, _PORT)
-        self.peer = service_socket(_PEER, 7001)
-        self.caller = service_socket(_CALLER, 0)
         self.opener = Opener(_KEY)
 
     def close(self) -> None:
         """Closes the sockets."""
         for each in (self.relay, self.peer, self.caller):
             each.close()
+        self._reservation.release()
 
     def send(self, data: bytes) -> None:
         """Sends a caller's datagram to the service's port."""
-        self.caller.sendto(data, (_ADDRESS, _PORT))
+        self.caller.sendto(data, (self.address, _PORT))
 
     async def at_peer(self):
         """Returns the next envelope that the other VM's relay was sent."""
@@ -86,9 +86,9 @@
     return sock.recv(9216)
 
 
-def _play(script, peers: tuple[Vm, ...] = (_OTHER,)) -> Node:
+def _play(script, alone: bool = False) -> Node:
     async def main() -> Node:
-        place = _Place(peers)
+        place = _Place(alone)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(place.standby.run)
@@ -158,7 +158,7 @@
         async def script(place):
             await place.begun()
             place.relay.close()
-            place.relay = service_socket(_ADDRESS, _PORT)
+            place.relay = service_socket(place.address, _PORT)
             place.send(b"to the new one")
             self.assertEqual(b"to the new one", await _received(place.relay))
 
@@ -172,7 +172,7 @@
 
         async def script(place):
             place.relay.close()
-            place.relay = udp_socket(_ADDRESS, _PORT)
+            place.relay = udp_socket(place.address, _PORT)
             place.standby.set_needed(True)
             await anyio.sleep(0.05)
             self.assertEqual((), place.standby.ports)
@@ -197,7 +197,7 @@
             answer = read_packet(await _received(place.caller)).unwrap()
             self.assertEqual(PacketType.INITIAL, answer.type)
 
-        node = _play(script, peers=())
+        node = _play(script, alone=True)
         reason = c.RefusalReason.NO_RELAY
         self.assertEqual(1, node.counters.value(c.REFUSALS, reason))
 
@@ -228,4 +228,4 @@
                     await anyio.sleep(0.01)
             self.assertRaises(BlockingIOError, place.caller.recv, 1)
 
-        _play(script, peers=())
+        _play(script, alone=True)
