A relay that wakes opens no flow before its clock has ticked

What callers could see: a relay frozen for less than its lease of 3 s woke, read its sockets first, and opened flows by what it believed before the freeze: at endpoints that had begun to leave, or that another VM had opened meanwhile.

Cause: the gap between two ticks shows a freeze, and packets are read by another task; the runtime may run that one first.

Mend: beliefs count as old whenever the last tick is longer ago than a freeze takes. test_packets_before_the_first_tick failed before (ready, flow opened).

--- a/src/pollenmast/relay/_readiness.py
+++ b/src/pollenmast/relay/_readiness.py
@@ -41,9 +41,11 @@
 
     def fresh(self, now: float) -> bool:
         """Returns whether flows may be opened on what is believed."""
+        # A process that wakes reads its sockets before its clock ticks.
+        awake = now - self._last_tick <= FROZEN_S
         in_lease = now - self._last_view <= LEASE_S
         waited = self._informed_by is not None and now >= self._informed_by
-        return in_lease and (self._informed or waited)
+        return awake and in_lease and (self._informed or waited)
 
     def on_tick(self, now: float) -> None:
         """Notes that the process runs; a long gap means that it did not.
--- a/tests/relay_custody_test.py
+++ b/tests/relay_custody_test.py
@@ -297,6 +297,20 @@
         self.assertEqual([], net.strangers)
         self.assertEqual([], not_last(net, "after"))
 
+    def test_packets_before_the_first_tick(self):
+        """A relay wakes with packets in its sockets, and reads those first.
+
+        Its clock has not ticked yet, so it had not noticed that it stood
+        still: it opened flows by what it believed before, at endpoints that
+        have left meanwhile.
+        """
+        net = Net(vms=1)
+        net.advance(1.0)
+        net.now += 2.0
+        self.assertFalse(net.relays[1].ready(net.now))
+        net.open("c1")
+        self.assertEqual({}, net.sessions)
+
     def test_old_view_after_waking(self):
         """A view that was sent before the freeze is no fresh one.
 
