A settings signal at its start no longer ends a VM

What callers saw: a VM of the platform that got SIGHUP while it loaded its modules ended and was started again; clients met a VM fewer for another start.

Cause: the signal's default is to end the process, and the handler is set when the event loop runs, a tenth of a second and more after the start.

Mend: it is ignored from the program's first line on.

--- a/src/pollenmast/platform/__main__.py
+++ b/src/pollenmast/platform/__main__.py
@@ -2,6 +2,7 @@
 
 import gc
 import os
+import signal
 import sys
 
 from pollenmast.platform._early import ask_store, packet_socket
@@ -18,6 +19,10 @@
 
 def main() -> int:
     """Runs the program; returns its exit code."""
+    # By default the signal that the settings have changed ends a process. A
+    # VM that is still starting would be started again, and carry nothing for
+    # as long. The settings are read below; the event loop sets its handler.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # What is loaded stays: collections meanwhile took a tenth of the time
     # from start to first packet. They begin when the event loop runs.
     gc.disable()
--- a/tests/entry_process_test.py
+++ b/tests/entry_process_test.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -171,6 +172,13 @@
                 tasks.cancel_scope.cancel()
 
 
+def _has_packet_port(vm: _Vm) -> bool:
+    """Returns whether a process has opened the port of clients' packets."""
+    host = int.from_bytes(socket.inet_aton(vm.host), sys.byteorder)
+    local = f" {host:08X}:{_PACKETS:04X} "
+    return local in pathlib.Path("/proc/net/udp").read_text()
+
+
 class ProgramTest(TestCase):
     """What clients receive while things fail."""
 
@@ -295,6 +303,26 @@
 
         self._play(script, vms=1, read_log=read_log)
 
+    def test_signal_reload_at_start(self):
+        """The settings change again while a VM is still starting.
+
+        Until the program handled the signal it ended by it. The platform
+        started it once more, and clients met a VM fewer for as long.
+        """
+
+        async def script(world: _World) -> None:
+            vm = world.vms[0]
+            vm.kill()
+            vm.start()
+            with anyio.fail_after(_WITHIN_S):
+                while not _has_packet_port(vm):
+                    await anyio.sleep(0.001)
+            vm.process.send_signal(signal.SIGHUP)
+            await vm.until(200)
+            self.assertIsNone(vm.process.poll())
+
+        self._play(script, vms=1)
+
     def test_signal_reload(self):
         """A signal that the settings changed neither ends nor stops it."""
 
