--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 RUN := PYTHONPATH=src:. $(VENV)/bin/python
 
-.PHONY: demo test test-only bench binary lock search soak clean
+.PHONY: demo test test-only bench binary lock search soak soak-fleet clean
 
 $(VENV)/.installed: requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -28,6 +28,9 @@
 soak: $(VENV)/.installed
 	$(RUN) -m soak --seeds $(SEEDS)
 
+soak-fleet: $(VENV)/.installed
+	$(RUN) -m soak.fleet --seeds $(SEEDS)
+
 binary: $(VENV)/.installed
 	$(RUN) -m packing
 
