The soak of relays and agents waits for the end of what it stops

Trace: its relay logged stopping and, 5.1 s later, stopped, and was never started. A freeze had touched the VM before, so the soak did not wait for the end, and mended what had not ended yet.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -150,10 +150,13 @@
         for process in stopped:
             process.signal(signal.SIGTERM)
         for process in stopped:
-            if process not in self._touched:
-                ended = await process.ended(STOP_WITHIN_S)
-                if process not in self._touched and not ended:
-                    self.result.broken.append(f"{process.name} did not end")
+            ended = await process.ended(STOP_WITHIN_S)
+            if not ended and process not in self._touched:
+                self.result.broken.append(f"{process.name} did not end")
+            # One that another fault froze must end all the same: whoever
+            # mends starts only what has ended.
+            process.signal(signal.SIGKILL)
+            await process.ended(STOP_WITHIN_S)
 
     def _heal(self, vm: fleet.Vm) -> None:
         for program, process in list(vm.programs.items()):
