--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -73,7 +73,7 @@
 
     async def play(self) -> None:
         """Plays the faults, mends everything, and judges."""
-        self._start_callers()
+        self._world.start_usual_callers(SESSIONS, IMAGES_PER_S, DEADLINE_S)
         self._world.mark_loss()
         async with anyio.create_task_group() as tasks:
             for fault in self._faults:
@@ -86,20 +86,6 @@
         outcome = await self._world.end_callers()
         self._judge(outcome, calm_from)
 
-    def _start_callers(self) -> None:
-        options = {"deadline_s": DEADLINE_S}
-        self._world.start_callers(
-            "sessions",
-            "session",
-            fleet.REGISTRY,
-            count=SESSIONS,
-            rate=0.5,
-            **options,
-        )
-        self._world.start_callers(
-            "images", "image", fleet.BARCODES, rate=IMAGES_PER_S, **options
-        )
-
     async def _bring(self, fault: Fault) -> None:
         await anyio.sleep(fault.at)
         around = self._world.around
--- a/standins/world.py
+++ b/standins/world.py
@@ -142,6 +142,31 @@
             )
         )
 
+    def start_usual_callers(
+        self,
+        sessions: int,
+        images_per_s: float,
+        deadline_s: float,
+        ramp_s: float = 1.0,
+    ) -> None:
+        """Starts sessions at the registry and images from barcodes."""
+        self.start_callers(
+            "publishers",
+            "session",
+            fleet.REGISTRY,
+            count=sessions,
+            rate=0.5,
+            ramp_s=ramp_s,
+            deadline_s=deadline_s,
+        )
+        self.start_callers(
+            "images",
+            "image",
+            fleet.BARCODES,
+            rate=images_per_s,
+            deadline_s=deadline_s,
+        )
+
     async def list_vms(
         self, numbers: list[int], leaving: int = 0, at_once: bool = False
     ) -> None:
--- /dev/null
+++ b/tests/agent_shutdown_test.py
@@ -0,0 +1,56 @@
+"""Tests of agent._shutdown, with a relay in memory."""
+
+import anyio
+import attrs
+import trio
+from testtools import TestCase
+
+from pollenmast.agent import _shutdown
+from pollenmast.fleet import VmState
+from pollenmast.peers._messages import DrainOrder
+from tests.agent_group import run
+
+
+class ShutdownTest(TestCase):
+    """A graceful stop waits for the relay, but not for ever."""
+
+    def _stop(self, drains_after_s: float | None) -> tuple:
+        outcome = []
+
+        async def script(agent):
+            await trio.sleep(2.0)
+            shutdown = _shutdown.Shutdown(agent.node, agent.gossip, agent.link)
+            began = trio.current_time()
+
+            async def drained():
+                await trio.sleep(drains_after_s)
+                agent.relay.report = attrs.evolve(
+                    agent.relay.report, draining=True, drained=True
+                )
+
+            async with anyio.create_task_group() as tasks:
+                if drains_after_s is not None:
+                    tasks.start_soon(drained)
+                await shutdown._drain()
+            outcome.append(trio.current_time() - began)
+            outcome.append(agent.node.membership.own.state)
+
+        agent = run(script)
+        orders = [
+            message
+            for _, message in agent.relay.taken
+            if isinstance(message, DrainOrder)
+        ]
+        return (*outcome, len(orders))
+
+    def test_drained(self):
+        """The agent ends soon after its relay has handed over all flows."""
+        spent, state, orders = self._stop(2.0)
+        self.assertTrue(2.0 < spent < 3.0, spent)
+        self.assertEqual((VmState.DEAD, 1), (state, orders))
+
+    def test_never_drained(self):
+        """A flow never moves; the VM ends after the grace all the same."""
+        spent, state, _ = self._stop(None)
+        self.assertTrue(5.0 < spent < 5.5, spent)
+        self.assertEqual(VmState.DEAD, state)
