--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -69,7 +69,6 @@
         self._vms = vms
         self._touched: set[_processes.Process] = set()
         self._stops: collections.Counter[int] = collections.Counter()
-        self._draining: frozenset[str] = frozenset()
 
     async def play(self) -> None:
         """Plays the faults, mends everything, and judges."""
@@ -105,8 +104,8 @@
 
     async def _publish(self, fault: Fault) -> None:
         names = [place.name for place in self._world.places]
-        self._draining = frozenset({names[int(fault.draw * len(names))]})
-        await self._world.publish(self._draining, wait=False)
+        draining = frozenset({names[int(fault.draw * len(names))]})
+        await self._world.publish(draining, wait=False)
 
     async def _spoil(self, fault: Fault) -> None:
         vm = self._world.vms[1 + int(fault.draw * self._vms)]
