Tests of the log see only the lines of their own log

Cause: eliot keeps what is written before it has a destination and hands it to the first one. entry_checks_test's spells write more lines of one event than a second may hold; where the wall clock's second changes in one of them, it also writes how many were left out. If such a test runs first in a worker and the flood's test is the first there with a destination, it gets those lines as well.

The check itself stays: it was wrong in whose lines it read, and now reads those of its own log alone.

--- a/tests/events_log_test.py
+++ b/tests/events_log_test.py
@@ -15,10 +15,15 @@
     """A flood from outside does not become a flood of lines."""
 
     def setUp(self):
-        """Gathers what is written."""
+        """Gathers what is written.
+
+        Eliot hands its first destination what was written before there was
+        one, also by other tests' logs in the same process.
+        """
         super().setUp()
         self.lines: list[dict[str, object]] = []
         eliot.add_destinations(self.lines.append)
+        self.lines.clear()
         self.addCleanup(eliot.remove_destination, self.lines.append)
         self.now = 10.0
         self.log = EventLog("relay", "relay-1", lambda: self.now)
