A module that fails to load no longer ends a VM that carries packets

Cause: Boot.load had no handler. An error of any module, for want of memory or descriptors, ended the process with clients' packets unread in its socket. Change: while routes and endpoints are known, the module is tried again every 0.1 s for 2 s and packets are carried; then the process ends as before. Result: entry_boot_test test_module_fails failed before (2 of 2), passes now; test_module_missing is unchanged.

--- a/src/pollenmast/entry/_boot.py
+++ b/src/pollenmast/entry/_boot.py
@@ -23,6 +23,7 @@
 import importlib
 import os
 import random
+import select
 import socket
 import sys
 import time
@@ -36,6 +37,7 @@
 from pollenmast.entry._ports import EntrySettings, PacketFormat
 from pollenmast.events import (
     ENTRY_REFUSED,
+    LOAD_FAILED,
     ROUTES_IN_FORCE,
     STARTED,
     BoundedStream,
@@ -52,6 +54,14 @@
 100 kB comes in parts some milliseconds apart; loading a module in between would
 take longer. Over a narrow link it takes longer still, and loading goes on."""
 
+LOAD_RETRY_S = 0.1
+"""Between two tries to load a module that failed, in seconds."""
+
+LOAD_PATIENCE_S = 2.0
+"""How long a VM carries packets without the rest of its program, in seconds.
+It learns of no change meanwhile, so this is less than the time within which
+one has to be in force."""
+
 LATE_MODULES = (
     *("ssl", "concurrent.futures", "subprocess", "asyncio.events"),
     *("asyncio", "anyio", "anyio._backends._asyncio"),
@@ -135,10 +145,14 @@
         return self._first_read is not None
 
     def load(self, modules: Iterable[str] = LATE_MODULES) -> None:
-        """Loads modules, and looks at the socket after each."""
+        """Loads modules, and looks at the socket after each.
+
+        Raises:
+            Exception: Whatever the last try to load a module has raised.
+        """
         self.step(FIRST_WAIT_S)
         for name in modules:
-            importlib.import_module(name)
+            self._load(name)
             self.step()
         if self._first_read is not None and not self._first_read.begun:
             self.give_up()
@@ -159,6 +173,29 @@
             self._first_read.close()
             self._first_read = None
 
+    def _load(self, name: str) -> None:
+        """Loads a module; carries packets between tries that fail."""
+        give_up_at = _now() + LOAD_PATIENCE_S
+        while True:
+            try:
+                importlib.import_module(name)
+                return
+            # A module's own statements may raise anything.
+            except Exception as error:
+                self._parts.log.write(
+                    LOAD_FAILED, module=name, error=repr(error)
+                )
+                if not self._parts.steering.ready or _now() >= give_up_at:
+                    self._parts.stream.flush()
+                    raise
+            self._carry_until(_now() + LOAD_RETRY_S)
+
+    def _carry_until(self, until: float) -> None:
+        sock = self._parts.carrier.sock
+        while (left_s := until - _now()) > 0.0:
+            select.select([sock], [], [], left_s)
+            self.step()
+
     def _take(self, answer: Result[Update, DirectoryFault]) -> None:
         if isinstance(answer, Err):
             # The program asks again, and logs what it then finds.
--- a/src/pollenmast/events/_catalogue.py
+++ b/src/pollenmast/events/_catalogue.py
@@ -196,6 +196,13 @@
     "A changed settings file is invalid; the settings in force stay.",
     "Mend the file at the named field.",
 )
+LOAD_FAILED = Event(
+    111,
+    "load_failed",
+    "A part of the program could not be loaded; packets are carried without"
+    " it for a while, and it is tried again.",
+    "Look at `error`, and at the VM's memory and files.",
+)
 FLOW_PLACED = Event(
     201,
     "flow_placed",
@@ -309,6 +316,7 @@
     PAUSED,
     SETTINGS_RELOADED,
     SETTINGS_REFUSED,
+    LOAD_FAILED,
     FLOW_PLACED,
     FLOW_RESET,
     SEGMENT_DROPPED,
--- a/tests/entry_boot_test.py
+++ b/tests/entry_boot_test.py
@@ -1,9 +1,11 @@
 """Tests of entry._boot and of the platform's first question."""
 
+import importlib
 import io
 import random
 import socket
 import time
+from unittest import mock
 
 import anyio
 import attrs
@@ -20,6 +22,7 @@
     Histograms,
 )
 from pollenmast.entry import Boot, Early, FirstRead
+from pollenmast.entry._boot import LOAD_RETRY_S
 from pollenmast.entry._carrier import BATCH, Carrier
 from pollenmast.entry._program import FIRST_READ_S, _Program
 from pollenmast.events import EventLog, JsonSink
@@ -183,6 +186,42 @@
         boot.load(MODULES)
         self.assertEqual(2 * BATCH + 5, self._carried())
 
+    @parameterized.expand([("once", 1), ("for_a_while", 3)])
+    def test_module_fails(self, _, failures):
+        """Memory is short while a VM starts, and a module fails to load.
+
+        Ended at once, the VM would leave the packets in its socket unread
+        until its next start; it carries them and tries again.
+        """
+        boot = self._boot(_FirstRead(Ok(self._listing)))
+        loaded = []
+
+        def load(name):
+            loaded.append(name)
+            if loaded.count(name) <= failures and name == MODULES[1]:
+                self._send(1)
+                raise MemoryError("no room")
+
+        with mock.patch.object(importlib, "import_module", load):
+            boot.load(MODULES)
+        self.assertEqual(failures, self._carried())
+        self.assertEqual(failures + 1, loaded.count(MODULES[1]))
+        self.assertEqual(MODULES[2], loaded[-1])
+        self.assertEqual(
+            failures, self._stream.getvalue().count(b"load_failed")
+        )
+
+    def test_module_fails_before_carrying(self):
+        """A module fails to load in a VM that knows no endpoint yet.
+
+        It has nothing to carry packets by: a new start is the quickest way.
+        """
+        boot = self._boot(None)
+        began = time.monotonic()
+        names = (*MODULES, "pollenmast.no_such_module")
+        self.assertRaises(ModuleNotFoundError, boot.load, names)
+        self.assertLess(time.monotonic() - began, LOAD_RETRY_S)
+
     def test_module_missing(self):
         """A module cannot be loaded: the process ends and says which."""
         boot = self._boot(_FirstRead(Ok(self._listing)))
