Checks of endpoints are counted and logged by their reason

Nothing told why an endpoint was asked: which doubt, a repeat of an unanswered check, a recheck of what is down, or a control. No decision changes.

--- a/src/pollenmast/counters/__init__.py
+++ b/src/pollenmast/counters/__init__.py
@@ -2,6 +2,7 @@
 
 from pollenmast.counters._catalogue import (
     CATALOGUE,
+    CHECKS,
     CONTROL_BYTES,
     DROPS,
     ENVELOPE_FAULTS,
@@ -21,6 +22,7 @@
     RETRIES,
     SEGMENTS,
     TRANSFERS,
+    CheckReason,
     CounterDefinition,
     DropReason,
     EnvelopeFault,
@@ -47,6 +49,7 @@
 
 __all__ = [
     "CATALOGUE",
+    "CHECKS",
     "CONTROL_BYTES",
     "DROPS",
     "ENVELOPE_FAULTS",
@@ -66,6 +69,7 @@
     "RETRIES",
     "SEGMENTS",
     "TRANSFERS",
+    "CheckReason",
     "CounterDefinition",
     "Counters",
     "DropReason",
--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -68,6 +68,46 @@
     """Every endpoint is doubted; the least doubtful one is tried."""
 
 
+class CheckReason(str, enum.Enum):
+    """Why an endpoint was asked for its health."""
+
+    REPEATED = "repeated"
+    """A client sent a SYN or data again."""
+
+    UNOPENED = "unopened"
+    """A client did not go on after its SYN."""
+
+    SILENT = "silent"
+    """A request went unanswered for unusually long."""
+
+    LAPSED = "lapsed"
+    """Its entry has vanished from the directory."""
+
+    MISSING = "missing"
+    """Its entry has not come back."""
+
+    REPORTED = "reported"
+    """Another VM finds it down."""
+
+    TOLD = "told"
+    """A reader of the zone finds it down, and flows go to it here."""
+
+    UNANSWERED = "unanswered"
+    """The check before went unanswered."""
+
+    UNSURE = "unsure"
+    """The check before said nothing, by this VM's own fault."""
+
+    DOWN = "down"
+    """It was down a while ago."""
+
+    REVIVED = "revived"
+    """It was down, and a client has received something from it."""
+
+    CONTROL = "control"
+    """Beside another one's check, to tell whose fault a timeout is."""
+
+
 class EnvelopeFault(str, enum.Enum):
     """Why an envelope or control message was thrown away."""
 
@@ -223,6 +263,12 @@
 PROBES = CounterDefinition(
     "probes", "{probe}", "Endpoint probes.", ("answered", "failed", "malformed")
 )
+CHECKS = CounterDefinition(
+    "checks",
+    "{check}",
+    "Endpoints asked for their health, controls among them.",
+    _all(CheckReason),
+)
 PLATFORM_CALLS = CounterDefinition(
     "platform_calls",
     "{call}",
@@ -246,6 +292,7 @@
     CONTROL_BYTES,
     MANIFESTS,
     PROBES,
+    CHECKS,
     PLATFORM_CALLS,
     RESETS,
     PLACEMENTS,
--- a/src/pollenmast/entry/_checks.py
+++ b/src/pollenmast/entry/_checks.py
@@ -3,12 +3,20 @@
 import anyio
 import anyio.abc
 
-from pollenmast.counters import CHECK_TIME, PROBES, Counters, Histograms
+from pollenmast.counters import (
+    CHECK_TIME,
+    CHECKS,
+    PROBES,
+    CheckReason,
+    Counters,
+    Histograms,
+)
 from pollenmast.entry._carrier import Carrier
 from pollenmast.entry._pause import PauseWatch
 from pollenmast.entry._ports import HealthProbe
 from pollenmast.events import (
     CHECKS_UNSURE,
+    ENDPOINT_CHECKED,
     ENDPOINT_DOWN,
     ENDPOINT_GONE,
     ENDPOINT_UP,
@@ -148,6 +156,8 @@
         table = self._steering.table
         paths = table.health_paths if table is not None else {}
         pauses = self._pauses.count
+        reason = record.health.check_reason
+        self._counters.add(CHECKS, reason)
         began = anyio.current_time()
         result = await self._probe.check(
             endpoint, paths.get(endpoint.service, "/"), extra_s
@@ -156,6 +166,14 @@
         self._histograms.observe(CHECK_TIME, took_s)
         failed = result in (CheckResult.TIMEOUT, CheckResult.REFUSED)
         self._counters.add(PROBES, "failed" if failed else "answered")
+        self._log.write(
+            ENDPOINT_CHECKED,
+            endpoint=endpoint.name,
+            reason=reason,
+            result=result,
+            took_ms=round(1000.0 * took_s),
+            flows=self._steering.flows.count(endpoint.name),
+        )
         self._pauses.look()
         late = took_s > self._probe.timeout_s + extra_s + LATE_S
         stood = self._pauses.count != pauses
@@ -168,6 +186,7 @@
     async def _reach(
         self, record: Record, extra_s: float, reached: list[bool]
     ) -> None:
+        self._counters.add(CHECKS, CheckReason.CONTROL)
         answered = await self._probe.reaches(record.endpoint, extra_s)
         self._counters.add(PROBES, "answered" if answered else "failed")
         reached.append(answered)
--- a/src/pollenmast/events/_catalogue.py
+++ b/src/pollenmast/events/_catalogue.py
@@ -262,6 +262,13 @@
     " this VM's own link or processor is at fault.",
     "Look at this VM's link if it goes on.",
 )
+ENDPOINT_CHECKED = Event(
+    309,
+    "endpoint_checked",
+    "An endpoint was asked for its health; `reason` says why, `flows` how many"
+    " open flows go there by this VM.",
+    "Nothing. Many of one reason on many VMs tell what the fleet doubts.",
+)
 ROUTES_IN_FORCE = Event(
     421, "routes_in_force", "A configuration came into force.", "Nothing."
 )
@@ -327,6 +334,7 @@
     ENDPOINT_UP,
     ENDPOINT_GONE,
     CHECKS_UNSURE,
+    ENDPOINT_CHECKED,
     ROUTES_IN_FORCE,
     ENTRY_REFUSED,
     HISTORY_GONE,
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -11,6 +11,7 @@
 
 from pollenmast import counters as c
 from pollenmast.counters import (
+    CheckReason,
     Counters,
     DropReason,
     Histograms,
@@ -164,7 +165,7 @@
         records = self._catalog.apply(update, now)
         for record in records:
             if record.presence is Presence.LAPSED:
-                record.health.ask(now)
+                record.health.ask(now, CheckReason.LAPSED)
         if update.revision > self._revision:
             told = tuple(change for change in changes if change is not None)
             kept = Update(told, update.revision, update.whole)
@@ -203,7 +204,7 @@
         """
         record = self._catalog.by_number(number)
         if record is not None and not record.health.down:
-            record.health.ask(now)
+            record.health.ask(now, CheckReason.REPORTED)
 
     def on_told_down(self, number: int, now: float) -> None:
         """A reader of this zone, which has asked itself, finds one down.
@@ -219,7 +220,7 @@
             return
         record.health.avoid(now)
         if self._flows.count(record.endpoint.name):
-            record.health.ask_again(now)
+            record.health.ask_again(now, CheckReason.TOLD)
 
     def lively(self, but: Record, most: int) -> list[Record]:
         """Returns the endpoints that have shown life last, all but one.
@@ -254,7 +255,7 @@
 
     def _ask_overdue(self, now: float) -> None:
         for record in self._catalog.overdue():
-            record.health.ask_again(now)
+            record.health.ask_again(now, CheckReason.MISSING)
 
     def _take(self, change: Change) -> Change | None:
         """Takes in a configuration; returns a change as peers are told it."""
--- a/src/pollenmast/steering/_health.py
+++ b/src/pollenmast/steering/_health.py
@@ -22,6 +22,7 @@
 import math
 from collections.abc import Callable
 
+from pollenmast.counters import CheckReason
 from pollenmast.steering._model import FlowKey
 
 CALM_S = 0.15
@@ -95,6 +96,7 @@
         self._failed = 0
         self._down = False
         self._check_at: float | None = None
+        self._check_reason = CheckReason.REPEATED
         self._pause_s = RECHECK_S
         self._checked_at = float("-inf")
         self._pending: dict[FlowKey, float] = {}
@@ -126,6 +128,11 @@
         """Whether a check is due or under way."""
         return self._check_at is not None
 
+    @property
+    def check_reason(self) -> CheckReason:
+        """Why the check is due, or the last one was."""
+        return self._check_reason
+
     @property
     def failing(self) -> bool:
         """Whether further unanswered checks make it down."""
@@ -165,9 +172,13 @@
 
     def look(self, now: float) -> None:
         """Asks for a check if it has been silent for too long."""
-        silent = self._unopened(now) or self._unanswered(now)
-        if silent and now - self._checked_at >= TRUST_S:
-            self.ask(now)
+        reason = None
+        if self._unopened(now):
+            reason = CheckReason.UNOPENED
+        elif self._unanswered(now):
+            reason = CheckReason.SILENT
+        if reason is not None and now - self._checked_at >= TRUST_S:
+            self.ask(now, reason)
 
     def _unopened(self, now: float) -> bool:
         oldest = next(iter(self._pending.values()), now)
@@ -199,27 +210,27 @@
         self._failed = 0
         if self._down:
             self._down = False
-            self._expect_check(now)
+            self._expect_check(now, CheckReason.REVIVED)
 
     def on_repeat(self, now: float) -> None:
         """A client has sent something to it again."""
         if now - self._advanced_at >= CALM_S and self._check_at is None:
-            self._expect_check(now)
+            self._expect_check(now, CheckReason.REPEATED)
 
-    def ask(self, now: float) -> None:
+    def ask(self, now: float, reason: CheckReason) -> None:
         """Has it checked, whatever passed by."""
         if self._check_at is None:
-            self._expect_check(now)
+            self._expect_check(now, reason)
 
-    def ask_again(self, now: float) -> None:
+    def ask_again(self, now: float, reason: CheckReason) -> None:
         """Has it checked, unless it has answered a check just now."""
         if now - self._checked_at >= RECHECK_MOST_S:
-            self.ask(now)
+            self.ask(now, reason)
 
     def postpone(self, now: float) -> None:
         """A check said nothing, by this VM's own fault: not again at once."""
         self._failed = 0
-        self._expect_check(now + RECHECK_S)
+        self._expect_check(now + RECHECK_S, CheckReason.UNSURE)
 
     def avoid(self, now: float) -> None:
         """Another VM finds it down: new flows had better go elsewhere."""
@@ -239,16 +250,17 @@
             return self._on_answered(now)
         self._failed += 1
         if result not in _CERTAIN and self._failed < FAILED_CHECKS:
-            self._expect_check(now)
+            self._expect_check(now, CheckReason.UNANSWERED)
             return False
-        self._expect_check(now + self._pause_s)
+        self._expect_check(now + self._pause_s, CheckReason.DOWN)
         self._pause_s = min(2.0 * self._pause_s, RECHECK_MOST_S)
         changed = not self._down
         self._down = True
         return changed
 
-    def _expect_check(self, at: float) -> None:
+    def _expect_check(self, at: float, reason: CheckReason) -> None:
         self._check_at = at
+        self._check_reason = reason
         self._on_expect()
 
     def _on_answered(self, now: float) -> bool:
--- a/tests/entry_checks_test.py
+++ b/tests/entry_checks_test.py
@@ -6,7 +6,7 @@
 from parameterized import parameterized
 from testtools import TestCase
 
-from pollenmast.counters import Counters, Histograms
+from pollenmast.counters import CHECKS, CheckReason, Counters, Histograms
 from pollenmast.entry._checks import LAG_FACTOR, Checker
 from pollenmast.entry._pause import PauseWatch
 from pollenmast.entry._ports import HealthProbe
@@ -55,13 +55,13 @@
         self.ended += resets
 
 
-def _checker(probe, core, packets, pauses=None) -> Checker:
+def _checker(probe, core, packets, pauses=None, counters=None) -> Checker:
     return Checker(
         probe,
         core,
         packets,
         pauses or PauseWatch(lambda: 0.0),
-        Counters(),
+        counters or Counters(),
         Histograms(),
         EventLog("t", "vm"),
     )
@@ -92,7 +92,9 @@
             key = group.flow()
             core.on_segment(group.syn(key), now)
             core.on_segment(group.segment(key, 1), now)
-            core.catalog.get(group.endpoint(1).name).health.ask(now)
+            core.catalog.get(group.endpoint(1).name).health.ask(
+                now, CheckReason.REPORTED
+            )
             checker = _checker(probe, core, packets, pauses)
             with anyio.move_on_after(within_s):
                 await checker.run()
@@ -170,7 +172,9 @@
         async def main() -> None:
             now = anyio.current_time()
             known, core = _three_endpoints(now)
-            core.catalog.get(known[0].name).health.ask(now)
+            core.catalog.get(known[0].name).health.ask(
+                now, CheckReason.REPORTED
+            )
             checker = _checker(Probe(None), core, packets)
             with anyio.move_on_after(2.0):
                 await checker.run()
@@ -194,6 +198,43 @@
         self.assertEqual(ended, self._ended(dead))
 
 
+class ReasonTest(TestCase):
+    """Each check is counted by its reason."""
+
+    def test_dead_endpoint(self):
+        """An endpoint died; its checks are told from their controls."""
+        counters = Counters()
+
+        class Probe(_Probe):
+            async def check(self, endpoint, path, extra_s):
+                await super().check(endpoint, path, extra_s)
+                if endpoint.number == 1:
+                    return CheckResult.TIMEOUT
+                return CheckResult.ANSWERED
+
+        async def main() -> None:
+            now = anyio.current_time()
+            known, core = _three_endpoints(now)
+            record = core.catalog.get(known[0].name)
+            record.health.ask(now, CheckReason.TOLD)
+            checker = _checker(Probe(None), core, _Packets(), None, counters)
+            with anyio.move_on_after(0.4):
+                await checker.run()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        counted = {
+            reason: counters.value(CHECKS, reason)
+            for reason in CheckReason
+            if counters.value(CHECKS, reason)
+        }
+        expected = {
+            CheckReason.TOLD: 1,
+            CheckReason.UNANSWERED: FAILED_CHECKS - 1,
+            CheckReason.CONTROL: 2 * (FAILED_CHECKS - 1),
+        }
+        self.assertEqual(expected, counted)
+
+
 class FullLinkTest(TestCase):
     """A VM's link is full by turns, some tenths of a second each."""
 
@@ -216,7 +257,8 @@
                 for _ in range(60):
                     for each in known:
                         record = core.catalog.get(each.name)
-                        record.health.ask(anyio.current_time())
+                        now = anyio.current_time()
+                        record.health.ask(now, CheckReason.REPORTED)
                     await anyio.sleep(1.0)
                 tasks.cancel_scope.cancel()
 
--- a/tests/steering_health_test.py
+++ b/tests/steering_health_test.py
@@ -3,6 +3,7 @@
 from parameterized import parameterized
 from testtools import TestCase
 
+from pollenmast.counters import CheckReason
 from pollenmast.steering._health import (
     AVOID_S,
     CALM_S,
@@ -77,7 +78,7 @@
         Each such flow would otherwise cost a check of a healthy endpoint.
         """
         health = Health()
-        health.ask(1.0)
+        health.ask(1.0, CheckReason.REPORTED)
         health.on_check(CheckResult.ANSWERED, 1.0)
         health.on_syn(group.flow(), 1.1)
         health.look(1.1 + OPEN_S)
@@ -197,7 +198,7 @@
         0.2 s.
         """
         health, down_at = Health(), None
-        health.ask(1.0)
+        health.ask(1.0, CheckReason.REPORTED)
         for step in range(100):
             now = 1.0 + step / 100.0
             if answer_s is not None and step % int(100 * answer_s) == 0:
