The first read takes all pages of the list while the program loads

Cause: the first stage could use a list of one page only. On the large site the store gives 50 items an answer, so every VM that started threw its first answer away, loaded the whole program, and read the list again page by page; its clients' packets waited that long, and the first call was made twice. Same place: a list of more than 200 pages (10,000 items there, of 11,000 endpoints to come) was cut off and taken for whole, which would have removed every endpoint behind its end. Change: platform/_listing.py puts pages together for both readers; the first read asks for the next page over its connection as soon as the one before is there. A list of more than 1,000 pages is refused.

--- a/src/pollenmast/platform/_first_read.py
+++ b/src/pollenmast/platform/_first_read.py
@@ -1,29 +1,35 @@
 """The store's answer to a VM's first question, as endpoints and routes."""
 
 import json
+import time
+from typing import Any
 
 from result import Err, Ok, Result
 
 from pollenmast.counters import PLATFORM_CALLS, Counters
 from pollenmast.entry import FirstRead
 from pollenmast.exchange import EndedError, ProtocolError, TooLargeError
-from pollenmast.platform._items import read_items
+from pollenmast.platform._listing import Listing
 from pollenmast.platform._question import StoreQuestion
 from pollenmast.steering import DirectoryFault, Update
 
 _OK = 200
 
+_Page = Result[Any, DirectoryFault]
+
 
 class StoreFirstRead(FirstRead):
-    """Reads everything, as far as one page holds it.
+    """Reads everything, page after page, over one connection.
 
-    A longer list is left to the program: a page after the other could not be
-    awaited here without holding packets back.
+    Each page is asked for as soon as the one before is there, between two
+    modules if need be: a VM that left the rest of a long list to its program
+    would carry nothing until all of that is loaded.
     """
 
     def __init__(self, question: StoreQuestion, counters: Counters):
         self._question = question
         self._counters = counters
+        self._listing = Listing()
 
     @property
     def begun(self) -> bool:
@@ -36,13 +42,30 @@
 
     def poll(self, wait_s: float) -> Result[Update, DirectoryFault] | None:
         """Returns the answer, or None if it is not there in time."""
-        answer = self._answer(wait_s)
-        if answer is not None:
-            outcome = "answered" if answer.is_ok() else "failed"
-            self._counters.add(PLATFORM_CALLS, outcome)
-        return answer
+        until = time.monotonic() + wait_s
+        while True:
+            page = self._page(max(0.0, until - time.monotonic()))
+            if page is None:
+                return None
+            self._counters.add(
+                PLATFORM_CALLS, "answered" if page.is_ok() else "failed"
+            )
+            if isinstance(page, Err):
+                return page
+            target = self._listing.target
+            if target is None:
+                return Ok(self._listing.update())
+            if not self._follow(target):
+                return Err(DirectoryFault.UNREACHABLE)
+
+    def _follow(self, target: str) -> bool:
+        try:
+            return self._question.follow(target)
+        except (OSError, ProtocolError):
+            return False
 
-    def _answer(self, wait_s: float) -> Result[Update, DirectoryFault] | None:
+    def _page(self, wait_s: float) -> _Page | None:
+        """Returns a page that has been added to the list, or why not."""
         try:
             response = self._question.answer(wait_s)
         except (OSError, EndedError):
@@ -53,17 +76,10 @@
             return None
         if response.status != _OK:
             return Err(DirectoryFault.STATUS)
-        return _update(response.body)
-
-
-def _update(body: bytes) -> Result[Update, DirectoryFault]:
-    try:
-        page = json.loads(body)
-    except (ValueError, RecursionError):
-        return Err(DirectoryFault.MALFORMED)
-    if not isinstance(page, dict) or page.get("morePages") is True:
-        return Err(DirectoryFault.MALFORMED)
-    items, revision = page.get("items"), page.get("asOf")
-    if not isinstance(items, list) or not isinstance(revision, int):
-        return Err(DirectoryFault.MALFORMED)
-    return Ok(read_items(items, revision, whole=True))
+        try:
+            page = json.loads(response.body)
+        except (ValueError, RecursionError):
+            return Err(DirectoryFault.MALFORMED)
+        if not self._listing.add(page):
+            return Err(DirectoryFault.MALFORMED)
+        return Ok(page)
--- /dev/null
+++ b/src/pollenmast/platform/_listing.py
@@ -0,0 +1,63 @@
+"""Everything that the store holds, put together from its pages."""
+
+import urllib.parse
+from typing import Any
+
+from pollenmast.platform._early import EVERYTHING_PATH
+from pollenmast.platform._items import read_items
+from pollenmast.steering import Update
+
+MOST_PAGES = 1000
+"""Pages read in a row; a store may give as few as 50 items in each."""
+
+
+class Listing:
+    """The pages of one list, one after the other.
+
+    Pages are not one snapshot: the list is complete up to the revision of the
+    first, and a watch from there repeats what came meanwhile.
+    """
+
+    def __init__(self):
+        self._items: list[Any] = []
+        self._revision: int | None = None
+        self._pages = 0
+        self._target = EVERYTHING_PATH
+
+    @property
+    def target(self) -> str | None:
+        """The path of the next page, None after the last."""
+        return self._target or None
+
+    def add(self, page: Any) -> bool:
+        """Takes in a page; returns whether it is one.
+
+        A list longer than `MOST_PAGES` is refused: taken as whole, it would
+        remove the endpoints beyond it.
+        """
+        if not isinstance(page, dict):
+            return False
+        items, revision = page.get("items"), page.get("asOf")
+        if not isinstance(items, list) or not isinstance(revision, int):
+            return False
+        self._items += items
+        self._pages += 1
+        if self._revision is None:
+            self._revision = revision
+        if page.get("morePages") is not True:
+            self._target = ""
+            return True
+        last = items[-1] if items else None
+        key = last.get("key") if isinstance(last, dict) else None
+        if not isinstance(key, str) or self._pages >= MOST_PAGES:
+            return False
+        self._target = f"{EVERYTHING_PATH}&after=" + urllib.parse.quote(
+            key, safe=""
+        )
+        return True
+
+    def update(self) -> Update:
+        """Returns what all pages tell; only after the last."""
+        if self._revision is None:
+            raise ValueError("no page was read")
+        return read_items(self._items, self._revision, whole=True)
--- a/src/pollenmast/platform/_question.py
+++ b/src/pollenmast/platform/_question.py
@@ -14,7 +14,7 @@
 
 
 class StoreQuestion:
-    """One exchange with the store, without an event loop.
+    """Questions to the store, one after the other, without an event loop.
 
     Loading what understands the answer takes a small VM a tenth of a second;
     by then the answer is there.
@@ -43,6 +43,24 @@
         """Closes the connection."""
         self._sock.close()
 
+    def follow(self, target: str) -> bool:
+        """Asks the next question over the connection.
+
+        Args:
+            target: The path that is asked for.
+
+        Returns:
+            Whether the store keeps the connection open.
+
+        Raises:
+            OSError: The store cannot be reached.
+        """
+        if not self._exchange.next_cycle():
+            return False
+        self._unsent = self._exchange.request(target)
+        self.ask()
+        return True
+
     def ask(self) -> bool:
         """Sends the question if the connection is open; returns whether.
 
--- a/src/pollenmast/platform/_store.py
+++ b/src/pollenmast/platform/_store.py
@@ -1,15 +1,14 @@
 """Reads and watches the platform's metadata store."""
 
 import json
-import urllib.parse
 from typing import Any
 
 from result import Err, Ok, Result
 
 from pollenmast import http1
 from pollenmast.counters import CONTROL_BYTES, PLATFORM_CALLS, Counters
-from pollenmast.platform._early import EVERYTHING_PATH
 from pollenmast.platform._items import read_items
+from pollenmast.platform._listing import Listing
 from pollenmast.platform._question import MOST_BODY_BYTES
 from pollenmast.steering import Directory, DirectoryFault, Update
 
@@ -20,9 +19,6 @@
 WATCH_MARGIN_S = 0.5
 """How much longer than the asked wait a watch is given to answer."""
 
-MOST_PAGES = 200
-"""Pages read in one go, 500 items each; far above the users' 11,000."""
-
 _EVERYTHING = ""
 """Prefix of both the configuration and the endpoints; a watch of each would
 cost twice the calls."""
@@ -44,32 +40,15 @@
         self._counters = counters
 
     async def read(self) -> Result[Update, DirectoryFault]:
-        """Returns everything that is published now.
-
-        Pages are not one snapshot: the answer is complete up to the revision
-        of the first, and a watch from there repeats what came meanwhile.
-        """
-        items: list[Any] = []
-        revision, after = None, ""
-        for _ in range(MOST_PAGES):
-            target = EVERYTHING_PATH + after
+        """Returns everything that is published now."""
+        listing = Listing()
+        while (target := listing.target) is not None:
             answer = await self._get(self._reader, target, READ_TIMEOUT_S)
             if isinstance(answer, Err):
                 return answer
-            page = answer.ok_value
-            listed = page.get("items")
-            if not isinstance(listed, list):
-                return self._malformed()
-            items += listed
-            if revision is None:
-                revision = page.get("asOf")
-            if page.get("morePages") is not True:
-                break
-            last = listed[-1].get("key") if listed else None
-            if not isinstance(last, str):
+            if not listing.add(answer.ok_value):
                 return self._malformed()
-            after = f"&after={urllib.parse.quote(last, safe='')}"
-        return self._update(items, revision, whole=True)
+        return Ok(listing.update())
 
     async def watch(
         self, after: int, wait_s: float
@@ -85,14 +64,10 @@
         events = answer.ok_value.get("events")
         if not isinstance(events, list):
             return self._malformed()
-        return self._update(events, answer.ok_value.get("asOf"), whole=False)
-
-    def _update(
-        self, items: list[Any], revision: Any, *, whole: bool
-    ) -> Result[Update, DirectoryFault]:
+        revision = answer.ok_value.get("asOf")
         if not isinstance(revision, int):
             return self._malformed()
-        return Ok(read_items(items, revision, whole=whole))
+        return Ok(read_items(events, revision, whole=False))
 
     def _malformed(self) -> Err[DirectoryFault]:
         self._counters.add(PLATFORM_CALLS, "malformed")
--- a/tests/entry_boot_test.py
+++ b/tests/entry_boot_test.py
@@ -291,6 +291,7 @@
         super().setUp()
         ours, self.store = socket.socketpair()
         ours.setblocking(False)
+        self.store.settimeout(2.0)
         self.question = StoreQuestion(ours)
         self.question.ask()
         self.counters = Counters()
@@ -309,6 +310,48 @@
         self.assertEqual(7, self.read.poll(0.0).ok_value.revision)
         self.assertEqual(1, self.counters.value(PLATFORM_CALLS, "answered"))
 
+    def _pages(self, *pages: bytes) -> None:
+        """Has the store answer a question for each page, then end."""
+        for page in pages:
+            self.store.recv(4096)
+            self.store.sendall(HEAD % len(page) + page)
+            self.polled.append(self.read.poll(0.0))
+
+    def test_pages(self):
+        """The list is longer than one page, as in a fleet of hundreds.
+
+        Asked for the rest only by the loaded program, a VM that has power
+        again leaves its clients' packets unread for a tenth of a second more.
+        """
+        self.polled = []
+        first = b'{"items": [{"key": "a b"}], "morePages": true, "asOf": 7}'
+        self._pages(first, PAGE.replace(b"7", b"9"))
+        self.assertIsNone(self.polled[0])
+        self.assertEqual(7, self.polled[1].ok_value.revision)
+        self.assertTrue(self.polled[1].ok_value.whole)
+        self.assertEqual(2, self.counters.value(PLATFORM_CALLS, "answered"))
+
+    def test_page_asked_for(self):
+        """The next page begins after the last key."""
+        self.store.recv(4096)
+        page = b'{"items": [{"key": "a b"}], "morePages": true, "asOf": 7}'
+        self.store.sendall(HEAD % len(page) + page)
+        self.assertIsNone(self.read.poll(0.0))
+        asked = self.store.recv(4096)
+        self.assertIn(f"{EVERYTHING_PATH}&after=a%20b ".encode(), asked)
+
+    def test_cut_off_between_pages(self):
+        """The store goes away after the first page: the list is not whole.
+
+        Taken for everything, it would leave most endpoints unused.
+        """
+        self.store.recv(4096)
+        page = b'{"items": [{"key": "a"}], "morePages": true, "asOf": 7}'
+        self.store.sendall(HEAD % len(page) + page)
+        self.store.close()
+        polled = self.read.poll(0.5)
+        self.assertEqual(Err(DirectoryFault.UNREACHABLE), polled)
+
     @parameterized.expand(
         [
             ("busy", b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", "status"),
--- a/tests/platform_store_test.py
+++ b/tests/platform_store_test.py
@@ -15,6 +15,7 @@
 from pollenmast.entry._follow import STALE_PART, WATCH_S, Follower
 from pollenmast.events import EventLog
 from pollenmast.http1 import HttpFault, Response
+from pollenmast.platform import _listing
 from pollenmast.platform._store import WATCH_MARGIN_S, StoreDirectory
 from pollenmast.steering import (
     DirectoryFault,
@@ -90,6 +91,17 @@
         update = self._read().ok_value
         self.assertEqual(PAGE_ITEMS + 7, len(update.changes))
 
+    def test_too_many_pages(self):
+        """A list longer than any is refused whole.
+
+        Cut off and taken for everything, it would remove the endpoints that
+        stand behind its end, and their flows would be reset.
+        """
+        self.patch(_listing, "MOST_PAGES", 2)
+        for number in range(3 * PAGE_ITEMS):
+            self.store.put(f"servers/i-{number:08x}", ENTRY)
+        self.assertEqual(Err(DirectoryFault.MALFORMED), self._read())
+
     @parameterized.expand(
         [
             ("bytes", b"\xff\x00"),
