Endpoints that vanish or are down are asked by readers, and where flows go

Each of 88 VMs asked each vanished endpoint once, then looked once a second whether it was back. The suspicion that VMs with flows ask too much holds for 10% (silent, unopened, told, repeated). What callers saw: endpoints of two slots got hundreds of checks a second at the moment when they returned. Change: a vanished endpoint is asked by the zone's readers and by VMs that carry flows to it, by others when a flow arrives. While a reader reports an endpoint down, other VMs leave the looking to it (5 s at the most, own looks again 1.5 s after its last word); readers do not leave it to each other. No reset on weaker evidence: a flow is ended by the same checks as before.

--- a/src/pollenmast/entry/_gossip.py
+++ b/src/pollenmast/entry/_gossip.py
@@ -28,7 +28,7 @@
 from pollenmast.entry._peers import PeerReader
 from pollenmast.entry._ports import Address
 from pollenmast.entry._report import MOST_CHANGE_BYTES, Kind, Report
-from pollenmast.steering import Members, Steering
+from pollenmast.steering import Members, Presence, Steering
 
 EVERY_S = 0.5
 """Between two reports. Load is measured over two seconds."""
@@ -210,12 +210,15 @@
         return self._steering.revision
 
     def _learn_down(self, report: Report, now: float) -> None:
-        if report.kind is Kind.ANSWER and report.zone == self._zone:
-            for number in report.down:
-                self._steering.on_told_down(number, now)
-        elif report.down and self._members.is_reader(now):
+        if not report.down:
+            return
+        # Readers that left the looking to each other would all stop.
+        if self._members.is_reader(now):
             for number in report.down:
                 self._steering.on_reported_down(number, now)
+        elif report.kind is Kind.ANSWER and report.zone == self._zone:
+            for number in report.down:
+                self._steering.on_told_down(number, now)
 
     def _learn_load(self, report: Report, now: float) -> None:
         load = self._steering.load
@@ -299,7 +302,7 @@
         down = tuple(
             record.endpoint.number
             for record in self._steering.catalog.records
-            if record.health.down
+            if record.health.down and record.presence is not Presence.GONE
         )
         named = self._some(self._members.heard(zone, now), reports.MOST_MEMBERS)
         report = Report(
--- a/src/pollenmast/steering/_catalog.py
+++ b/src/pollenmast/steering/_catalog.py
@@ -132,9 +132,9 @@
         return list(self._lapsed.values())
 
     def expire(self, now: float) -> None:
-        """Forgets endpoints that have been gone for long."""
+        """Forgets endpoints whose entries have been missing for long."""
         for name, record in list(self._records.items()):
-            gone = record.presence is Presence.GONE
+            gone = self.is_missing(record)
             if gone and now - record.lapsed_at >= FORGET_S:
                 del self._records[name]
                 del self._by_number[record.endpoint.number]
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -83,6 +84,7 @@
         self._revision = 0
         self._confirmed_at = float("-inf")
         self._returned_at = float("-inf")
+        self._is_reader: Callable[[], bool] = _always
 
     @property
     def catalog(self) -> Catalog:
@@ -119,6 +121,15 @@
         """Whether routes and endpoints are known."""
         return self._table is not None and bool(self._catalog.records)
 
+    def join(self, is_reader: Callable[[], bool]) -> None:
+        """Shares the checks of endpoints with other VMs.
+
+        Args:
+            is_reader: Whether this VM asks for its zone. One that does not
+                asks only where it carries flows.
+        """
+        self._is_reader = is_reader
+
     def age_s(self, now: float) -> float:
         """Returns how long ago the directory confirmed the beliefs."""
         return now - self._confirmed_at
@@ -163,9 +174,9 @@
         before = self._table
         changes = [self._take(change) for change in update.changes]
         records = self._catalog.apply(update, now)
-        for record in records:
-            if record.presence is Presence.LAPSED:
-                record.health.ask(now, CheckReason.LAPSED)
+        lapsed = [r for r in records if r.presence is Presence.LAPSED]
+        for record in self._concerning(lapsed):
+            record.health.ask(now, CheckReason.LAPSED)
         if update.revision > self._revision:
             told = tuple(change for change in changes if change is not None)
             kept = Update(told, update.revision, update.whole)
@@ -213,10 +224,14 @@
         slow or cut off itself. If every VM asked all of them, their machines'
         queues for connections would overflow, more checks would fail, and
         more endpoints would be reported. So a VM only keeps new flows away,
-        and asks where it has flows to end.
+        and asks where it has flows to end. Whether one is back that it has
+        found down itself is for the reader to see.
         """
         record = self._catalog.by_number(number)
-        if record is None or record.health.down:
+        if record is None:
+            return
+        if record.health.down:
+            record.health.defer(now)
             return
         record.health.avoid(now)
         if self._flows.count(record.endpoint.name):
@@ -254,9 +269,20 @@
             self._load.on_late(endpoint, now)
 
     def _ask_overdue(self, now: float) -> None:
-        for record in self._catalog.overdue():
+        for record in self._concerning(self._catalog.overdue()):
             record.health.ask_again(now, CheckReason.MISSING)
 
+    def _concerning(self, records: list[Record]) -> list[Record]:
+        """Returns the vanished endpoints that this VM has to ask.
+
+        Load pattern: a service is released and its entries vanish by the
+        dozen. Were all asked by all VMs, the checks would grow with the
+        product of both. Where no flow passes, no client waits for an answer.
+        """
+        if not records or self._is_reader():
+            return records
+        return [r for r in records if self._flows.count(r.endpoint.name)]
+
     def _take(self, change: Change) -> Change | None:
         """Takes in a configuration; returns a change as peers are told it."""
         old = self._table
@@ -299,30 +325,40 @@
         return None
 
     def _learn(self, segment: Segment, record: Record, now: float) -> None:
+        if self._flows.get(segment.flow) is None:
+            self._on_arrival(record, now)
         flow = self._flows.bind(segment.flow, record.endpoint.name, now)
         if not flow.opened and flow.tried:
             self._histograms.observe(c.OPEN_WAIT, now - flow.syn_at)
         progress = note(flow, segment, now)
         if progress.waited_s is not None:
-            self._histograms.observe(c.ANSWER_WAIT, progress.waited_s)
-            change_s = progress.waited_s - self._usual_wait_s
-            self._usual_wait_s += WAIT_WEIGHT * change_s
-        if progress.request:
-            self._load.on_work(record.endpoint.number, now)
+            self._on_answer(progress.waited_s)
         # A request acknowledges the answer before it: it advances first.
         if progress.advanced:
             record.health.on_advance(now)
+            self._waiting.end(segment.flow)
         if progress.request:
+            self._load.on_work(record.endpoint.number, now)
             record.health.on_request(now, self._usual_wait_s)
+            self._waiting.begin(segment.flow, record.endpoint.number, now)
         if progress.repeated:
             record.health.on_repeat(now)
-        if progress.advanced:
-            self._waiting.end(segment.flow)
-        if progress.request:
-            self._waiting.begin(segment.flow, record.endpoint.number, now)
         if segment.fin:
             self._forget(segment.flow)
 
+    def _on_answer(self, waited_s: float) -> None:
+        self._histograms.observe(c.ANSWER_WAIT, waited_s)
+        change_s = waited_s - self._usual_wait_s
+        self._usual_wait_s += WAIT_WEIGHT * change_s
+
+    @staticmethod
+    def _on_arrival(record: Record, now: float) -> None:
+        """A flow has moved here whose endpoint this VM may not have asked."""
+        if record.presence is Presence.LAPSED:
+            record.health.ask_again(now, CheckReason.LAPSED)
+        elif record.health.is_avoided(now):
+            record.health.ask_again(now, CheckReason.TOLD)
+
     def _forget(self, flow: FlowKey) -> None:
         self._flows.forget(flow)
         self._waiting.end(flow)
@@ -398,3 +434,7 @@
     ) -> Reset:
         sequence = 0 if segment.syn else segment.acknowledged
         return Reset(segment.flow, sequence, reason, endpoint)
+
+
+def _always() -> bool:
+    return True
--- a/src/pollenmast/steering/_health.py
+++ b/src/pollenmast/steering/_health.py
@@ -61,6 +61,11 @@
 AVOID_S = 1.5
 """How long another VM's finding counts: three of its reports."""
 
+MOST_DEFER_S = 5.0
+"""The longest between two looks of this VM at an endpoint that is down, while
+a reader reports it so. VMs that took each other for readers would otherwise
+wait for each other for good."""
+
 TRUST_S = 0.5
 """After an answered check no other is asked for by silence: while the VMs in
 rotation change, a flow's next packet may pass by another VM."""
@@ -99,6 +104,7 @@
         self._check_reason = CheckReason.REPEATED
         self._pause_s = RECHECK_S
         self._checked_at = float("-inf")
+        self._tried_at = float("-inf")
         self._pending: dict[FlowKey, float] = {}
         self._asked_at: float | None = None
         self._silent_s = SILENT_S
@@ -236,9 +242,19 @@
         """Another VM finds it down: new flows had better go elsewhere."""
         self._avoided_until = now + AVOID_S
 
+    def defer(self, now: float) -> None:
+        """A reader finds it down as well, and looks whether it is back."""
+        if self._down and self._check_at is not None:
+            at = min(now + AVOID_S, self._tried_at + MOST_DEFER_S)
+            self._expect_check(max(at, self._check_at), CheckReason.DOWN)
+
+    def is_avoided(self, now: float) -> bool:
+        """Whether another VM has found it down lately."""
+        return now < self._avoided_until
+
     def is_sure(self, now: float) -> bool:
         """Whether nothing speaks against new flows."""
-        return not self.doubted and now >= self._avoided_until
+        return not self.doubted and not self.is_avoided(now)
 
     def due(self, now: float) -> bool:
         """Whether a check is to be made now."""
@@ -246,6 +262,7 @@
 
     def on_check(self, result: CheckResult, now: float) -> bool:
         """Takes in a check; returns whether the belief has changed."""
+        self._tried_at = now
         if result in (CheckResult.ANSWERED, CheckResult.UNHEALTHY):
             return self._on_answered(now)
         self._failed += 1
