What a VM asks and what it leaves to others is a module of its own

Doubts (steering/_doubts.py) decides which endpoints are asked, from the directory's and other VMs' news; Steering keeps segments, routes and the ends of flows. 'lively' is now 'controls', what it is for.

--- a/src/pollenmast/entry/_checks.py
+++ b/src/pollenmast/entry/_checks.py
@@ -130,7 +130,7 @@
         extra_s = min(LAG_FACTOR * self._pauses.lag_s, MOST_EXTRA_S)
         controls = []
         if record.health.failing:
-            controls = self._steering.lively(record, MOST_CONTROLS)
+            controls = self._steering.doubts.controls(record, MOST_CONTROLS)
         reached: list[bool] = []
         async with anyio.create_task_group() as tasks:
             for other in controls:
--- a/src/pollenmast/entry/_gossip.py
+++ b/src/pollenmast/entry/_gossip.py
@@ -215,10 +215,10 @@
         # Readers that left the looking to each other would all stop.
         if self._members.is_reader(now):
             for number in report.down:
-                self._steering.on_reported_down(number, now)
+                self._steering.doubts.on_reported_down(number, now)
         elif report.kind is Kind.ANSWER and report.zone == self._zone:
             for number in report.down:
-                self._steering.on_told_down(number, now)
+                self._steering.doubts.on_told_down(number, now)
 
     def _learn_load(self, report: Report, now: float) -> None:
         load = self._steering.load
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -110,7 +110,7 @@
             self._pauses,
         )
         self._follower.join(self._gossip.is_reader, self._gossip.push)
-        self._steering.join(self._gossip.is_reader)
+        self._steering.doubts.join(self._gossip.is_reader)
 
     async def run(self) -> int:
         """Runs until it is stopped; returns the exit code."""
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -6,13 +6,11 @@
 """
 
 import random
-from collections.abc import Callable
 
 import attrs
 
 from pollenmast import counters as c
 from pollenmast.counters import (
-    CheckReason,
     Counters,
     DropReason,
     Histograms,
@@ -25,6 +23,7 @@
     RoutesPublished,
     Update,
 )
+from pollenmast.steering._doubts import Doubts
 from pollenmast.steering._flows import REPEAT_S, FlowTable, note
 from pollenmast.steering._health import CheckResult
 from pollenmast.steering._journal import Journal
@@ -75,6 +74,7 @@
         self._histograms = histograms or Histograms()
         self._catalog = Catalog()
         self._flows = FlowTable()
+        self._doubts = Doubts(self._catalog, self._flows)
         self._waiting = Waiting()
         self._usual_wait_s = 0.0
         self._load = LoadBook(zone)
@@ -84,7 +84,6 @@
         self._revision = 0
         self._confirmed_at = float("-inf")
         self._returned_at = float("-inf")
-        self._is_reader: Callable[[], bool] = _always
 
     @property
     def catalog(self) -> Catalog:
@@ -96,6 +95,11 @@
         """The flows that passed by."""
         return self._flows
 
+    @property
+    def doubts(self) -> Doubts:
+        """Which endpoints this VM asks for their health."""
+        return self._doubts
+
     @property
     def load(self) -> LoadBook:
         """The endpoints' load."""
@@ -121,15 +125,6 @@
         """Whether routes and endpoints are known."""
         return self._table is not None and bool(self._catalog.records)
 
-    def join(self, is_reader: Callable[[], bool]) -> None:
-        """Shares the checks of endpoints with other VMs.
-
-        Args:
-            is_reader: Whether this VM asks for its zone. One that does not
-                asks only where it carries flows.
-        """
-        self._is_reader = is_reader
-
     def age_s(self, now: float) -> float:
         """Returns how long ago the directory confirmed the beliefs."""
         return now - self._confirmed_at
@@ -175,8 +170,7 @@
         changes = [self._take(change) for change in update.changes]
         records = self._catalog.apply(update, now)
         lapsed = [r for r in records if r.presence is Presence.LAPSED]
-        for record in self._concerning(lapsed):
-            record.health.ask(now, CheckReason.LAPSED)
+        self._doubts.on_lapsed(lapsed, now)
         if update.revision > self._revision:
             told = tuple(change for change in changes if change is not None)
             kept = Update(told, update.revision, update.whole)
@@ -207,82 +201,19 @@
             return []
         return self._end_flows(record)
 
-    def on_reported_down(self, number: int, now: float) -> None:
-        """Another VM found an endpoint down: this one asks for itself.
-
-        Believed without a check, a VM that is cut off would turn the others
-        away from endpoints that they reach.
-        """
-        record = self._catalog.by_number(number)
-        if record is not None and not record.health.down:
-            record.health.ask(now, CheckReason.REPORTED)
-
-    def on_told_down(self, number: int, now: float) -> None:
-        """A reader of this zone, which has asked itself, finds one down.
-
-        Load pattern: a VM reports endpoints down that are well, as it is
-        slow or cut off itself. If every VM asked all of them, their machines'
-        queues for connections would overflow, more checks would fail, and
-        more endpoints would be reported. So a VM only keeps new flows away,
-        and asks where it has flows to end. Whether one is back that it has
-        found down itself is for the reader to see.
-        """
-        record = self._catalog.by_number(number)
-        if record is None:
-            return
-        if record.health.down:
-            record.health.defer(now)
-            return
-        record.health.avoid(now)
-        if self._flows.count(record.endpoint.name):
-            record.health.ask_again(now, CheckReason.TOLD)
-
-    def lively(self, but: Record, most: int) -> list[Record]:
-        """Returns the endpoints that have shown life last, all but one.
-
-        Of each availability zone only one: a whole zone may be out of reach.
-        """
-        known = [
-            record
-            for record in self._catalog.records
-            if record is not but
-            and record.presence is Presence.LISTED
-            and not record.health.down
-        ]
-        known.sort(key=lambda record: -record.health.advanced_at)
-        by_zone: dict[str, Record] = {}
-        for record in known:
-            by_zone.setdefault(record.endpoint.zone, record)
-        return list(by_zone.values())[:most]
-
     def due_checks(self, now: float) -> list[Record]:
         """Returns the endpoints whose health is to be checked now."""
-        self._ask_overdue(now)
+        self._doubts.ask_overdue(now)
         return self._catalog.watchlist.look(now)
 
     def tick(self, now: float) -> None:
         """Forgets what is old, and asks for what did not come back."""
         self._flows.expire(now)
         self._catalog.expire(now)
-        self._ask_overdue(now)
+        self._doubts.ask_overdue(now)
         for endpoint in self._waiting.take_late(now):
             self._load.on_late(endpoint, now)
 
-    def _ask_overdue(self, now: float) -> None:
-        for record in self._concerning(self._catalog.overdue()):
-            record.health.ask_again(now, CheckReason.MISSING)
-
-    def _concerning(self, records: list[Record]) -> list[Record]:
-        """Returns the vanished endpoints that this VM has to ask.
-
-        Load pattern: a service is released and its entries vanish by the
-        dozen. Were all asked by all VMs, the checks would grow with the
-        product of both. Where no flow passes, no client waits for an answer.
-        """
-        if not records or self._is_reader():
-            return records
-        return [r for r in records if self._flows.count(r.endpoint.name)]
-
     def _take(self, change: Change) -> Change | None:
         """Takes in a configuration; returns a change as peers are told it."""
         old = self._table
@@ -326,7 +257,7 @@
 
     def _learn(self, segment: Segment, record: Record, now: float) -> None:
         if self._flows.get(segment.flow) is None:
-            self._on_arrival(record, now)
+            self._doubts.on_arrival(record, now)
         flow = self._flows.bind(segment.flow, record.endpoint.name, now)
         if not flow.opened and flow.tried:
             self._histograms.observe(c.OPEN_WAIT, now - flow.syn_at)
@@ -351,14 +282,6 @@
         change_s = waited_s - self._usual_wait_s
         self._usual_wait_s += WAIT_WEIGHT * change_s
 
-    @staticmethod
-    def _on_arrival(record: Record, now: float) -> None:
-        """A flow has moved here whose endpoint this VM may not have asked."""
-        if record.presence is Presence.LAPSED:
-            record.health.ask_again(now, CheckReason.LAPSED)
-        elif record.health.is_avoided(now):
-            record.health.ask_again(now, CheckReason.TOLD)
-
     def _forget(self, flow: FlowKey) -> None:
         self._flows.forget(flow)
         self._waiting.end(flow)
@@ -434,7 +357,3 @@
     ) -> Reset:
         sequence = 0 if segment.syn else segment.acknowledged
         return Reset(segment.flow, sequence, reason, endpoint)
-
-
-def _always() -> bool:
-    return True
--- a/tests/steering_asking_test.py
+++ b/tests/steering_doubts_test.py
@@ -29,7 +29,7 @@
 
 def _core(*endpoints, reads: bool = False) -> Steering:
     core = group.steering(*endpoints)
-    core.join(lambda: reads)
+    core.doubts.join(lambda: reads)
     return core
 
 
@@ -113,6 +113,23 @@
         self.assertEqual(PlacementReason.OWN_ZONE, outcome.placed)
         self.assertIs(Presence.LISTED, core.catalog.get(FIRST.name).presence)
 
+    def test_last_resort(self):
+        """All entries of a service vanish, and half of its endpoints died.
+
+        A VM that has asked none of them goes by what a reader tells: half of
+        its new flows would otherwise open nowhere.
+        """
+        core = _core(FIRST, SECOND)
+        for endpoint in (FIRST, SECOND):
+            _vanish(core, endpoint, 1.0)
+        core.doubts.on_told_down(FIRST.number, 1.1)
+        chosen = set()
+        for number in range(8):
+            outcome = core.on_segment(group.syn(group.flow(number)), 1.2)
+            self.assertEqual(PlacementReason.LAST_RESORT, outcome.placed)
+            chosen.add(outcome.endpoint.name)
+        self.assertEqual({SECOND.name}, chosen)
+
 
 class DownTest(TestCase):
     """An endpoint is down: who looks whether it is back."""
@@ -129,7 +146,7 @@
         while now < until:
             now = round(now + 0.05, 2)
             if now < told_until and round(now * 100) % 50 == 0:
-                core.on_told_down(FIRST.number, now)
+                core.doubts.on_told_down(FIRST.number, now)
             for due in core.due_checks(now):
                 times.append(now)
                 core.on_check(due, CheckResult.REFUSED, now)
@@ -169,7 +186,7 @@
         ask at once.
         """
         core = _core(FIRST, SECOND)
-        core.on_told_down(FIRST.number, 1.0)
+        core.doubts.on_told_down(FIRST.number, 1.0)
         self.assertEqual([], core.due_checks(1.0))
         _carry(core, 1, FIRST, 1.2)
         due = core.due_checks(1.2)
@@ -196,7 +213,9 @@
                 if tells and index >= READERS:
                     for record in vms[index % READERS].catalog.records:
                         if record.health.down:
-                            core.on_told_down(record.endpoint.number, now)
+                            core.doubts.on_told_down(
+                                record.endpoint.number, now
+                            )
                 for due in core.due_checks(now):
                     checks += 1
                     core.on_check(due, CheckResult.TIMEOUT, now)
