Endpoints that a report cannot name are not taken for idle

Cause: a report names the 90 busiest endpoints. With more that are busy, a VM took all others for idle (rate 0): where its own endpoints had more than 4 requests a second and slot, its flows left the zone for endpoints as full as those it left, and broke with the next cut. Change: an endpoint that is not named counts what the least busy named one has. Result: entry_report_test test_more_endpoints_than_named (40 near endpoints, 198 busy far ones) failed before on the cut-off report, passes; a report that names all busy ones still lets flows leave for the two idle.

--- a/src/pollenmast/entry/_gossip.py
+++ b/src/pollenmast/entry/_gossip.py
@@ -223,7 +223,7 @@
     def _learn_load(self, report: Report, now: float) -> None:
         load = self._steering.load
         if report.kind is Kind.ANSWER and report.zone == self._zone:
-            load.on_total(report.rates, report.vms, now)
+            load.on_total(report.rates, report.vms, now, report.floor)
         elif report.kind is Kind.ZONE:
             load.on_zone(report.zone, report.rates, report.vms, now)
         elif report.kind is Kind.ASK and report.zone == self._zone:
--- a/src/pollenmast/entry/_report.py
+++ b/src/pollenmast/entry/_report.py
@@ -81,6 +81,16 @@
     changes: bytes = b""
     link_mbps: int = 0
 
+    @property
+    def floor(self) -> float:
+        """The most that an endpoint which is not named can have.
+
+        Requests a second; 0 where all busy endpoints are named.
+        """
+        if len(self.rates) < MOST_ENDPOINTS:
+            return 0.0
+        return min(self.rates.values())
+
 
 def encode(report: Report) -> bytes:
     """Returns the datagram."""
--- a/src/pollenmast/steering/_load.py
+++ b/src/pollenmast/steering/_load.py
@@ -53,6 +53,7 @@
     at: float
     rates: Rates
     vms: int = 1
+    floor: float = 0.0
 
     def replaces(self, other: "_Report | None") -> bool:
         if other is None or self.vms >= other.vms:
@@ -115,16 +116,22 @@
         if report.replaces(self._zones.get(zone)):
             self._zones[zone] = report
 
-    def on_total(self, rates: Rates, vms: int, now: float) -> None:
+    def on_total(
+        self, rates: Rates, vms: int, now: float, floor: float = 0.0
+    ) -> None:
         """A reader of this zone told what all VMs send.
 
+        Load pattern: a fleet has more endpoints than one report names. Taken
+        for idle, those left out would draw flows away from every zone.
+
         Args:
-            rates: The total.
+            rates: The total, of the busiest endpoints.
             vms: How many VMs of this zone it has heard from.
             now: The runtime's clock in seconds.
+            floor: What an endpoint counts for that is not named.
         """
         self._on_heard(now)
-        report = _Report(now, rates, vms)
+        report = _Report(now, rates, vms, floor)
         if report.replaces(self._told):
             self._told = report
 
@@ -183,7 +190,7 @@
         if self._told_vms(now) <= self.vms(now):
             reports = [*_fresh(self._mates, now), *_fresh(self._zones, now)]
             return own + sum(rates.get(endpoint, 0.0) for rates in reports)
-        told = self._told.rates.get(endpoint, 0.0)
+        told = self._told.rates.get(endpoint, self._told.floor)
         # The part that the told sum has of this VM is older than its own.
         return max(0.0, told + own - self._reported.get(endpoint, 0.0))
 
--- a/tests/entry_report_test.py
+++ b/tests/entry_report_test.py
@@ -11,7 +11,11 @@
 from parameterized import parameterized
 from testtools import TestCase
 
-from pollenmast.counters import ENVELOPE_FAULTS, Counters
+from pollenmast.counters import (
+    ENVELOPE_FAULTS,
+    Counters,
+    PlacementReason,
+)
 from pollenmast.entry import _gossip as gossip
 from pollenmast.entry import _report as reports
 from pollenmast.entry._pause import PauseWatch
@@ -155,6 +159,32 @@
         self._take(5.0, revision=revision, age_s=0.8)
         self.assertEqual(age_s, round(self.core.age_s(5.0), 3))
 
+    @parameterized.expand([("all_named", 40, True), ("cut_off", 200, False)])
+    def test_more_endpoints_than_named(self, _, others, leaves):
+        """A fleet has more endpoints than a report names, all but two busy.
+
+        Those left out were taken for idle: in a rush flows left their zone
+        for endpoints as full as their own, and broke with the next cut.
+        """
+        near = [group.endpoint(n) for n in range(1, 41)]
+        far = [
+            group.endpoint(n, zone=group.OTHER_ZONE)
+            for n in range(41, 41 + others)
+        ]
+        self.core = group.steering(*near, *far)
+        self.gossip = self._gossip()
+        rates = {each.number: 12.0 for each in (*near, *far[: others - 2])}
+        for now in (1.0, 3.0, 5.0):
+            report = attrs.evolve(
+                REPORT, kind=Kind.ANSWER, rates=rates, vms=40, down=()
+            )
+            self.gossip.take(reports.encode(report), "127.0.0.2", now)
+        placed = [
+            self.core.on_segment(group.syn(group.flow(n)), 5.0).placed
+            for n in range(100)
+        ]
+        self.assertEqual(leaves, PlacementReason.OTHER_ZONE in placed)
+
     @parameterized.expand([("stood", 4.0, True), ("ran", 0.1, False)])
     def test_waited_in_socket(self, _, gap_s, discarded):
         """A VM wakes, and a report from before its pause is in its socket.
