Of more than 90 endpoints that are down, each is told in turn

Cause: a report named the first 90 of the list, always the same; VMs without flows there never heard of the others and went on placing flows on them. Found by reading, beside the rates that were cut off. Result: entry_report_test test_many_down failed before, passes.

--- a/src/pollenmast/entry/_gossip.py
+++ b/src/pollenmast/entry/_gossip.py
@@ -299,11 +299,11 @@
         zone: str = "",
     ) -> bytes:
         zone = zone or self._zone
-        down = tuple(
+        down = [
             record.endpoint.number
             for record in self._steering.catalog.records
             if record.health.down and record.presence is not Presence.GONE
-        )
+        ]
         named = self._some(self._members.heard(zone, now), reports.MOST_MEMBERS)
         report = Report(
             kind,
@@ -313,7 +313,8 @@
             self._steering.age_s(now) + ANSWER_LIFE_S,
             vms,
             rates or {},
-            down,
+            # Where a report cannot name them all, each gets its turn.
+            tuple(self._some(down, reports.MOST_ENDPOINTS)),
             {host: self._members.link_mbps(host) for host in named},
             zone,
             after,
--- a/tests/entry_report_test.py
+++ b/tests/entry_report_test.py
@@ -20,6 +20,7 @@
 from pollenmast.entry import _report as reports
 from pollenmast.entry._pause import PauseWatch
 from pollenmast.entry._report import Kind, Report
+from pollenmast.steering import CheckResult
 from tests import steering_group as group
 
 REPORT = Report(
@@ -136,6 +137,23 @@
         due = [r.endpoint.number for r in self.core.due_checks(1.0)]
         self.assertEqual([1], due)
 
+    def test_many_down(self):
+        """More endpoints are down than one report names: each gets its turn.
+
+        The VMs of the zone would never learn of those at the list's end, and
+        go on sending new flows there.
+        """
+        known = [group.endpoint(number) for number in range(1, 201)]
+        self.core = group.steering(*known)
+        for record in self.core.catalog.records:
+            self.core.on_check(record, CheckResult.REFUSED, 1.0)
+        self.gossip = self._gossip()
+        told = set()
+        for _ in range(20):
+            report = self.gossip._report(Kind.ANSWER, 1.0)
+            told.update(reports.decode(report).ok_value.down)
+        self.assertEqual(200, len(told))
+
     def test_load(self):
         """The load that another VM reports counts here."""
         self._take()
