--- a/tests/entry_checks_test.py
+++ b/tests/entry_checks_test.py
@@ -18,6 +18,9 @@
 CHECK_S = 0.05
 """How long the probe of these tests takes."""
 
+FOURTH_TRY_S = 1.4
+"""When a client sends data for the fourth time: after 0.2, 0.4 and 0.8 s."""
+
 
 class _Probe(HealthProbe):
     """Answers as told."""
@@ -277,6 +280,58 @@
         self.assertEqual([], self._ended(spell_ms / 1000.0))
 
 
+class ManyDeadTest(TestCase):
+    """Many endpoints die at the same moment, as when a machine room fails."""
+
+    DEAD, ALIVE = 47, 12
+
+    def _told(self, reads: bool) -> dict[int, float]:
+        """Returns when each flow was ended, by its number."""
+        told = {}
+
+        class Packets:
+            def end(self, resets, now):
+                for reset in resets:
+                    told.setdefault(reset.flow.client_port - 1024, now)
+
+        class Probe(_Probe):
+            async def check(self, endpoint, path, extra_s):
+                await super().check(endpoint, path, extra_s)
+                if endpoint.number <= ManyDeadTest.DEAD:
+                    return CheckResult.TIMEOUT
+                return CheckResult.ANSWERED
+
+        async def main() -> None:
+            zones = {True: group.ZONE, False: group.OTHER_ZONE}
+            numbers = range(1, self.DEAD + self.ALIVE + 1)
+            known = [
+                group.endpoint(n, zone=zones[n <= self.DEAD]) for n in numbers
+            ]
+            now = anyio.current_time()
+            core = group.steering(*known, now=now)
+            core.doubts.join(lambda: reads)
+            for number in numbers:
+                asked = group.segment(group.flow(number), number, length=10)
+                core.on_segment(asked, now)
+            checker = _checker(Probe(None), core, Packets())
+            with anyio.move_on_after(2.0):
+                await checker.run()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        return told
+
+    @parameterized.expand([("reader", True), ("other_vm", False)])
+    def test_flows_told(self, _, reads):
+        """Clients of a live feed wait on endpoints that lost power together.
+
+        Each is told before it sends its request for the fourth time, and no
+        client of an endpoint that lives is.
+        """
+        told = self._told(reads)
+        self.assertEqual(set(range(1, self.DEAD + 1)), set(told))
+        self.assertLess(max(told.values()), FOURTH_TRY_S)
+
+
 class WakeTest(TestCase):
     """The checker looks when a look is due and sleeps otherwise."""
 
