--- a/src/pollenmast/platform/_listing.py
+++ b/src/pollenmast/platform/_listing.py
@@ -1,6 +1,5 @@
 """Everything that the store holds, put together from its pages."""
 
-import urllib.parse
 from typing import Any
 
 from pollenmast.platform._early import EVERYTHING_PATH
@@ -51,9 +50,7 @@
         key = last.get("key") if isinstance(last, dict) else None
         if not isinstance(key, str) or self._pages >= MOST_PAGES:
             return False
-        self._target = f"{EVERYTHING_PATH}&after=" + urllib.parse.quote(
-            key, safe=""
-        )
+        self._target = _after(key)
         return True
 
     def update(self) -> Update:
@@ -61,3 +58,11 @@
         if self._revision is None:
             raise ValueError("no page was read")
         return read_items(self._items, self._revision, whole=True)
+
+
+def _after(key: str) -> str:
+    # Loaded only where a list has a second page: the first packet of a VM
+    # that starts waits for every module above.
+    import urllib.parse
+
+    return f"{EVERYTHING_PATH}&after=" + urllib.parse.quote(key, safe="")
