An endpoint that is forgotten leaves the list of vanished ones as well

Cause: since endpoints that stayed missing are forgotten without a check, one that still answered stayed on the list of those whose entries vanished. A reader would have asked it every second for ever, and the list would have grown with each release. Result: steering_doubts_test test_forgotten_while_alive failed before, passes.

--- a/src/pollenmast/steering/_catalog.py
+++ b/src/pollenmast/steering/_catalog.py
@@ -137,6 +137,7 @@
             gone = self.is_missing(record)
             if gone and now - record.lapsed_at >= FORGET_S:
                 del self._records[name]
+                self._lapsed.pop(name, None)
                 del self._by_number[record.endpoint.number]
                 self._by_token[record.endpoint.token].remove(record)
 
--- a/tests/steering_doubts_test.py
+++ b/tests/steering_doubts_test.py
@@ -101,6 +101,23 @@
         core.tick(1.0 + FORGET_S)
         self.assertIsNone(core.catalog.get(FIRST.name))
 
+    def test_forgotten_while_alive(self):
+        """An endpoint leaves but answers on for minutes; it is forgotten.
+
+        A reader that kept it on its list would ask it every second for ever.
+        """
+        core = _core(FIRST, SECOND, reads=True)
+        _vanish(core, FIRST, 1.0)
+        now = 1.0
+        while now < 2.0 + FORGET_S:
+            core.on_confirmed(now)
+            core.tick(now)
+            for due in core.due_checks(now):
+                core.on_check(due, CheckResult.ANSWERED, now)
+            now += 0.5
+        self.assertIsNone(core.catalog.get(FIRST.name))
+        self.assertEqual([], core.catalog.overdue())
+
     def test_entry_returns(self):
         """The entry is back: the endpoint takes flows, without a check."""
         core = _core(FIRST)
