Endpoints that warm up get no more new flows than they bear

Cause: `warmupS` and `warmupPerS` of the services were not read, and a cold endpoint was only counted as 0.6 of a warm one. After a drain a whole zone is cold at once while its VMs prefer it, and no VM knows what the others send.

Change: each endpoint's allowance is dealt out to the VMs of its own zone by rendezvous hashing, without a question to anybody; half of it is kept back for views that differ. A VM that has just started or hears nobody has no part. Where only cold endpoints are left, what is beyond the part is refused at once (reset reason warming_up). A restored zone counts as cold for the service's time, as its own announcement comes a heartbeat later. A rate of 0 is a limit (only the slack), a service without a rate has none; a negative, infinite or absurd one refuses the configuration.

Ways: a limit by each VM's own sample of its zone's total (refused: two VMs that hear nothing exceed it), the allowance by rendezvous hashing (kept).

--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -56,6 +56,9 @@
     ZONE_DRAINED = "zone_drained"
     """Every endpoint of the service is in a zone that is drained."""
 
+    WARMING_UP = "warming_up"
+    """Every endpoint that is left warms up and has its share of flows."""
+
 
 class PlacementReason(str, enum.Enum):
     """Why a new flow went where it went."""
--- a/src/pollenmast/entry/_boot.py
+++ b/src/pollenmast/entry/_boot.py
@@ -125,7 +125,9 @@
     stream = BoundedStream(sys.stdout.fileno())
     log = EventLog(PROGRAM, settings.vm, sink=JsonSink(stream))
     rng = random.Random(f"{settings.vm} {os.getpid()}")
-    steering = Steering(settings.zone, counters, rng, histograms)
+    steering = Steering(
+        settings.zone, counters, rng, histograms, settings.allowance
+    )
     carrier = Carrier(sock, packets, steering, counters, log)
     log.write(STARTED, zone=settings.zone, pid=os.getpid())
     return Early(
--- a/src/pollenmast/entry/_gossip.py
+++ b/src/pollenmast/entry/_gossip.py
@@ -40,6 +40,10 @@
 MOST_STRANGERS = 3
 """Of them asked at once."""
 
+ALONE_ROUNDS = 10
+"""Rounds after which a VM that has never heard from another one takes itself
+for the only one."""
+
 ANSWER_LIFE_S = 0.1
 """For how long one answer serves all who ask: a reader of 30 VMs is asked 30
 times a second, and most of an answer's work is adding up the load. Each report
@@ -81,6 +85,7 @@
         self._counters = counters
         self._rng = rng
         self._round = 0
+        self._heard = False
         self._told_revision = 0
         self._answered = (float("-inf"), 0, b"")
         self._news = anyio.Event()
@@ -96,6 +101,17 @@
         """Whether this VM is one of its zone's that watch the directory."""
         return self._members.is_reader(anyio.current_time())
 
+    def sharers(self) -> tuple[str, list[str]] | None:
+        """Returns this VM and the others of its zone, None if not known yet.
+
+        A VM that has just started, or is cut off, does not know them.
+        """
+        now = anyio.current_time()
+        if self._steering.load.is_settled(now):
+            return self._host, self._members.mates
+        alone = not self._heard and self._round >= ALONE_ROUNDS
+        return (self._host, []) if alone else None
+
     def push(self) -> None:
         """Something has changed: the others are told soon."""
         self._news.set()
@@ -193,6 +209,7 @@
         report = decoded.ok_value
         if report.vm == self._vm:
             return
+        self._heard = True
         self._members.on_heard(host, report.zone, now, report.link_mbps)
         for named, link_mbps in report.members.items():
             self._members.on_named(named, report.members_zone, now, link_mbps)
--- a/src/pollenmast/entry/_ports.py
+++ b/src/pollenmast/entry/_ports.py
@@ -9,6 +9,7 @@
 from pollenmast.counters import DropReason
 from pollenmast.steering import (
     CheckResult,
+    ColdAllowance,
     Directory,
     Endpoint,
     Reset,
@@ -41,6 +42,8 @@
         grace_s: Seconds from the signal to stop until the process is killed.
         ready_path: The path at which readiness is asked for.
         link_mbps: The width of the VM's link in Mbit/s, 0 if not known.
+        allowance: How far endpoints that warm up may be overrun, None for no
+            limit.
     """
 
     vm: str
@@ -56,6 +59,7 @@
     grace_s: float
     ready_path: str
     link_mbps: int = 0
+    allowance: ColdAllowance | None = None
 
 
 class PacketFormat(abc.ABC):
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -111,6 +111,7 @@
         )
         self._follower.join(self._gossip.is_reader, self._gossip.push)
         self._steering.doubts.join(self._gossip.is_reader)
+        self._steering.cold_limit.join(self._gossip.sharers)
 
     async def run(self) -> int:
         """Runs until it is stopped; returns the exit code."""
--- a/src/pollenmast/entry/_snapshot.py
+++ b/src/pollenmast/entry/_snapshot.py
@@ -26,6 +26,7 @@
     Split,
     Steering,
     Update,
+    Warmup,
     ZoneDrained,
     ZoneRestored,
 )
@@ -98,7 +99,8 @@
     if isinstance(change, EndpointRemoved):
         return _REMOVED, change.revision, change.name
     if isinstance(change, RoutesChanged):
-        *fields, revision = attrs.astuple(change)
+        *fields, _, revision = attrs.astuple(change)
+        fields.append(_pack_warmups(change.warmups))
         return _ROUTES_CHANGED, revision, fields
     if isinstance(change, ZoneDrained):
         return _DRAINED, change.revision, change.zone
@@ -106,7 +108,13 @@
         return _RESTORED, change.revision, change.zone
     table = change.table
     routes = [attrs.astuple(route) for route in table.routes.values()]
-    fields = (table.version, routes, table.health_paths, table.idle_timeout_s)
+    fields = (
+        table.version,
+        routes,
+        table.health_paths,
+        table.idle_timeout_s,
+        _pack_warmups(table.warmups),
+    )
     return _ROUTES, change.revision, fields
 
 
@@ -135,6 +143,7 @@
     removed: list[Any],
     paths: dict[str, str],
     idle_s: float,
+    warmups: dict[str, Any],
     revision: int,
 ) -> RoutesChanged:
     if not isinstance(base, int) or not isinstance(version, int):
@@ -142,18 +151,42 @@
     gone = tuple((str(host), int(port)) for host, port in removed)
     changed = tuple(_route(*each) for each in routes)
     return RoutesChanged(
-        base, version, changed, gone, dict(paths), float(idle_s), revision
+        base,
+        version,
+        changed,
+        gone,
+        dict(paths),
+        float(idle_s),
+        _unpack_warmups(warmups),
+        revision,
     )
 
 
 def _table(
-    version: int, routes: list[Any], paths: dict[str, str], idle_s: float
+    version: int,
+    routes: list[Any],
+    paths: dict[str, str],
+    idle_s: float,
+    warmups: dict[str, Any],
 ) -> RouteTable:
     by_address = {}
     for each in routes:
         route = _route(*each)
         by_address[route.host, route.port] = route
-    return RouteTable(version, by_address, paths, idle_s)
+    return RouteTable(
+        version, by_address, paths, idle_s, _unpack_warmups(warmups)
+    )
+
+
+def _pack_warmups(warmups: dict[str, Warmup]) -> dict[str, Any]:
+    return {name: attrs.astuple(each) for name, each in warmups.items()}
+
+
+def _unpack_warmups(warmups: dict[str, Any]) -> dict[str, Warmup]:
+    return {
+        str(name): Warmup(float(duration_s), float(flows_per_s))
+        for name, (duration_s, flows_per_s) in warmups.items()
+    }
 
 
 def _route(
--- a/src/pollenmast/platform/_entries.py
+++ b/src/pollenmast/platform/_entries.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from pollenmast.steering import Endpoint, Route, RouteTable, Split
+from pollenmast.steering import Endpoint, Route, RouteTable, Split, Warmup
 
 CONFIGURATION_KEY = "op/config"
 ENDPOINT_PREFIX = "servers/"
@@ -21,6 +21,11 @@
 
 _MOST_WARM_S = 60.0
 _MOST_SLOTS = 1024
+_MOST_RATE = 1e6
+"""New flows a second; more than any endpoint takes."""
+
+_MOST_WARMUP_S = 3600.0
+
 _HEX = frozenset("0123456789abcdefABCDEF")
 
 
@@ -76,9 +81,9 @@
     """Returns the operator's configuration, or what is wrong with it."""
     try:
         root = _object(json.loads(value))
+        entries = list(_objects(root, "services"))
         services = {
-            _text(each, "name"): _text(each, "healthPath")
-            for each in _objects(root, "services")
+            _text(each, "name"): _text(each, "healthPath") for each in entries
         }
         routes = {}
         for each in _objects(root, "routeTable"):
@@ -92,6 +97,7 @@
                 health_paths=services,
                 idle_timeout_s=_whole(limits, "idleTimeoutMs", 1, 1 << 40)
                 / 1000.0,
+                warmups=_warmups(entries),
             )
         )
     except (ValueError, RecursionError) as error:
@@ -127,6 +133,31 @@
     )
 
 
+def _warmups(services: list[dict[str, Any]]) -> dict[str, Warmup]:
+    """Returns how the services start that state a rate for it.
+
+    A rate of 0 is a limit as well: the endpoint bears nothing that is planned.
+    """
+    return {
+        _text(each, "name"): Warmup(
+            _quantity(each, "warmupS", _MOST_WARMUP_S),
+            _quantity(each, "warmupPerS", _MOST_RATE),
+        )
+        for each in services
+        if "warmupPerS" in each
+    }
+
+
+def _quantity(entry: dict[str, Any], field: str, most: float) -> float:
+    value = entry.get(field, 0)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise _FaultError(field)
+    # A number that is none is not in any order.
+    if not 0 <= value <= most:
+        raise _FaultError(field)
+    return float(value)
+
+
 def _number(name: str) -> int:
     digits = "".join(char for char in name.split("-")[-1] if char in _HEX)
     if not digits or len(digits) > 16:
--- a/src/pollenmast/platform/_settings.py
+++ b/src/pollenmast/platform/_settings.py
@@ -1,8 +1,11 @@
 """The platform's settings file: lines of the form a.b=value."""
 
+import math
+
 from result import Err, Ok, Result
 
 from pollenmast.entry import EntrySettings
+from pollenmast.steering import ColdAllowance
 
 READINESS_PATH = "/readiness"
 
@@ -28,16 +31,19 @@
                 gossip=_gossip(fields),
                 directory=_address(fields, "platform.address"),
                 seeds=_seeds(fields),
-                # A configuration's and a leaving endpoint's, in milliseconds.
+                # A configuration's, a leaving endpoint's and a drained zone's,
+                # in milliseconds.
                 apply_s=min(
                     float(fields.get("bounds.configApplyMs", "3000")),
                     float(fields.get("bounds.drainMs", "3000")),
+                    float(fields.get("bounds.evacuateMs", "3000")),
                 )
                 / 1000.0,
                 # The SIGTERM to SIGKILL time, in whole seconds or a fraction.
                 grace_s=float(fields.get("bounds.graceS", "6")),
                 ready_path=READINESS_PATH,
                 link_mbps=_link_mbps(fields),
+                allowance=_allowance(fields),
             )
         )
     except ValueError as error:
@@ -84,6 +90,19 @@
     return tuple(_split(each, "seedNodes") for each in listed if each)
 
 
+def _allowance(fields: dict[str, str]) -> ColdAllowance | None:
+    """Returns how far cold endpoints may be overrun, None if without limit."""
+    slack = fields.get("bounds.warmupSlack", "")
+    if not slack:
+        return None
+    overrun = fields.get("bounds.warmupOverrun", "1")
+    factors = {"warmupOverrun": float(overrun), "warmupSlack": float(slack)}
+    for name, value in factors.items():
+        if not (math.isfinite(value) and value >= 0.0):
+            raise ValueError(f"bounds.{name}: {value!r} is no factor")
+    return ColdAllowance(*factors.values())
+
+
 def _link_mbps(fields: dict[str, str]) -> int:
     """Returns the width of the VM's link in whole Mbit/s, 0 if not told."""
     text = fields.get("limits.linkMbps", "0")
--- a/src/pollenmast/steering/__init__.py
+++ b/src/pollenmast/steering/__init__.py
@@ -13,6 +13,7 @@
     ZoneDrained,
     ZoneRestored,
 )
+from pollenmast.steering._cold_limit import ColdAllowance, ColdLimit
 from pollenmast.steering._core import Applied, Steering
 from pollenmast.steering._drains import Drains
 from pollenmast.steering._health import CheckResult, Health
@@ -25,6 +26,7 @@
     RouteTable,
     Segment,
     Split,
+    Warmup,
 )
 from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
 from pollenmast.steering._record import Presence, Record
@@ -34,6 +36,8 @@
     "Catalog",
     "Change",
     "CheckResult",
+    "ColdAllowance",
+    "ColdLimit",
     "Directory",
     "DirectoryFault",
     "Drains",
@@ -59,6 +63,7 @@
     "Split",
     "Steering",
     "Update",
+    "Warmup",
     "ZoneDrained",
     "ZoneRestored",
 ]
--- a/src/pollenmast/steering/_changes.py
+++ b/src/pollenmast/steering/_changes.py
@@ -6,7 +6,7 @@
 import attrs
 from result import Result
 
-from pollenmast.steering._model import Endpoint, Route, RouteTable
+from pollenmast.steering._model import Endpoint, Route, RouteTable, Warmup
 
 
 class DirectoryFault(str, enum.Enum):
@@ -73,6 +73,7 @@
         removed: Addresses and ports of routes that are gone.
         health_paths: The path of each service's health check.
         idle_timeout_s: Idle flows older than this may be forgotten.
+        warmups: How the endpoints of a service start.
         revision: The directory's count of changes at that write.
     """
 
@@ -82,6 +83,7 @@
     removed: tuple[tuple[str, int], ...]
     health_paths: dict[str, str]
     idle_timeout_s: float
+    warmups: dict[str, Warmup]
     revision: int
 
     @classmethod
@@ -102,6 +104,7 @@
             removed,
             new.health_paths,
             new.idle_timeout_s,
+            new.warmups,
             revision,
         )
 
@@ -113,7 +116,11 @@
         for route in self.routes:
             routes[route.host, route.port] = route
         return RouteTable(
-            self.version, routes, self.health_paths, self.idle_timeout_s
+            self.version,
+            routes,
+            self.health_paths,
+            self.idle_timeout_s,
+            self.warmups,
         )
 
 
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -25,6 +25,7 @@
     ZoneDrained,
     ZoneRestored,
 )
+from pollenmast.steering._cold_limit import ColdAllowance, ColdLimit
 from pollenmast.steering._doubts import Doubts
 from pollenmast.steering._flows import REPEAT_S, FlowTable, note
 from pollenmast.steering._health import CheckResult
@@ -73,6 +74,7 @@
         counters: Counters,
         rng: random.Random,
         histograms: Histograms | None = None,
+        allowance: ColdAllowance | None = None,
     ):
         self._counters = counters
         self._histograms = histograms or Histograms()
@@ -82,7 +84,10 @@
         self._waiting = Waiting()
         self._usual_wait_s = 0.0
         self._load = LoadBook(zone)
-        self._placement = Placement(zone, self._catalog, self._load, rng)
+        self._cold_limit = ColdLimit(zone, allowance)
+        self._placement = Placement(
+            zone, self._catalog, self._load, rng, self._cold_limit
+        )
         self._journal = Journal()
         self._table: RouteTable | None = None
         self._revision = 0
@@ -109,6 +114,11 @@
         """The endpoints' load."""
         return self._load
 
+    @property
+    def cold_limit(self) -> ColdLimit:
+        """How many flows this VM may open to endpoints that warm up."""
+        return self._cold_limit
+
     @property
     def journal(self) -> Journal:
         """The latest changes."""
@@ -173,6 +183,9 @@
         before = self._table
         changes = [self._take(change) for change in update.changes]
         zones = self._catalog.drains.apply(update)
+        if self._table is not None and self._table is not before:
+            self._placement.set_warmups(self._table.warmups)
+        self._cool(zones, now)
         records = self._catalog.apply(update, now)
         lapsed = [r for r in records if r.presence is Presence.LAPSED]
         self._doubts.on_lapsed(lapsed, now)
@@ -216,10 +229,26 @@
         """Forgets what is old, and asks for what did not come back."""
         self._flows.expire(now)
         self._catalog.expire(now)
+        self._cold_limit.expire(now)
         self._doubts.ask_overdue(now)
         for endpoint in self._waiting.take_late(now):
             self._load.on_late(endpoint, now)
 
+    def _cool(
+        self, zones: list[ZoneDrained | ZoneRestored], now: float
+    ) -> None:
+        """Takes the endpoints of restored zones for cold.
+
+        Nothing was sent there for long. What they announce of it themselves
+        comes a heartbeat later.
+        """
+        restored = {z.zone for z in zones if isinstance(z, ZoneRestored)}
+        warmups = self._table.warmups if self._table is not None else {}
+        for record in self._catalog.records if restored else ():
+            warmup = warmups.get(record.endpoint.service)
+            if record.endpoint.zone in restored and warmup is not None:
+                record.cold_until = now + warmup.duration_s
+
     def _take(self, change: Change) -> Change | None:
         """Takes in a configuration; returns a change as peers are told it."""
         old = self._table
@@ -315,6 +344,7 @@
         flow.opened = False
         flow.syn_at = now
         placed.record.health.on_syn(segment.flow, now)
+        self._placement.on_opened(placed.record, now)
         # Counts before its requests do: flows that arrive together would
         # else all find the same endpoint the least loaded.
         self._load.on_work(endpoint.number, now)
@@ -342,6 +372,8 @@
     ) -> Outcome:
         if reason is Unplaced.ZONE_DRAINED:
             return self._reset(segment, ResetReason.ZONE_DRAINED)
+        if reason is Unplaced.WARMING_UP:
+            return self._reset(segment, ResetReason.WARMING_UP)
         current = self.age_s(now) < CURRENT_S
         settled = now - self._returned_at >= SETTLE_S
         if current and settled:
--- a/src/pollenmast/steering/_model.py
+++ b/src/pollenmast/steering/_model.py
@@ -145,6 +145,19 @@
         return names
 
 
+@attrs.frozen
+class Warmup:
+    """How a service's endpoints start.
+
+    Attributes:
+        duration_s: For how long an endpoint stays cold.
+        flows_per_s: New flows a second that it bears meanwhile.
+    """
+
+    duration_s: float
+    flows_per_s: float
+
+
 @attrs.frozen
 class RouteTable:
     """One version of the operator's configuration.
@@ -154,9 +167,11 @@
         routes: Every route by address and port.
         health_paths: The path of each service's health check.
         idle_timeout_s: Idle flows older than this may be forgotten.
+        warmups: How the endpoints of a service start, where it says so.
     """
 
     version: int
     routes: dict[tuple[str, int], Route]
     health_paths: dict[str, str]
     idle_timeout_s: float
+    warmups: dict[str, Warmup] = attrs.field(factory=dict)
--- a/src/pollenmast/steering/_placement.py
+++ b/src/pollenmast/steering/_placement.py
@@ -32,7 +32,9 @@
 
 from pollenmast.counters import PlacementReason
 from pollenmast.steering._catalog import Catalog
+from pollenmast.steering._cold_limit import ColdLimit
 from pollenmast.steering._load import LoadBook
+from pollenmast.steering._model import Warmup
 from pollenmast.steering._record import Presence, Record
 
 ZONE_FACTOR = 1.3
@@ -67,6 +69,7 @@
 
     NO_ENDPOINT = "no_endpoint"
     ZONE_DRAINED = "zone_drained"
+    WARMING_UP = "warming_up"
 
 
 class Placement:
@@ -78,12 +81,19 @@
         catalog: Catalog,
         load: LoadBook,
         rng: random.Random,
+        cold_limit: ColdLimit | None = None,
     ):
+        self._cold_limit = cold_limit or ColdLimit(zone, None)
+        self._warmups: dict[str, Warmup] = {}
         self._zone = zone
         self._catalog = catalog
         self._load = load
         self._rng = rng
 
+    def set_warmups(self, warmups: dict[str, Warmup]) -> None:
+        """Takes in how the endpoints of each service start."""
+        self._warmups = warmups
+
     def choose(
         self, service: str, tried: tuple[str, ...], now: float
     ) -> Placed | Unplaced:
@@ -103,6 +113,9 @@
         known = [r for r in open_zones if self._catalog.owns_token(r)]
         if not known:
             return Unplaced.NO_ENDPOINT
+        known = [r for r in known if self._admits(r, now)]
+        if not known:
+            return Unplaced.WARMING_UP
         untried = [r for r in known if r.endpoint.name not in tried]
         good = [r for r in untried if _usable(r)]
         sure = [r for r in good if r.health.is_sure(now)] or good
@@ -115,6 +128,17 @@
             return Placed(chosen, PlacementReason.OWN_ZONE)
         return Placed(chosen, PlacementReason.OTHER_ZONE)
 
+    def on_opened(self, record: Record, now: float) -> None:
+        """A flow was opened to an endpoint."""
+        if record.is_cold(now):
+            self._cold_limit.on_opened(record, now)
+
+    def _admits(self, record: Record, now: float) -> bool:
+        if not record.is_cold(now):
+            return True
+        warmup = self._warmups.get(record.endpoint.service)
+        return self._cold_limit.admits(record, warmup, now)
+
     def _nearest(self, records: list[Record], now: float) -> Record:
         near = [r for r in records if r.endpoint.zone == self._zone]
         far = [r for r in records if r.endpoint.zone != self._zone]
--- a/src/pollenmast/steering/_record.py
+++ b/src/pollenmast/steering/_record.py
@@ -30,6 +30,7 @@
         announced_at: When this VM learned of it, in seconds.
         presence: How surely it exists.
         lapsed_at: When its entry vanished.
+        cold_until: Until when it is cold whatever it has announced.
         health: What passed by.
     """
 
@@ -38,9 +39,14 @@
     announced_at: float
     presence: Presence = Presence.LISTED
     lapsed_at: float = 0.0
+    cold_until: float = float("-inf")
     health: Health = attrs.field(factory=Health)
 
+    def is_cold(self, now: float) -> bool:
+        """Whether it still warms up."""
+        announced_until = self.announced_at + self.endpoint.warm_in_s
+        return now < max(announced_until, self.cold_until)
+
     def warmth(self, now: float) -> float:
         """Returns its share of new flows, less while it is cold."""
-        left = self.endpoint.warm_in_s - (now - self.announced_at)
-        return COLD_SHARE if left > 0.0 else 1.0
+        return COLD_SHARE if self.is_cold(now) else 1.0
--- a/tests/platform_entries_test.py
+++ b/tests/platform_entries_test.py
@@ -10,6 +10,7 @@
 
 from pollenmast.platform._entries import parse_configuration, parse_endpoint
 from pollenmast.platform._settings import read_settings
+from pollenmast.steering import ColdAllowance, Warmup
 
 NAME = "i-7f3a91c2"
 ENTRY = {
@@ -151,6 +152,42 @@
         value = json.dumps({**CONFIGURATION, **fields}).encode()
         self.assertIsInstance(parse_configuration(value), Err)
 
+    def _warmed(self, **fields):
+        services = [{"name": "a", "healthPath": "/health", **fields}]
+        services.append({"name": "b", "healthPath": "/health"})
+        entry = {**CONFIGURATION, "services": services}
+        return parse_configuration(json.dumps(entry).encode())
+
+    @parameterized.expand(
+        [
+            ("stated", {"warmupS": 2.5, "warmupPerS": 4}, Warmup(2.5, 4.0)),
+            ("zero", {"warmupS": 2.0, "warmupPerS": 0.0}, Warmup(2.0, 0.0)),
+            ("no_time", {"warmupPerS": 3.0}, Warmup(0.0, 3.0)),
+            ("no_rate", {"warmupS": 2.0}, None),
+        ]
+    )
+    def test_warmup(self, _, fields, warmup):
+        """A rate of zero is a limit; a service without one has none."""
+        table = self._warmed(**fields).ok_value
+        self.assertEqual(warmup, table.warmups.get("a"))
+        self.assertNotIn("b", table.warmups)
+
+    @parameterized.expand(
+        [
+            ("negative", -1.0),
+            ("none", None),
+            ("text", "3"),
+            ("true", True),
+            ("not_a_number", float("nan")),
+            ("infinite", float("inf")),
+            ("huge", 1e300),
+            ("huge_integer", 10**400),
+        ]
+    )
+    def test_bad_warmup(self, _, rate):
+        """A rate that no endpoint can have refuses the configuration."""
+        self.assertIsInstance(self._warmed(warmupPerS=rate), Err)
+
     @given(st.dictionaries(st.sampled_from(list(CONFIGURATION)), _JSON))
     @settings(max_examples=200, deadline=None, derandomize=True)
     def test_any_fields(self, fields):
@@ -169,6 +206,24 @@
         self.assertEqual(("10.1.0.10", 7720), read.ok_value.gossip)
         self.assertEqual(2, len(read.ok_value.seeds))
         self.assertEqual(6.0, read.ok_value.grace_s)
+        self.assertIsNone(read.ok_value.allowance)
+
+    def test_bounds(self):
+        """The shortest bound counts; cold endpoints have an allowance."""
+        bounds = (
+            "bounds.configApplyMs=5000\nbounds.drainMs=4000\n"
+            "bounds.evacuateMs=2500\n"
+            "bounds.warmupOverrun=1.5\nbounds.warmupSlack=5\n"
+        )
+        read = read_settings(SETTINGS + bounds).ok_value
+        self.assertEqual(2.5, read.apply_s)
+        self.assertEqual(ColdAllowance(1.5, 5.0), read.allowance)
+
+    @parameterized.expand([("-1",), ("nan",), ("inf",), ("many",)])
+    def test_bad_allowance(self, value):
+        """An allowance that is no factor is refused."""
+        read = read_settings(SETTINGS + f"bounds.warmupSlack={value}\n")
+        self.assertIsInstance(read, Err)
 
     @parameterized.expand(
         [
