A VM that is behind reads the latest configuration alone

Cause: a watch answers every version written meanwhile, in full. Once that took longer than the watch's timeout, it was dropped and asked for again from the same revision, longer each time, until the store's history was gone.

Then the operator's entries are read as they are now, and only the changes of endpoints since: what is transferred does not grow with the number of versions. Answers are awaited as long as bytes go on coming, with a cap, from the store and from peers.

--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -279,7 +279,7 @@
     "platform_calls",
     "{call}",
     "Calls to the platform's service.",
-    ("answered", "failed", "malformed"),
+    ("answered", "failed", "malformed", "too_long"),
 )
 
 CATALOGUE: tuple[CounterDefinition, ...] = (
--- a/src/pollenmast/entry/_follow.py
+++ b/src/pollenmast/entry/_follow.py
@@ -33,6 +33,7 @@
     Directory,
     DirectoryFault,
     Presence,
+    RoutesPublished,
     Steering,
     Update,
     ZoneDrained,
@@ -108,6 +109,7 @@
         self._on_news: Callable[[], None] = _nothing
         self._patience_s = 0.0
         self._read = False
+        self._behind = False
         self._pause_s = 0.0
         self._lost_at: float | None = None
         self._scope: anyio.CancelScope | None = None
@@ -211,21 +213,42 @@
             await anyio.sleep(self._idle_s())
             return
         # The revision may be a peer's: a watch from there is complete too.
-        if self._read or self._steering.revision:
-            answer = await self._directory.watch(
-                self._steering.revision, WATCH_S
-            )
-        else:
-            answer = await self._read_all()
+        asked_at = anyio.current_time()
+        answer = await self._ask()
         if isinstance(answer, Err):
             await self._on_fault(answer.err_value)
             return
         self._read = True
         self._draw_patience()
-        self._on_answer(answer.ok_value)
+        self._pace(answer.ok_value)
+        self._on_answer(answer.ok_value, asked_at)
         if answer.ok_value.changes:
             await anyio.sleep(GATHER_S)
 
+    async def _ask(self) -> Result[Update, DirectoryFault]:
+        """Asks what is new, in the way that takes the fewest bytes."""
+        revision = self._steering.revision
+        if not self._read and not revision:
+            return await self._read_all()
+        if not self._behind:
+            answer = await self._directory.watch(revision, WATCH_S)
+            if answer != Err(DirectoryFault.TOO_LONG):
+                return answer
+            self._behind = True
+        answer = await self._directory.catch_up(revision)
+        if answer != Err(DirectoryFault.TOO_LONG):
+            return answer
+        return await self._read_all()
+
+    def _pace(self, update: Update) -> None:
+        """Notes whether configurations come faster than they are read."""
+        known = self._steering.table.version if self._steering.table else 0
+        newer = sum(
+            isinstance(change, RoutesPublished) and change.table.version > known
+            for change in update.changes
+        )
+        self._behind = newer > (0 if self._behind else 1)
+
     async def _read_all(self) -> Result[Update, DirectoryFault]:
         began = anyio.current_time()
         answer = await self._directory.read()
@@ -234,7 +257,7 @@
             self._histograms.observe(DIRECTORY_READ, took)
         return answer
 
-    def _on_answer(self, update: Update) -> None:
+    def _on_answer(self, update: Update, asked_at: float) -> None:
         now = anyio.current_time()
         self._pause_s = 0.0
         if self._lost_at is not None:
@@ -245,14 +268,18 @@
                 PLATFORM_BACK, away_s=round(away, 3), revision=update.revision
             )
         self.take(update, "directory")
-        self._steering.on_confirmed(now)
+        # A watch answers when something is new; a list may be as old as the
+        # question.
+        listed = update.whole or update.all_drains
+        self._steering.on_confirmed(asked_at if listed else now)
 
     async def _on_fault(self, fault: DirectoryFault) -> None:
         if fault is DirectoryFault.HISTORY_GONE:
             self._log.write(HISTORY_GONE, revision=self._steering.revision)
+            asked_at = anyio.current_time()
             answer = await self._read_all()
             if not isinstance(answer, Err):
-                self._on_answer(answer.ok_value)
+                self._on_answer(answer.ok_value, asked_at)
                 return
             fault = answer.err_value
         if self._lost_at is None:
--- a/src/pollenmast/entry/_peers.py
+++ b/src/pollenmast/entry/_peers.py
@@ -23,8 +23,9 @@
 EVERY_S = 1.0
 """Between two rounds of questions."""
 
-TIMEOUT_S = 0.4
-"""A peer in the region answers within milliseconds, or is down or cut off."""
+PATIENCE = http1.Patience(first_s=0.4, idle_s=0.4, total_s=2.0)
+"""A peer in the region answers within milliseconds, or is down or cut off. Its
+link may be narrow, and all VMs of a zone ask it at once."""
 
 _OK = 200
 
@@ -86,7 +87,7 @@
         after = 0 if self._lost_track else self._steering.revision
         target = f"{PATH}?after={after}"
         try:
-            answer = await connection.get(target, TIMEOUT_S)
+            answer = await connection.get(target, PATIENCE)
         finally:
             await connection.aclose()
         if isinstance(answer, Err) or answer.ok_value.status != _OK:
--- a/src/pollenmast/exchange/_exchange.py
+++ b/src/pollenmast/exchange/_exchange.py
@@ -36,15 +36,23 @@
     def __init__(self, host: str, most: int):
         """Sets the `Host` that is asked, and the most bytes of a body."""
         self._host = host
-        self._most = most
+        self._usual_most = most
+        self._most: int | None = None
         self._protocol = h11.Connection(h11.CLIENT)
         self._status = 0
         self._headers: dict[str, str] = {}
         self._parts: list[bytes] = []
         self._size = 0
 
-    def request(self, target: str) -> bytes:
-        """Returns the bytes that ask for a target."""
+    def request(self, target: str, most: int | None = None) -> bytes:
+        """Returns the bytes that ask for a target.
+
+        Args:
+            target: The path and query.
+            most: The most bytes of this answer's body, None for the usual.
+                Beyond it the answer is refused by the length it announces.
+        """
+        self._most = most
         request = h11.Request(
             method="GET", target=target, headers=[("Host", self._host)]
         )
@@ -74,6 +82,7 @@
                     name.decode("latin-1"): value.decode("latin-1")
                     for name, value in event.headers
                 }
+                self._refuse_length()
             elif isinstance(event, h11.Data):
                 self._take(event.data)
             elif isinstance(event, h11.EndOfMessage):
@@ -90,8 +99,16 @@
         self._protocol.start_next_cycle()
         return True
 
+    def _refuse_length(self) -> None:
+        length = self._headers.get("content-length", "")
+        if self._most is None or not length.isdecimal():
+            return
+        if int(length) > self._most:
+            raise TooLargeError
+
     def _take(self, data: bytes) -> None:
         self._size += len(data)
-        if self._size > self._most:
+        most = self._usual_most if self._most is None else self._most
+        if self._size > most:
             raise TooLargeError
         self._parts.append(bytes(data))
--- a/src/pollenmast/http1/_client.py
+++ b/src/pollenmast/http1/_client.py
@@ -1,8 +1,10 @@
 """One kept-alive connection to one server, for GET only."""
 
 import enum
+from collections.abc import Callable
 
 import anyio
+import attrs
 from result import Err, Ok, Result
 
 from pollenmast.exchange import (
@@ -23,6 +25,9 @@
     """Why there is no response."""
 
     TIMEOUT = "timeout"
+    INCOMPLETE = "incomplete"
+    """The answer has begun, but did not come whole in time."""
+
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
     """Nothing listens at the address."""
@@ -31,6 +36,24 @@
     OVERSIZED = "oversized"
 
 
+@attrs.frozen
+class Patience:
+    """How long an answer is awaited that may take a narrow link seconds.
+
+    One timeout for the whole answer would drop each that is longer than the
+    link carries meanwhile, however often it is asked for.
+
+    Attributes:
+        first_s: Seconds until some of it arrives.
+        idle_s: Seconds without any more of it.
+        total_s: Seconds until it is whole.
+    """
+
+    first_s: float
+    idle_s: float
+    total_s: float
+
+
 class Connection:
     """Asks one server, over one connection that is kept between requests.
 
@@ -45,6 +68,9 @@
         self._stream: anyio.abc.SocketStream | None = None
         self._exchange = self._new_exchange()
         self._sent = 0
+        self._most_now: int | None = None
+        self._begun = False
+        self._on_progress: Callable[[], None] = _nothing
 
     @property
     def sent_bytes(self) -> int:
@@ -52,14 +78,33 @@
         return self._sent
 
     async def get(
-        self, target: str, timeout_s: float
+        self,
+        target: str,
+        timeout: float | Patience,
+        most: int | None = None,
     ) -> Result[Response, HttpFault]:
         """Returns the response to a GET, or why there is none.
 
         A kept connection that the server has closed meanwhile is replaced
         once: a GET is idempotent.
+
+        Args:
+            target: The path and query.
+            timeout: Seconds for the whole answer, or how long to wait for
+                each part of it.
+            most: The most bytes of its body, None for the connection's usual.
         """
-        with anyio.move_on_after(timeout_s):
+        if not isinstance(timeout, Patience):
+            timeout = Patience(timeout, timeout, timeout)
+        self._most_now, self._begun = most, False
+        give_up_at = anyio.current_time() + timeout.total_s
+        with anyio.move_on_after(timeout.first_s) as scope:
+
+            def extend() -> None:
+                idle_until = anyio.current_time() + timeout.idle_s
+                scope.deadline = min(give_up_at, idle_until)
+
+            self._on_progress = extend
             kept = self._stream is not None
             outcome = await self._attempt(target)
             if kept and outcome == Err(HttpFault.UNREACHABLE):
@@ -68,7 +113,7 @@
         # An answer that comes after the timeout would be read as the answer
         # to the next request.
         await self.aclose()
-        return Err(HttpFault.TIMEOUT)
+        return Err(HttpFault.INCOMPLETE if self._begun else HttpFault.TIMEOUT)
 
     async def connect(self, timeout_s: float) -> Result[None, HttpFault]:
         """Opens the connection, for callers to whom it alone says something."""
@@ -115,7 +160,7 @@
     async def _ask(self, target: str) -> Response:
         if self._stream is None:
             await self._open()
-        data = self._exchange.request(target)
+        data = self._exchange.request(target, self._most_now)
         self._sent += len(data)
         await self._stream.send(data)
         return await self._read()
@@ -132,7 +177,8 @@
                 # Closed without a byte of an answer: most often a kept
                 # connection that the server gave up while it was idle.
                 raise EndedError
-            begun = True
+            begun = self._begun = True
+            self._on_progress()
             self._exchange.feed(data)
             response = self._exchange.response()
             if response is not None:
@@ -149,6 +195,10 @@
             await self.aclose()
 
 
+def _nothing() -> None:
+    pass
+
+
 def _connect_fault(error: OSError) -> HttpFault:
     causes = (error, error.__cause__)
     if any(isinstance(cause, ConnectionRefusedError) for cause in causes):
--- a/src/pollenmast/platform/_entries.py
+++ b/src/pollenmast/platform/_entries.py
@@ -9,9 +9,10 @@
 
 from pollenmast.steering import Endpoint, Route, RouteTable, Split, Warmup
 
+OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
-ENDPOINT_PREFIX = "servers/"
 DRAIN_PREFIX = "op/evacuate/"
+ENDPOINT_PREFIX = "servers/"
 
 _TOKEN_BITS = 32
 _STATES = ("ready", "draining")
--- a/src/pollenmast/platform/_items.py
+++ b/src/pollenmast/platform/_items.py
@@ -25,13 +25,20 @@
 )
 
 
-def read_items(items: list[Any], revision: int, *, whole: bool) -> Update:
+def read_items(
+    items: list[Any],
+    revision: int,
+    *,
+    whole: bool,
+    all_drains: bool = False,
+) -> Update:
     """Returns what items tell; those that say nothing usable are refused.
 
     Args:
         items: The store's items or events.
         revision: The store's revision up to which they are complete.
         whole: Whether they are all that there is.
+        all_drains: Whether all drains are among them.
     """
     changes, refused, unclear = [], [], []
     for item in items:
@@ -48,7 +55,12 @@
         if key.startswith(DRAIN_PREFIX):
             unclear.append(key.removeprefix(DRAIN_PREFIX))
     return Update(
-        tuple(changes), revision, whole, tuple(refused), tuple(unclear)
+        tuple(changes),
+        revision,
+        whole,
+        tuple(refused),
+        tuple(unclear),
+        all_drains,
     )
 
 
--- a/src/pollenmast/platform/_listing.py
+++ b/src/pollenmast/platform/_listing.py
@@ -1,4 +1,4 @@
-"""Everything that the store holds, put together from its pages."""
+"""What the store holds under a prefix, put together from its pages."""
 
 from typing import Any
 
@@ -17,11 +17,13 @@
     first, and a watch from there repeats what came meanwhile.
     """
 
-    def __init__(self):
+    def __init__(self, path: str = EVERYTHING_PATH):
+        """Takes the path of the first page, by default of everything."""
+        self._path = path
         self._items: list[Any] = []
         self._revision: int | None = None
         self._pages = 0
-        self._target = EVERYTHING_PATH
+        self._target = path
 
     @property
     def target(self) -> str | None:
@@ -50,19 +52,29 @@
         key = last.get("key") if isinstance(last, dict) else None
         if not isinstance(key, str) or self._pages >= MOST_PAGES:
             return False
-        self._target = _after(key)
+        self._target = _after(self._path, key)
         return True
 
-    def update(self) -> Update:
-        """Returns what all pages tell; only after the last."""
+    @property
+    def items(self) -> list[Any]:
+        """The items of all pages."""
+        return self._items
+
+    @property
+    def revision(self) -> int:
+        """The revision up to which the list is complete."""
         if self._revision is None:
             raise ValueError("no page was read")
-        return read_items(self._items, self._revision, whole=True)
+        return self._revision
+
+    def update(self) -> Update:
+        """Returns what all pages tell; only after the last."""
+        return read_items(self._items, self.revision, whole=True)
 
 
-def _after(key: str) -> str:
+def _after(path: str, key: str) -> str:
     # Loaded only where a list has a second page: the first packet of a VM
     # that starts waits for every module above.
     import urllib.parse
 
-    return f"{EVERYTHING_PATH}&after=" + urllib.parse.quote(key, safe="")
+    return f"{path}&after=" + urllib.parse.quote(key, safe="")
--- a/src/pollenmast/steering/_changes.py
+++ b/src/pollenmast/steering/_changes.py
@@ -17,6 +17,8 @@
     STATUS = "status"
     MALFORMED = "malformed"
     HISTORY_GONE = "history_gone"
+    TOO_LONG = "too_long"
+    """There is more news than is worth its transfer."""
 
 
 @attrs.frozen
@@ -172,6 +174,8 @@
         refused: Entries and configurations that could not be understood.
         unclear_zones: Zones whose drain could not be understood; what was
             known of them before holds.
+        all_drains: Whether it names every drained zone, so that the others
+            are not drained.
     """
 
     changes: tuple[Change, ...]
@@ -179,6 +183,7 @@
     whole: bool = False
     refused: tuple[str, ...] = ()
     unclear_zones: tuple[str, ...] = ()
+    all_drains: bool = False
 
 
 class Directory(abc.ABC):
@@ -193,3 +198,11 @@
         self, after: int, wait_s: float
     ) -> Result[Update, DirectoryFault]:
         """Returns what changed after a revision, or nothing in time."""
+
+    @abc.abstractmethod
+    async def catch_up(self, after: int) -> Result[Update, DirectoryFault]:
+        """Returns changes after a revision, with the latest configuration.
+
+        Configurations in between are left out, so that its length does not
+        grow with their number.
+        """
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -190,7 +190,8 @@
         lapsed = [r for r in records if r.presence is Presence.LAPSED]
         self._doubts.on_lapsed(lapsed, now)
         if update.revision > self._revision:
-            told = tuple(change for change in changes if change is not None)
+            implied = [zone for zone in zones if zone not in update.changes]
+            told = tuple(c for c in (*changes, *implied) if c is not None)
             kept = Update(told, update.revision, update.whole)
             self._journal.add(kept, self._revision)
             self._revision = update.revision
--- a/src/pollenmast/steering/_drains.py
+++ b/src/pollenmast/steering/_drains.py
@@ -42,7 +42,7 @@
         """Takes in what the directory told; returns what has changed.
 
         Args:
-            update: Changes of zones among others. One that lists everything
+            update: Changes of zones among others. One that lists all drains
                 restores the zones that it does not name.
         """
         changes = [
@@ -50,7 +50,7 @@
             for change in update.changes
             if isinstance(change, ZoneDrained | ZoneRestored)
         ]
-        if update.whole:
+        if update.whole or update.all_drains:
             listed = {change.zone for change in changes}
             listed.update(update.unclear_zones)
             changes += [
--- a/tests/http1_test.py
+++ b/tests/http1_test.py
@@ -10,7 +10,14 @@
 from result import Err
 from testtools import TestCase
 
-from pollenmast.http1 import Answer, Connection, HttpFault, _client, _server
+from pollenmast.http1 import (
+    Answer,
+    Connection,
+    HttpFault,
+    Patience,
+    _client,
+    _server,
+)
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -191,3 +198,66 @@
     def test_any_bytes(self, data):
         """Bytes of no meaning end the connection, and nothing is raised."""
         self.assertNotIn(b"200", self._serve(data)[:20])
+
+
+class PatienceTest(TestCase):
+    """Answers that a narrow link carries for seconds."""
+
+    def _get(self, server, most: int | None = None):
+        patience = Patience(first_s=1.0, idle_s=0.5, total_s=6.0)
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                Network(self, nursery, server)
+                connection = Connection("10.0.0.1", 1)
+                began = trio.current_time()
+                got = await connection.get("/", patience, most)
+                nursery.cancel_scope.cancel()
+                return got, trio.current_time() - began
+
+        return run(main)
+
+    @staticmethod
+    def _trickling(parts: int, gap_s: float, length: int):
+        async def serve(stream: MemoryStream) -> None:
+            await stream.receive()
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n"
+            await stream.send(head.encode())
+            for _ in range(parts):
+                await anyio.sleep(gap_s)
+                await stream.send(b"x" * 10)
+            await anyio.sleep_forever()
+
+        return serve
+
+    def test_slow_but_steady(self):
+        """An answer that goes on arriving is not dropped."""
+        answer, took_s = self._get(self._trickling(10, 0.4, 100))
+        self.assertEqual(100, len(answer.ok_value.body))
+        self.assertGreater(took_s, 3.9)
+
+    @parameterized.expand(
+        [
+            ("nothing", 0, 9.0, HttpFault.INCOMPLETE, 0.6),
+            ("stops", 3, 0.1, HttpFault.INCOMPLETE, 0.9),
+            ("never_ends", 1000, 0.4, HttpFault.INCOMPLETE, 6.1),
+        ]
+    )
+    def test_bounded(self, _, parts, gap_s, fault, most_s):
+        """An answer that stops, or has no end, is given up."""
+        answer, took_s = self._get(self._trickling(parts, gap_s, 1 << 20))
+        self.assertEqual(Err(fault), answer)
+        self.assertLessEqual(took_s, most_s)
+
+    def test_no_answer(self):
+        """A server that says nothing is told apart from a slow one."""
+        answer, took_s = self._get(_silent)
+        self.assertEqual(Err(HttpFault.TIMEOUT), answer)
+        self.assertLessEqual(took_s, 1.1)
+
+    @parameterized.expand([("announced", 101), ("absurd", 10**18)])
+    def test_length(self, _, length):
+        """An answer that is too long is refused before it is transferred."""
+        answer, took_s = self._get(self._trickling(0, 0.1, length), most=100)
+        self.assertEqual(Err(HttpFault.OVERSIZED), answer)
+        self.assertLessEqual(took_s, 0.1)
--- a/tests/platform_store_test.py
+++ b/tests/platform_store_test.py
@@ -1,5 +1,7 @@
 """Tests of platform._store against answers in memory, and of entry._follow."""
 
+import json
+import math
 import random
 import urllib.parse
 
@@ -14,7 +16,7 @@
 from pollenmast.counters import PLATFORM_CALLS, Counters, Histograms
 from pollenmast.entry._follow import STALE_PART, WATCH_S, Follower
 from pollenmast.events import EventLog
-from pollenmast.http1 import HttpFault, Response
+from pollenmast.http1 import HttpFault, Patience, Response
 from pollenmast.platform import _listing
 from pollenmast.platform._store import WATCH_MARGIN_S, StoreDirectory
 from pollenmast.steering import (
@@ -32,24 +34,54 @@
 APPLY_S = 3.0
 
 
+class _Link:
+    """A VM's link to the store, which all its connections share.
+
+    Attributes:
+        bytes_per_s: Its width, infinite for a link that takes no time.
+        carried: Bytes that have passed.
+    """
+
+    def __init__(self):
+        self.bytes_per_s = math.inf
+        self.carried = 0
+        self._free_at = 0.0
+
+    async def carry(self, length: int) -> None:
+        """Waits until so many bytes have passed."""
+        self.carried += length
+        begin = max(anyio.current_time(), self._free_at)
+        self._free_at = begin + length / self.bytes_per_s
+        await anyio.sleep(self._free_at - anyio.current_time())
+
+
 class _Connection:
     """Asks a stand-in without a network."""
 
-    def __init__(self, store: Store):
+    def __init__(self, store: Store, link: _Link):
         self._store = store
+        self._link = link
         self.sent_bytes = 0
 
-    async def get(self, target: str, timeout_s: float):
+    async def get(self, target: str, patience: Patience, most=None):
         path, _, query = target.partition("?")
         pairs = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
-        with anyio.move_on_after(timeout_s):
+        with anyio.move_on_after(patience.first_s):
             request = Request("GET", path, pairs, b"")
             answer = await self._store.handle(request)
             if answer.status is None:
                 return Err(HttpFault.UNREACHABLE)
-            return Ok(Response(answer.status, answer.body))
+            if most is not None and len(answer.body) > most:
+                return Err(HttpFault.OVERSIZED)
+            return await self._rest(answer, patience.total_s)
         return Err(HttpFault.TIMEOUT)
 
+    async def _rest(self, answer, total_s: float):
+        with anyio.CancelScope(shield=True), anyio.move_on_after(total_s):
+            await self._link.carry(len(answer.body))
+            return Ok(Response(answer.status, answer.body))
+        return Err(HttpFault.INCOMPLETE)
+
     async def aclose(self) -> None:
         pass
 
@@ -60,7 +92,10 @@
         self.store = Store()
         self.store.put("op/config", CONFIGURATION)
         self.store.put(KEY, ENTRY)
-        self.patch(http1, "Connection", lambda *_: _Connection(self.store))
+        self.link = _Link()
+        self.patch(
+            http1, "Connection", lambda *_: _Connection(self.store, self.link)
+        )
         self.counters = Counters()
         self.directory = StoreDirectory("10.0.0.1", 1, self.counters)
 
@@ -333,3 +368,113 @@
             self.assertEqual(calls, self.store.calls)
 
         self._follow(script, join=lambda: None)
+
+
+class StormTest(_StoreCase):
+    """Configurations come faster than a narrow link carries them."""
+
+    def _routes(self, count: int) -> list[dict[str, object]]:
+        route = CONFIGURATION["routeTable"][1]
+        return [
+            {**route, "name": f"r-{n}", "prefix": f"/{1000 + n}/"}
+            for n in range(count)
+        ]
+
+    @parameterized.expand(
+        [
+            ("small_link", 240, 0.06, 3.1),
+            ("many_routes", 1640, 0.06, 5.0),
+            ("many_routes_slowly", 1640, 1.2, 5.0),
+            ("all_at_once", 1640, 0.001, 10.0),
+        ]
+    )
+    def test_in_force(self, _, routes, gap_s, mbps):
+        """Each version is in force in time, however many are written.
+
+        Operators would see a fleet that follows no change until the storm is
+        over, and the store has forgotten it.
+        """
+        entry = {**CONFIGURATION, "routeTable": self._routes(routes)}
+        changes = min(64, int(4.0 / gap_s))
+        self.link.bytes_per_s = mbps * 1e6 / 8
+        core = group.steering()
+        follower = Follower(
+            self.directory,
+            core,
+            Histograms(),
+            EventLog("t", "vm"),
+            5.0,
+            random.Random(1),
+        )
+        late = []
+
+        async def write() -> None:
+            for version in range(100, 100 + changes):
+                self.store.put("op/config", {**entry, "version": version})
+                tasks.start_soon(judge, version)
+                await anyio.sleep(gap_s)
+
+        async def judge(version: int) -> None:
+            await anyio.sleep(5.0)
+            if core.table.version < version:
+                late.append(version)
+
+        async def main() -> None:
+            nonlocal tasks
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(follower.run)
+                await anyio.sleep(1.0)
+                await write()
+                await anyio.sleep(6.0)
+                tasks.cancel_scope.cancel()
+
+        tasks = None
+        self.run_main(main)
+        self.assertEqual([], late)
+        self.assertIsNone(follower.lost_at)
+
+    def test_bytes(self):
+        """What a reader transfers does not grow with the number of versions."""
+
+        async def script(core, follower):
+            entry = {**CONFIGURATION, "routeTable": self._routes(400)}
+            length = len(json.dumps(entry)) * 4 / 3
+            await anyio.sleep(1.0)
+            carried = self.link.carried
+            for version in range(10, 210):
+                self.store.put("op/config", {**entry, "version": version})
+            await anyio.sleep(5.0)
+            self.assertEqual(209, core.table.version)
+            self.assertLess(self.link.carried - carried, 5 * length)
+
+        FollowerTest._follow(self, script)
+
+    def test_zones_meanwhile(self):
+        """Drains that began or ended during a storm are in force as well."""
+
+        async def script(core, follower):
+            self.store.put("op/evacuate/a", {})
+            await anyio.sleep(1.5)
+            self.assertTrue(core.catalog.drains.is_drained("a"))
+            self.store.delete("op/evacuate/a")
+            self.store.put("op/evacuate/b", {})
+            entry = {**CONFIGURATION, "routeTable": self._routes(1000)}
+            for version in range(10, 40):
+                self.store.put("op/config", {**entry, "version": version})
+            await anyio.sleep(2.0)
+            self.assertEqual({"b"}, set(core.catalog.drains.zones))
+            told = core.journal.since(core.revision - 31)
+            self.assertIn("a", [c.zone for c in told if hasattr(c, "zone")])
+
+        FollowerTest._follow(self, script)
+
+    def test_long_news_of_endpoints(self):
+        """Thousands of entries change at once: everything is read anew."""
+
+        async def script(core, follower):
+            for number in range(1500):
+                self.store.put(f"servers/i-{number:08x}", ENTRY)
+            await anyio.sleep(3.0)
+            self.assertEqual(1501, len(core.catalog.records))
+
+        FollowerTest._follow(self, script)
