A VM in a drained zone that reaches no other one is not ready

Cause: routers hand a zone's packets to its VMs while these are ready. Where the zone is drained and then cut off, they have its clients and no endpoint that they may use.

Change: while its zone is drained a VM watches its paths to other zones and says that it is not ready after two rounds of connections in vain. Once all VMs of a zone say so, routers use those of the nearest zones. Ways weighed: the drained zone as a last resort (the operator works on it), refusing at once (clients use up their tries within the cut).

--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -110,6 +110,10 @@
     REVIVED = "revived"
     """It was down, and a client has received something from it."""
 
+    REACH = "reach"
+    """The VM's zone is drained, and no client of another zone's endpoints has
+    gone on."""
+
     CONTROL = "control"
     """Beside another one's check, to tell whose fault a timeout is."""
 
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -17,6 +17,7 @@
 from pollenmast.entry._pause import PauseWatch
 from pollenmast.entry._peers import PeerReader
 from pollenmast.entry._ports import EXIT_FAILED, EXIT_OK, Ports
+from pollenmast.entry._reach import ReachWatch
 from pollenmast.entry._site import Site
 from pollenmast.events import (
     PAUSED,
@@ -76,6 +77,13 @@
             self._histograms,
             self._log,
         )
+        self._reach_watch = ReachWatch(
+            ports.probe,
+            self._steering.reach,
+            self._pauses,
+            self._counters,
+            self._log,
+        )
         self._join_fleet()
         self._pauses.notify(self._on_pause)
 
@@ -127,6 +135,7 @@
                 tasks.start_soon(self._gossip.send_news)
                 tasks.start_soon(self._gossip.receive)
                 tasks.start_soon(self._checker.run)
+                tasks.start_soon(self._reach_watch.run)
                 tasks.start_soon(self._pauses.run)
                 tasks.start_soon(self._upkeep)
                 await self._obey(received)
--- a/src/pollenmast/entry/_site.py
+++ b/src/pollenmast/entry/_site.py
@@ -52,7 +52,7 @@
         return _NOT_FOUND
 
     def _readiness(self) -> Answer:
-        if self._steering.ready and not self._stopping:
+        if self._steering.serves and not self._stopping:
             return Answer(200, b"ready\n")
         return Answer(503, b"not ready\n")
 
--- a/src/pollenmast/events/__init__.py
+++ b/src/pollenmast/events/__init__.py
@@ -51,6 +51,8 @@
     VM_UPDATED,
     ZONE_DRAINED,
     ZONE_RESTORED,
+    ZONES_REACHED,
+    ZONES_UNREACHED,
     Event,
 )
 from pollenmast.events._log import EventLog
@@ -106,6 +108,8 @@
     "VM_RETURNED",
     "VM_SUSPECT",
     "VM_UPDATED",
+    "ZONES_REACHED",
+    "ZONES_UNREACHED",
     "ZONE_DRAINED",
     "ZONE_RESTORED",
     "BoundedStream",
--- a/src/pollenmast/events/_catalogue.py
+++ b/src/pollenmast/events/_catalogue.py
@@ -296,6 +296,18 @@
     "An availability zone takes new flows again.",
     "Nothing.",
 )
+ZONES_UNREACHED = Event(
+    427,
+    "zones_unreached",
+    "The VM's zone is drained and it reaches no other one; it is not ready.",
+    "Look at the network between the zones, or end the drain.",
+)
+ZONES_REACHED = Event(
+    428,
+    "zones_reached",
+    "The VM reaches another zone again, or does not depend on it.",
+    "Nothing.",
+)
 PEER_TOLD = Event(
     424,
     "peer_told",
@@ -353,4 +365,6 @@
     PEER_TOLD,
     ZONE_DRAINED,
     ZONE_RESTORED,
+    ZONES_UNREACHED,
+    ZONES_REACHED,
 )
--- a/src/pollenmast/steering/__init__.py
+++ b/src/pollenmast/steering/__init__.py
@@ -29,6 +29,7 @@
     Warmup,
 )
 from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
+from pollenmast.steering._reach import Reach
 from pollenmast.steering._record import Presence, Record
 
 __all__ = [
@@ -53,6 +54,7 @@
     "Outcome",
     "Presence",
     "Rates",
+    "Reach",
     "Record",
     "Reset",
     "Route",
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -34,6 +34,7 @@
 from pollenmast.steering._model import FlowKey, Route, RouteTable, Segment
 from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
 from pollenmast.steering._placement import Placed, Placement, Unplaced
+from pollenmast.steering._reach import Reach
 from pollenmast.steering._record import Presence, Record
 from pollenmast.steering._waiting import Waiting
 
@@ -85,6 +86,7 @@
         self._usual_wait_s = 0.0
         self._load = LoadBook(zone)
         self._cold_limit = ColdLimit(zone, allowance)
+        self._reach = Reach(zone, self._catalog)
         self._placement = Placement(
             zone, self._catalog, self._load, rng, self._cold_limit
         )
@@ -119,6 +121,11 @@
         """How many flows this VM may open to endpoints that warm up."""
         return self._cold_limit
 
+    @property
+    def reach(self) -> Reach:
+        """Whether this VM reaches the zones that its clients depend on."""
+        return self._reach
+
     @property
     def journal(self) -> Journal:
         """The latest changes."""
@@ -139,6 +146,11 @@
         """Whether routes and endpoints are known."""
         return self._table is not None and bool(self._catalog.records)
 
+    @property
+    def serves(self) -> bool:
+        """Whether clients are as well off here as with another VM."""
+        return self.ready and not self._reach.cut_off
+
     def age_s(self, now: float) -> float:
         """Returns how long ago the directory confirmed the beliefs."""
         return now - self._confirmed_at
--- a/src/pollenmast/steering/_doubts.py
+++ b/src/pollenmast/steering/_doubts.py
@@ -98,7 +98,6 @@
             for record in self._catalog.records
             if record is not but
             and record.presence is Presence.LISTED
-            and not self._catalog.is_drained(record)
             and not record.health.down
         ]
         known.sort(key=lambda record: -record.health.advanced_at)
--- a/tests/steering_drains_test.py
+++ b/tests/steering_drains_test.py
@@ -127,12 +127,17 @@
         segment = group.segment(group.flow(1), NEAR.token, length=10)
         self.assertIsInstance(core.on_segment(segment, 9.0), Forward)
 
-    def test_no_control(self):
-        """A check is not confirmed by endpoints of a drained zone."""
+    def test_control(self):
+        """A drained zone still tells a cut from a fault of this VM.
+
+        Its endpoints are only connected to. Without them a VM whose zone is
+        drained and cut off would find nobody down, and its clients would wait.
+        """
         core = group.steering(NEAR, FAR)
         _drain(core)
         failing = core.catalog.get(FAR.name)
-        self.assertEqual([], core.doubts.controls(failing, 2))
+        controls = core.doubts.controls(failing, 2)
+        self.assertEqual([NEAR], [record.endpoint for record in controls])
 
 
 class _DrainsCase(TestCase):
