A VM that starts in a drained zone is not ready until it reaches another

Cause: a VM that has just started took its paths for good until two rounds had failed. One VM that is ready draws all clients of the zone back, as routers use all VMs of a zone of which fewer than half are ready.

--- a/src/pollenmast/steering/_reach.py
+++ b/src/pollenmast/steering/_reach.py
@@ -25,12 +25,15 @@
     def __init__(self, zone: str, catalog: Catalog):
         self._zone = zone
         self._catalog = catalog
-        self._failed = 0
+        # A VM that starts reaches nobody until it has: one that is ready in a
+        # zone that is cut off would draw all of its clients back.
+        self._failed = FAILED_PROBES
 
     @property
     def cut_off(self) -> bool:
         """Whether this VM reaches no endpoint that may be used."""
-        return self._failed >= FAILED_PROBES
+        drained = self._catalog.drains.is_drained(self._zone)
+        return drained and self._failed >= FAILED_PROBES
 
     def targets(self, now: float) -> list[Record]:
         """Returns the endpoints to connect to now, one a zone.
--- a/tests/entry_reach_test.py
+++ b/tests/entry_reach_test.py
@@ -50,7 +50,7 @@
         self.counters = counters
 
         async def ready() -> bool:
-            request = Request("/ready", b"")
+            request = Request("GET", "/ready")
             return (await site.answer(request)).status == 200
 
         async def main() -> None:
@@ -84,6 +84,29 @@
 
         self._play(_Probing(group.ZONE), script)
 
+    def test_starts(self):
+        """A VM starts in a zone that is drained and cut off.
+
+        Ready for a moment, it would draw all clients of the zone back to VMs
+        that cannot serve them.
+        """
+
+        async def script(core, ready):
+            for _ in range(20):
+                self.assertFalse(await ready())
+                await anyio.sleep(0.05)
+
+        self._play(_Probing(), script)
+
+    def test_starts_connected(self):
+        """A VM that starts in a drained zone is ready once it reaches one."""
+
+        async def script(core, ready):
+            await anyio.sleep(0.2)
+            self.assertTrue(await ready())
+
+        self._play(_Probing(FAR.zone), script)
+
     def test_returns(self):
         """The cut ends: the VM is ready at the next look."""
         probe = _Probing()
