Only a connection of its own tells a VM that a cut has ended

Cause, from the logs of: VMs not ready by 34.6 s were ready again from 37.1 s on, within the cut. One that started had looked once before it knew of the drain. Others saw clients go on which VMs of other zones had carried.

Change: while cut off, only a connection counts; before a VM knows anything it notes nothing. Both with a test that failed before.

--- a/src/pollenmast/steering/_reach.py
+++ b/src/pollenmast/steering/_reach.py
@@ -41,6 +41,8 @@
         There are none while the own zone is used, or another one has shown
         life just now.
         """
+        if not self._catalog.records:
+            return []
         if not self._catalog.drains.is_drained(self._zone):
             self._failed = 0
             return []
@@ -49,8 +51,10 @@
             # Nothing is out of reach: new flows are refused at once.
             self._failed = 0
             return []
+        # Clients that other VMs have carried meanwhile show life as well, so
+        # it does not end a cut.
         latest = max(record.health.advanced_at for record in usable)
-        if now - latest < QUIET_S:
+        if not self.cut_off and now - latest < QUIET_S:
             self._failed = 0
             return []
         by_zone: dict[str, Record] = {}
--- a/tests/entry_reach_test.py
+++ b/tests/entry_reach_test.py
@@ -12,7 +12,13 @@
 from pollenmast.entry._site import Site
 from pollenmast.events import EventLog
 from pollenmast.http1 import Request
-from pollenmast.steering import Update, ZoneDrained, ZoneRestored
+from pollenmast.steering import (
+    Catalog,
+    Reach,
+    Update,
+    ZoneDrained,
+    ZoneRestored,
+)
 from pollenmast.steering._reach import FAILED_PROBES, QUIET_S
 from tests import steering_group as group
 from tests.entry_checks_test import _Probe
@@ -98,6 +104,33 @@
 
         self._play(_Probing(), script)
 
+    def test_learns_of_drain_last(self):
+        """The same VM looks before it knows that its zone is drained."""
+        reach = Reach(group.ZONE, Catalog())
+        self.assertEqual([], reach.targets(0.0))
+        update = group.listing(NEAR, FAR)
+        drained = ZoneDrained(group.ZONE, 10)
+        changes = (*update.changes, drained)
+        reach._catalog.apply(Update(changes, 10, whole=True), 0.1)
+        reach._catalog.drains.apply(Update((drained,), 10))
+        self.assertTrue(reach.cut_off)
+
+    def test_carried_by_others(self):
+        """A client comes back that other zones' VMs have carried meanwhile.
+
+        That it received something says nothing of this VM's paths.
+        """
+
+        async def script(core, ready):
+            await anyio.sleep(NOTICED_S)
+            for _ in range(20):
+                now = anyio.current_time()
+                core.catalog.get(FAR.name).health.on_advance(now)
+                await anyio.sleep(EVERY_S)
+                self.assertFalse(await ready())
+
+        self._play(_Probing(), script)
+
     def test_starts_connected(self):
         """A VM that starts in a drained zone is ready once it reaches one."""
 
@@ -144,14 +177,17 @@
         probe = _Probing()
 
         async def script(core, ready):
-            for _ in range(50):
+            await anyio.sleep(EVERY_S)
+            for step in range(50):
                 now = anyio.current_time()
                 core.catalog.get(FAR.name).health.on_advance(now)
+                if not step:
+                    self._change(core, ZoneDrained(group.ZONE, 11))
                 await anyio.sleep(0.2)
             self.assertTrue(await ready())
             self.assertEqual([], probe.asked)
 
-        self._play(probe, script)
+        self._play(probe, script, drained=False)
 
     @parameterized.expand(
         [
