A drained zone's endpoints confirm no check of others

Cause: with them as controls, a VM whose zone is drained and cut off found all others down and reset their flows, 122 of them with a submission under way. VMs of other zones can carry these flows within a second.

Change: without such controls the VM says that it is unsure, and ends nothing.

--- a/src/pollenmast/steering/_doubts.py
+++ b/src/pollenmast/steering/_doubts.py
@@ -91,7 +91,8 @@
         """Returns endpoints to ask beside one that does not answer.
 
         They are those that have shown life last, one of each availability
-        zone: a whole zone may be out of reach.
+        zone: a whole zone may be out of reach. None is of a drained zone: a VM
+        there that is cut off leaves its flows to VMs of other zones.
         """
         known = [
             record
@@ -99,6 +100,7 @@
             if record is not but
             and record.presence is Presence.LISTED
             and not record.health.down
+            and not self._catalog.is_drained(record)
         ]
         known.sort(key=lambda record: -record.health.advanced_at)
         by_zone: dict[str, Record] = {}
