Soak: drains of zones, cold endpoints, storms of configurations

New kinds of fault are drawn from seed 1001 on, so that kept seeds play as they did; the table's test covers both ranges. New promises: no new flow to a drained zone after the bound, no more flows to a cold endpoint than it bears.

--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -8,6 +8,10 @@
 from standins import segments
 from standins.store import Store
 
+WARMUP_S = 2.0
+WARMUP_PER_S = 1.0
+"""Seconds for which endpoints are cold, and new flows a second they bear."""
+
 
 @attrs.define
 class Ran:
@@ -29,6 +33,7 @@
         self.draining_at: float | None = None
         self.ended_at: float | None = None
         self.disturbed_at = float("-inf")
+        self.cold: list[tuple[float, float]] = []
         self.hangs = False
         self.scope = anyio.CancelScope()
 
@@ -103,12 +108,22 @@
         """Its entry vanishes."""
         self._store.delete(f"servers/{endpoint.name}")
 
+    def cool(self, endpoint: Endpoint) -> None:
+        """One is cold from now on, and says so."""
+        now = anyio.current_time()
+        endpoint.cold.append((now, now + WARMUP_S))
+        if endpoint.draining_at is None:
+            self._announce(endpoint, "ready")
+
     def back(self, endpoint: Endpoint) -> None:
         """Its entry is there again."""
         self._announce(endpoint, "ready")
 
     def _announce(self, endpoint: Endpoint, state: str) -> None:
         entry = endpoint.entry(endpoint.service, endpoint.zone, state)
+        if endpoint.cold:
+            left_s = endpoint.cold[-1][1] - anyio.current_time()
+            entry["warmupLeftMs"] = max(0, round(1000 * left_s))
         self._store.put(f"servers/{endpoint.name}", entry)
 
     async def _run(self, endpoint: Endpoint) -> None:
@@ -116,13 +131,18 @@
             await endpoint.run()
 
 
-def configuration(version: int, moving: str) -> dict[str, object]:
+def configuration(
+    version: int, moving: str, more: int = 0, *, warms_up: bool = False
+) -> dict[str, object]:
     """Returns what the operator publishes.
 
     Args:
         version: Grows with each change.
         moving: The service that the route `moving` goes to.
+        more: Routes that nobody asks for.
+        warms_up: Whether endpoints state what they bear while they are cold.
     """
+    warmup = {"warmupS": WARMUP_S, "warmupPerS": WARMUP_PER_S}
     targets = {**{name: name for name in SERVICES}, "moving": moving}
     return {
         "version": version,
@@ -135,9 +155,24 @@
                 "service": service,
             }
             for route, service in targets.items()
+        ]
+        + [
+            {
+                "name": f"more-{number}",
+                "hostname": "198.18.9.9",
+                "prefix": f"/{1000 + number}/",
+                "routeType": "download",
+                "service": SERVICES[0],
+            }
+            for number in range(more)
         ],
         "services": [
-            {"name": name, "healthPath": "/health"} for name in SERVICES
+            {
+                "name": name,
+                "healthPath": "/health",
+                **(warmup if warms_up else {}),
+            }
+            for name in SERVICES
         ],
         "limits": {"idleTimeoutMs": 15000},
     }
--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -5,8 +5,8 @@
 import attrs
 
 from soak._clients import SERVICES, Asked, Callers
-from soak._endpoints import Endpoints
-from soak._vm import Vm
+from soak._endpoints import WARMUP_PER_S, Endpoints
+from soak._vm import WARMUP_OVERRUN, WARMUP_SLACK, Vm
 
 STABLE_S = 4.0
 """How long after a disturbance rules with a bound do not hold."""
@@ -29,6 +29,15 @@
     service: str
 
 
+@attrs.define
+class Drain:
+    """A zone was drained; `until` is infinite while it still is."""
+
+    zone: str
+    since: float
+    until: float = float("inf")
+
+
 @attrs.define
 class Seen:
     """Everything that a run has shown.
@@ -40,6 +49,7 @@
         flips: Changes of the route `moving`, from the first on.
         troubles: Start and end of each unplanned disturbance.
         judged_from: When everything must be served again.
+        drains: Zones that were drained.
     """
 
     callers: Callers
@@ -48,6 +58,7 @@
     flips: list[Flip]
     troubles: list[tuple[float, float]]
     judged_from: float
+    drains: list[Drain]
 
     def calm(self, at: float) -> bool:
         """Whether nothing unplanned touched a moment or the seconds before."""
@@ -64,6 +75,8 @@
         _doubled,
         _mixed,
         _drain,
+        _drained_zones,
+        _cold,
         _configuration,
         _resets,
         _exits,
@@ -128,6 +141,36 @@
     return found
 
 
+def _drained_zones(seen: Seen) -> list[str]:
+    """A drained zone gets no new flows for long."""
+    return [
+        f"{endpoint.name} of {drain.zone} got a flow after {at - drain.since} s"
+        for drain in seen.drains
+        for endpoint in seen.endpoints.all
+        for at in endpoint.opened_at
+        if endpoint.zone == drain.zone
+        and drain.since + APPLY_S + SLACK_S < at < drain.until
+        and seen.calm(drain.since)
+        and seen.calm(at)
+    ]
+
+
+def _cold(seen: Seen) -> list[str]:
+    """A cold endpoint gets no more flows than it bears, from all VMs."""
+    bound = WARMUP_OVERRUN * WARMUP_PER_S + WARMUP_SLACK
+    found = []
+    for endpoint in seen.endpoints.all:
+        for since, until in endpoint.cold:
+            times = [t for t in endpoint.opened_at if since <= t <= until]
+            most = max(
+                (sum(0.0 <= t - at <= 1.0 for t in times) for at in times),
+                default=0,
+            )
+            if most > bound:
+                found.append(f"{endpoint.name} got {most} flows in a second")
+    return found
+
+
 def _configuration(seen: Seen) -> list[str]:
     """A change of a route is in force within its time."""
     served = {
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -29,8 +29,15 @@
     LEAVE = "an endpoint leaves, and its address is used again"
     JOIN = "an endpoint is added"
     CONFIGURE = "a route goes to another service"
+    DRAIN_ZONE = "a zone is drained and taken back cold"
+    STORM = "configurations of many routes come in quick succession"
 
 
+LATER_KINDS = (Kind.DRAIN_ZONE, Kind.STORM)
+"""Kinds that lesser seeds do not draw, so that kept ones play as they did."""
+
+FIRST_LATER_SEED = 1001
+
 UNPLANNED = frozenset(
     {
         Kind.KILL,
@@ -75,7 +82,8 @@
     last = seconds - LAST_S
     count = rng.randint(3, max(4, int(seconds / 2)))
     # Quiet runs show what must hold by itself; crowded ones what survives.
-    kinds = rng.sample(list(Kind), rng.randint(2, len(Kind)))
+    known = _kinds(seed)
+    kinds = rng.sample(known, rng.randint(2, len(known)))
     faults = []
     at = FIRST_S
     for _ in range(count):
@@ -93,3 +101,9 @@
             )
         )
     return faults
+
+
+def _kinds(seed: int) -> list[Kind]:
+    if seed >= FIRST_LATER_SEED:
+        return list(Kind)
+    return [kind for kind in Kind if kind not in LATER_KINDS]
--- a/soak/_vm.py
+++ b/soak/_vm.py
@@ -12,6 +12,10 @@
 
 PACKETS, READY, CONTROL, GOSSIP = 8172, 8167, 8166, 7720
 GRACE_S = 6.0
+WARMUP_OVERRUN, WARMUP_SLACK = 1.5, 5.0
+"""How far cold endpoints may be overrun, where the configuration says that
+they warm up."""
+
 TOO_LATE = -1
 """Noted in place of an exit code where a VM did not end in time."""
 
@@ -40,6 +44,9 @@
             f"internalPorts={GOSSIP},7735\nseedNodes={listed}\n"
             f"bounds.configApplyMs={int(apply_s * 1000)}\n"
             f"bounds.drainMs={int(apply_s * 1000)}\n"
+            f"bounds.evacuateMs={int(apply_s * 1000)}\n"
+            f"bounds.warmupOverrun={WARMUP_OVERRUN:g}\n"
+            f"bounds.warmupSlack={WARMUP_SLACK:g}\n"
             f"bounds.graceS={GRACE_S:g}\n"
             f"platform.address={store[0]}:{store[1]}\n"
         )
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -13,9 +13,15 @@
 from soak import _promises as promises
 from soak._clients import SERVICES, Callers, Client, Routers
 from soak._endpoints import Endpoint, Endpoints, configuration
-from soak._promises import APPLY_S, Flip, Seen
+from soak._promises import APPLY_S, Drain, Flip, Seen
 from soak._proxy import Mode, Proxy
-from soak._schedule import UNPLANNED, Fault, Kind, schedule
+from soak._schedule import (
+    FIRST_LATER_SEED,
+    UNPLANNED,
+    Fault,
+    Kind,
+    schedule,
+)
 from soak._vm import PACKETS, Vm
 from standins import http
 from standins.store import Fault as StoreFault
@@ -41,6 +47,10 @@
 BACK_S = 1.5
 """Entries that lapsed are back so soon after the store."""
 
+STORM_ROUTES = 300
+STORM_GAP_S = 0.1
+"""Routes of a storm's configurations, and the pause between two of them."""
+
 LOSS = (0.02, 0.1)
 _CUTS = (Mode.SLOW, Mode.RESET, Mode.SILENT, Mode.ONE_WAY)
 _STORE_FAULTS = (StoreFault.DOWN, StoreFault.BUSY, StoreFault.SILENT)
@@ -100,6 +110,8 @@
         self._client = Client(f"{net}.1.7", PACKETS, self._routers)
         self._callers = Callers(self._client, self._rng)
         self._flips: list[Flip] = []
+        self._drains: list[Drain] = []
+        self._warms_up = plan.seed >= FIRST_LATER_SEED
         self._troubles: list[tuple[float, float]] = []
 
     async def run(self) -> Result:
@@ -153,14 +165,18 @@
             self._flips,
             self._troubles,
             began + self._plan.seconds - JUDGE_S,
+            self._drains,
         )
         answered = sum(bool(asked.answer) for asked in self._callers.asked)
         asked = len(self._callers.asked)
         return Result(asked, answered, faults, promises.broken(seen))
 
-    def _publish(self, service: str) -> None:
+    def _publish(self, service: str, more: int = 0) -> None:
         version = 3 + 7 * len(self._flips)
-        self._store.put("op/config", configuration(version, service))
+        published = configuration(
+            version, service, more, warms_up=self._warms_up
+        )
+        self._store.put("op/config", published)
         self._flips.append(Flip(anyio.current_time(), service))
 
     async def _play(self, fault: Fault, began: float) -> None:
@@ -297,6 +313,29 @@
         last = self._flips[-1].service
         self._publish(SERVICES[last == SERVICES[0]])
 
+    async def _drain_zone(self, fault: Fault) -> None:
+        zone = ZONES[int(fault.draw * len(ZONES))]
+        if any(
+            d.zone == zone and d.until == float("inf") for d in self._drains
+        ):
+            return
+        self._store.put(f"op/evacuate/{zone}", {})
+        drain = Drain(zone, anyio.current_time())
+        self._drains.append(drain)
+        await anyio.sleep(fault.for_s)
+        for endpoint in self._endpoints.up:
+            if endpoint.zone == zone:
+                self._endpoints.cool(endpoint)
+        drain.until = anyio.current_time()
+        self._store.delete(f"op/evacuate/{zone}")
+
+    async def _storm(self, fault: Fault) -> None:
+        until = anyio.current_time() + fault.for_s
+        while anyio.current_time() < until:
+            last = self._flips[-1].service
+            self._publish(SERVICES[last == SERVICES[0]], STORM_ROUTES)
+            await anyio.sleep(STORM_GAP_S)
+
 
 _ACTIONS = {
     Kind.KILL: World._kill,
@@ -313,6 +352,8 @@
     Kind.LEAVE: World._leave,
     Kind.JOIN: World._join,
     Kind.CONFIGURE: World._configure,
+    Kind.DRAIN_ZONE: World._drain_zone,
+    Kind.STORM: World._storm,
 }
 
 
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -3,7 +3,14 @@
 from parameterized import parameterized
 from testtools import TestCase
 
-from soak._schedule import FIRST_S, LAST_S, Kind, schedule
+from soak._schedule import (
+    FIRST_LATER_SEED,
+    FIRST_S,
+    LAST_S,
+    LATER_KINDS,
+    Kind,
+    schedule,
+)
 from soak._world import Plan, play
 from tests.soak_seeds import kept
 
@@ -25,7 +32,10 @@
 
     def test_every_kind(self):
         """Each kind of fault comes up within a few dozen seeds."""
-        drawn = {f.kind for seed in range(50) for f in schedule(seed, 30.0)}
+        earlier, later = range(50), range(FIRST_LATER_SEED, 1051)
+        drawn = {f.kind for seed in earlier for f in schedule(seed, 30.0)}
+        self.assertEqual(set(Kind) - set(LATER_KINDS), drawn)
+        drawn = {f.kind for seed in later for f in schedule(seed, 30.0)}
         self.assertEqual(set(Kind), drawn)
 
 
