Endpoints that fail far more than others get no new flows for a while

Cause: an endpoint that answers errors at once while its health check is good looks idle.

Change: a client's first acknowledgement tells the length of an answer, by which errors are told from answers; requests that become late count as well. A zone's readers add up what its VMs saw and tell the outliers, against the median of the service. At most a fifth of a service's endpoints is kept away, for four seconds each. Open flows are left alone. Counter `ejections`, event 310.

--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -279,6 +279,11 @@
     "Endpoints asked for their health, controls among them.",
     _all(CheckReason),
 )
+EJECTIONS = CounterDefinition(
+    "ejections",
+    "{endpoint}",
+    "Endpoints kept from new flows as they failed requests.",
+)
 PLATFORM_CALLS = CounterDefinition(
     "platform_calls",
     "{call}",
@@ -304,6 +309,7 @@
     PROBES,
     CHECKS,
     PLATFORM_CALLS,
+    EJECTIONS,
     RESETS,
     PLACEMENTS,
     SEGMENTS,
--- a/src/pollenmast/entry/_gossip.py
+++ b/src/pollenmast/entry/_gossip.py
@@ -28,7 +28,7 @@
 from pollenmast.entry._peers import PeerReader
 from pollenmast.entry._ports import Address
 from pollenmast.entry._report import MOST_CHANGE_BYTES, Kind, Report
-from pollenmast.steering import Members, Presence, Steering
+from pollenmast.steering import Failures, Members, Presence, Steering
 
 EVERY_S = 0.5
 """Between two reports. Load is measured over two seconds."""
@@ -177,11 +177,15 @@
             asked += self._some(self._members.unheard(now), MOST_STRANGERS)
         if not self._members.hosts or self._round % STRANGERS_EVERY == 0:
             asked += self._some(self._members.strangers(), MOST_STRANGERS)
-        ask = self._report(Kind.ASK, now, 1, load.report(now))
+        failures = self._steering.outliers.own(now)
+        ask = self._report(
+            Kind.ASK, now, 1, load.report(now), failures=failures
+        )
         for host in asked:
             self._send(ask, host)
             self._members.on_asked(host, now)
         if self._host in readers:
+            self._steering.outliers.eject(now)
             self._tell_zones(now)
 
     def tell_news(self, now: float) -> None:
@@ -241,10 +245,12 @@
         load = self._steering.load
         if report.kind is Kind.ANSWER and report.zone == self._zone:
             load.on_total(report.rates, report.vms, now, report.floor)
+            self._steering.outliers.on_told(report.ejected, now)
         elif report.kind is Kind.ZONE:
             load.on_zone(report.zone, report.rates, report.vms, now)
         elif report.kind is Kind.ASK and report.zone == self._zone:
             load.on_mate(report.vm, report.rates, now)
+            self._steering.outliers.on_mate(report.vm, report.failures, now)
 
     def _learn_changes(self, report: Report, host: str, now: float) -> None:
         """Learns from a peer that knows more, or that it knows no more."""
@@ -278,7 +284,12 @@
         """Returns an answer that names the VMs of the asker's zone."""
         load = self._steering.load
         vms, rates = load.vms(now), load.gathered(now)
-        return self._report(Kind.ANSWER, now, vms, rates, after, changes, zone)
+        ejected = ()
+        if zone == self._zone and self._members.is_reader(now):
+            ejected = tuple(self._steering.outliers.eject(now))
+        return self._report(
+            Kind.ANSWER, now, vms, rates, after, changes, zone, ejected=ejected
+        )
 
     def _tell_zones(self, now: float) -> None:
         """Tells a reader of each other zone this zone's load."""
@@ -314,6 +325,8 @@
         after: int = 0,
         changes: bytes = b"",
         zone: str = "",
+        failures: Failures | None = None,
+        ejected: tuple[int, ...] = (),
     ) -> bytes:
         zone = zone or self._zone
         down = [
@@ -337,6 +350,8 @@
             after,
             changes,
             self._link_mbps,
+            failures or {},
+            ejected,
         )
         return reports.encode(report)
 
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from pollenmast import http1
+from pollenmast.counters import EJECTIONS
 from pollenmast.entry._boot import Boot, Early
 from pollenmast.entry._checks import Checker
 from pollenmast.entry._follow import Follower
@@ -20,6 +21,7 @@
 from pollenmast.entry._reach import ReachWatch
 from pollenmast.entry._site import Site
 from pollenmast.events import (
+    ENDPOINT_EJECTED,
     PAUSED,
     SETTINGS_REFUSED,
     SETTINGS_RELOADED,
@@ -27,6 +29,7 @@
     STOPPED,
     STOPPING,
 )
+from pollenmast.steering import Record
 
 LEAVE_S = 1.8
 """How long a stopping VM goes on carrying packets: readiness is asked twice a
@@ -119,6 +122,7 @@
         )
         self._follower.join(self._gossip.is_reader, self._gossip.push)
         self._steering.doubts.join(self._gossip.is_reader)
+        self._steering.outliers.notify(self._on_ejected)
         self._steering.cold_limit.join(self._gossip.sharers)
 
     async def run(self) -> int:
@@ -194,6 +198,16 @@
             SETTINGS_RELOADED, changed=loaded.ok_value != self._settings
         )
 
+    def _on_ejected(self, record: Record, failed: int) -> None:
+        self._counters.add(EJECTIONS)
+        self._log.write(
+            ENDPOINT_EJECTED,
+            endpoint=record.endpoint.name,
+            service=record.endpoint.service,
+            zone=record.endpoint.zone,
+            failed=failed,
+        )
+
     def _on_pause(self, gap_s: float) -> None:
         self._log.write(PAUSED, gap_s=round(gap_s, 3))
         self._steering.on_pause(gap_s)
--- a/src/pollenmast/entry/_report.py
+++ b/src/pollenmast/entry/_report.py
@@ -6,15 +6,18 @@
 import msgpack
 from result import Err, Ok, Result
 
-from pollenmast.steering import Rates
+from pollenmast.steering import Failures, Rates
 
-FORMAT = 4
+FORMAT = 5
 """Number of this format; others are ignored."""
 
 MOST_ENDPOINTS = 90
 """Endpoints named in one report, at about 12 bytes each, so that it fits a
 datagram that needs no fragments. The busiest are named."""
 
+MOST_FAILURES = 1000
+"""Failures of one endpoint that one VM is believed."""
+
 MOST_MEMBERS = 12
 """Other VMs named in one report; a VM that has just started learns of a fleet
 of 9 from the first, and of one of 30 within two seconds."""
@@ -65,6 +68,8 @@
         after: The revision that `changes` follow.
         changes: Changes of endpoints and routes, encoded; empty if none.
         link_mbps: The width of its own link in Mbit/s, 0 if not known.
+        failures: Requests that failed lately, by endpoint.
+        ejected: Endpoints that are to get no new flows, as they fail.
     """
 
     kind: Kind
@@ -80,6 +85,8 @@
     after: int = 0
     changes: bytes = b""
     link_mbps: int = 0
+    failures: Failures = attrs.field(factory=dict)
+    ejected: tuple[int, ...] = ()
 
     @property
     def floor(self) -> float:
@@ -114,6 +121,8 @@
         report.after,
         report.changes,
         report.link_mbps,
+        report.failures,
+        report.ejected[:MOST_ENDPOINTS],
     )
     return msgpack.packb(fields)
 
@@ -124,7 +133,7 @@
         fields = msgpack.unpackb(datagram, strict_map_key=False)
         number, kind, vm, zone, *rest = fields
         revision, age, vms, rates, down, members, of, after, *rest = rest
-        changes, link_mbps = rest
+        changes, link_mbps, failures, ejected = rest
         if number != FORMAT:
             return Err(f"format {number!r}")
         if not all(isinstance(each, str) for each in (vm, zone, of)):
@@ -149,6 +158,8 @@
                 after,
                 changes,
                 max(0, link_mbps),
+                _failures(failures),
+                tuple(int(each) for each in ejected[:MOST_ENDPOINTS]),
             )
         )
     except (
@@ -166,3 +177,12 @@
         int(endpoint): max(0, int(rate)) / _SCALE
         for endpoint, rate in rates.items()
     }
+
+
+def _failures(failures: dict[int, int]) -> Failures:
+    if len(failures) > MOST_ENDPOINTS:
+        raise ValueError("failures")
+    return {
+        int(endpoint): min(max(0, int(count)), MOST_FAILURES)
+        for endpoint, count in failures.items()
+    }
--- a/src/pollenmast/events/_catalogue.py
+++ b/src/pollenmast/events/_catalogue.py
@@ -296,6 +296,12 @@
     "An availability zone takes new flows again.",
     "Nothing.",
 )
+ENDPOINT_EJECTED = Event(
+    310,
+    "endpoint_ejected",
+    "An endpoint fails far more requests than others; it gets no new flows.",
+    "Look at the endpoint: its health check may say well all the same.",
+)
 ZONES_UNREACHED = Event(
     427,
     "zones_unreached",
@@ -367,4 +373,5 @@
     ZONE_RESTORED,
     ZONES_UNREACHED,
     ZONES_REACHED,
+    ENDPOINT_EJECTED,
 )
--- a/src/pollenmast/steering/__init__.py
+++ b/src/pollenmast/steering/__init__.py
@@ -29,6 +29,7 @@
     Warmup,
 )
 from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
+from pollenmast.steering._outliers import Failures, Outliers
 from pollenmast.steering._reach import Reach
 from pollenmast.steering._record import Presence, Record
 
@@ -46,12 +47,14 @@
     "Endpoint",
     "EndpointAnnounced",
     "EndpointRemoved",
+    "Failures",
     "FlowKey",
     "Forward",
     "Health",
     "LoadBook",
     "Members",
     "Outcome",
+    "Outliers",
     "Presence",
     "Rates",
     "Reach",
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -30,9 +30,11 @@
 from pollenmast.steering._flows import REPEAT_S, FlowTable, note
 from pollenmast.steering._health import CheckResult
 from pollenmast.steering._journal import Journal
+from pollenmast.steering._lengths import AnswerLengths
 from pollenmast.steering._load import LoadBook
 from pollenmast.steering._model import FlowKey, Route, RouteTable, Segment
 from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
+from pollenmast.steering._outliers import Outliers
 from pollenmast.steering._placement import Placed, Placement, Unplaced
 from pollenmast.steering._reach import Reach
 from pollenmast.steering._record import Presence, Record
@@ -86,6 +88,8 @@
         self._usual_wait_s = 0.0
         self._load = LoadBook(zone)
         self._cold_limit = ColdLimit(zone, allowance)
+        self._lengths = AnswerLengths()
+        self._outliers = Outliers(self._catalog)
         self._reach = Reach(zone, self._catalog)
         self._placement = Placement(
             zone, self._catalog, self._load, rng, self._cold_limit
@@ -121,6 +125,11 @@
         """How many flows this VM may open to endpoints that warm up."""
         return self._cold_limit
 
+    @property
+    def outliers(self) -> Outliers:
+        """The endpoints that fail requests."""
+        return self._outliers
+
     @property
     def reach(self) -> Reach:
         """Whether this VM reaches the zones that its clients depend on."""
@@ -246,6 +255,7 @@
         self._doubts.ask_overdue(now)
         for endpoint in self._waiting.take_late(now):
             self._load.on_late(endpoint, now)
+            self._outliers.on_failed(endpoint, now)
 
     def _cool(
         self, zones: list[ZoneDrained | ZoneRestored], now: float
@@ -312,6 +322,7 @@
         progress = note(flow, segment, now)
         if progress.waited_s is not None:
             self._on_answer(progress.waited_s)
+            self._on_length(segment.flow, record, progress.received, now)
         # A request acknowledges the answer before it: it advances first.
         if progress.advanced:
             record.health.on_advance(now)
@@ -330,6 +341,13 @@
         change_s = waited_s - self._usual_wait_s
         self._usual_wait_s += WAIT_WEIGHT * change_s
 
+    def _on_length(
+        self, flow: FlowKey, record: Record, length: int, now: float
+    ) -> None:
+        route = record.endpoint.service, flow.service_host, flow.service_port
+        if self._lengths.is_short(route, length):
+            self._outliers.on_failed(record.endpoint.number, now)
+
     def _forget(self, flow: FlowKey) -> None:
         self._flows.forget(flow)
         self._waiting.end(flow)
--- a/src/pollenmast/steering/_flows.py
+++ b/src/pollenmast/steering/_flows.py
@@ -67,12 +67,14 @@
         repeated: The client sent again what it had sent before.
         request: The client sent new data.
         waited_s: How long the client had waited for what it received.
+        received: Bytes of an answer that the client acknowledged first.
     """
 
     advanced: bool = False
     repeated: bool = False
     request: bool = False
     waited_s: float | None = None
+    received: int = 0
 
 
 class FlowTable:
@@ -134,11 +136,13 @@
 
 def note(flow: Flow, segment: Segment, now: float) -> Progress:
     """Takes a segment that is no SYN into its flow's state."""
-    waited, since = None, flow.waiting_since
+    waited, since, received = None, flow.waiting_since, 0
     first = flow.next_sequence is None
     moved = not first and advanced(segment.acknowledged, flow.acknowledged)
     opening = not flow.opened
     flow.opened = True
+    if moved and since is not None:
+        received = (segment.acknowledged - flow.acknowledged) % _WHOLE
     if first or moved:
         flow.acknowledged = segment.acknowledged
     if moved and since is not None:
@@ -159,4 +163,4 @@
     )
     # The handshake's last packet answers the endpoint's SYN+ACK.
     alive = moved or (opening and bool(flow.tried))
-    return Progress(alive, repeated, request, waited)
+    return Progress(alive, repeated, request, waited, received)
--- a/src/pollenmast/steering/_load.py
+++ b/src/pollenmast/steering/_load.py
@@ -16,12 +16,12 @@
 
 import attrs
 
+from pollenmast.steering._meter import Meter
+
 WINDOW_S = 2.0
 """Over which requests are counted. At 20 requests a second to an endpoint the
 count is then within a sixth of the mean; flows move within seconds."""
 
-BUCKET_S = 0.25
-
 REPORT_LIFE_S = 4.0
 """A report older than this no longer counts: eight of them were missed."""
 
@@ -61,34 +61,13 @@
         return self.at - other.at >= BETTER_S
 
 
-class _Meter:
-    """Counts of one endpoint in a sliding window."""
-
-    def __init__(self, window_s: float):
-        self._window_s = window_s
-        self._buckets: collections.deque[tuple[int, int]] = collections.deque()
-
-    def add(self, now: float) -> None:
-        bucket = int(now / BUCKET_S)
-        if self._buckets and self._buckets[-1][0] == bucket:
-            self._buckets[-1] = (bucket, self._buckets[-1][1] + 1)
-        else:
-            self._buckets.append((bucket, 1))
-
-    def count(self, now: float) -> int:
-        oldest = int((now - self._window_s) / BUCKET_S)
-        while self._buckets and self._buckets[0][0] <= oldest:
-            self._buckets.popleft()
-        return sum(count for _, count in self._buckets)
-
-
 class LoadBook:
     """What one VM knows of all endpoints' load."""
 
     def __init__(self, zone: str):
         self._zone = zone
-        self._meters: dict[int, _Meter] = {}
-        self._late: dict[int, _Meter] = {}
+        self._meters: dict[int, Meter] = {}
+        self._late: dict[int, Meter] = {}
         self._mates: dict[str, _Report] = {}
         self._zones: dict[str, _Report] = {}
         self._told: _Report | None = None
@@ -98,11 +77,11 @@
 
     def on_work(self, endpoint: int, now: float) -> None:
         """This VM sent a request, or a new flow, to an endpoint."""
-        self._meters.setdefault(endpoint, _Meter(WINDOW_S)).add(now)
+        self._meters.setdefault(endpoint, Meter(WINDOW_S)).add(now)
 
     def on_late(self, endpoint: int, now: float) -> None:
         """A request that this VM sent to an endpoint has become late."""
-        self._late.setdefault(endpoint, _Meter(LATE_WINDOW_S)).add(now)
+        self._late.setdefault(endpoint, Meter(LATE_WINDOW_S)).add(now)
 
     def on_mate(self, vm: str, rates: Rates, now: float) -> None:
         """A VM of the same zone told what it sends."""
@@ -207,7 +186,7 @@
         return told.vms
 
 
-def _rates(meters: dict[int, _Meter], weight: float, now: float) -> Rates:
+def _rates(meters: dict[int, Meter], weight: float, now: float) -> Rates:
     rates = {}
     for endpoint, meter in list(meters.items()):
         count = meter.count(now)
--- /dev/null
+++ b/tests/steering_outliers_test.py
@@ -0,0 +1,265 @@
+"""Tests of steering: endpoints that fail while their health check is good."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from parameterized import parameterized
+from testtools import TestCase
+
+from pollenmast.counters import Counters
+from pollenmast.entry._report import Kind, Report, decode, encode
+from pollenmast.steering import Forward, Steering
+from pollenmast.steering._lengths import (
+    LEAST_ANSWERS,
+    MOST_ROUTES,
+    AnswerLengths,
+)
+from pollenmast.steering._outliers import (
+    EJECT_S,
+    LEAST_FAILED,
+    MOST_PART,
+    WINDOW_S,
+)
+from tests import steering_group as group
+
+VMS, ENDPOINTS = 20, 20
+FLOWS_PER_S = 120
+STEP_S = 0.05
+CALM_S = 3.0
+"""Seconds before the failures in which usual answers are seen."""
+
+TELL_EVERY = 10
+"""Steps between two reports."""
+
+WHOLE, ERROR = 1200, 187
+"""Bytes that a client acknowledges first, of an answer and of an error."""
+
+
+class LengthTest(TestCase):
+    """Which answers count as failed."""
+
+    ROUTE = ("registry", "198.18.0.1", 443)
+
+    def _lengths(self, *usual: int) -> AnswerLengths:
+        lengths = AnswerLengths()
+        for _ in range(LEAST_ANSWERS):
+            for each in usual:
+                lengths.is_short(self.ROUTE, each)
+        return lengths
+
+    @parameterized.expand(
+        [
+            ("error", (1200, 2400, 814), 187, True),
+            ("end_of_flow", (1200, 2400, 814), 1, True),
+            ("nothing", (814,), 0, True),
+            ("usual", (1200, 2400, 814), 814, False),
+            ("a_little_shorter", (1200, 2400), 650, False),
+            ("short_route", (246, 247), 187, False),
+            ("longer", (246, 247), 80_000, False),
+        ]
+    )
+    def test_short(self, _, usual, length, short):
+        """An error is told from an answer by the route's usual lengths."""
+        lengths = self._lengths(*usual)
+        self.assertEqual(short, lengths.is_short(self.ROUTE, length))
+
+    def test_unknown(self):
+        """A route that was hardly asked has no usual length."""
+        self.assertFalse(AnswerLengths().is_short(self.ROUTE, 1))
+
+    def test_most_fail(self):
+        """Where a third of the answers are errors, errors are usual."""
+        lengths = self._lengths(1200, 1200, 187)
+        self.assertFalse(lengths.is_short(self.ROUTE, 187))
+
+    def test_change(self):
+        """A route's answers become shorter for good: it is learned."""
+        lengths = self._lengths(80_000)
+        shorts = [lengths.is_short(self.ROUTE, 900) for _ in range(600)]
+        self.assertTrue(shorts[0])
+        self.assertFalse(shorts[-1])
+
+    @given(st.lists(st.integers(-1, 1 << 32), max_size=50))
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    def test_any(self, received):
+        """No acknowledgement raises anything."""
+        lengths = AnswerLengths()
+        for each in received:
+            lengths.is_short(self.ROUTE, each)
+
+    def test_memory(self):
+        """Routes that come and go do not fill the memory."""
+        lengths = AnswerLengths()
+        for port in range(3 * MOST_ROUTES):
+            lengths.is_short(("registry", "198.18.0.1", port), 9)
+        self.assertLessEqual(len(lengths._counts), MOST_ROUTES)
+
+
+def _vm(number: int) -> Steering:
+    core = Steering(group.ZONE, Counters(), random.Random(number))
+    known = [group.endpoint(n + 1) for n in range(ENDPOINTS)]
+    core.apply(group.listing(*known), -CALM_S)
+    core.on_confirmed(-CALM_S)
+    return core
+
+
+class _Zone:
+    """A zone's VMs, whose clients open a flow for each request."""
+
+    def __init__(self, failing: dict[int, float], *, tells: bool = True):
+        """Takes the share of requests that each endpoint fails."""
+        self.vms = [_vm(number) for number in range(VMS)]
+        self.failed = 0
+        self.asked = 0
+        self.asked_at: dict[int, int] = {}
+        self._failing = failing
+        self._tells = tells
+        self._rng = random.Random(1)
+        self._flows = 0
+
+    def play(self, seconds: float) -> None:
+        """Lets clients ask for so long, and for a calm while before."""
+        for step in range(round(-CALM_S / STEP_S), round(seconds / STEP_S)):
+            now = step * STEP_S
+            for _ in range(round(FLOWS_PER_S * STEP_S)):
+                self._ask(self._rng.choice(self.vms), now)
+            if self._tells and step % TELL_EVERY == 0:
+                self._tell(now)
+
+    def _tell(self, now: float) -> None:
+        reader = self.vms[0].outliers
+        for number, vm in enumerate(self.vms[1:]):
+            reader.on_mate(f"vm{number}", vm.outliers.own(now), now)
+        ejected = reader.eject(now)
+        for vm in self.vms[1:]:
+            vm.outliers.on_told(ejected, now)
+
+    def _ask(self, vm: Steering, now: float) -> None:
+        self._flows += 1
+        key = group.flow(self._flows)
+        placed = vm.on_segment(group.syn(key), now)
+        assert isinstance(placed, Forward)
+        number = placed.endpoint.number
+        token = placed.endpoint.token
+        drawn = self._rng.random() < self._failing.get(number, 0.0)
+        fails = drawn and now >= 0.0
+        if now >= 0.0:
+            self.asked += 1
+            self.failed += fails
+            self.asked_at[number] = self.asked_at.get(number, 0) + 1
+        request = group.segment(key, token, length=300)
+        vm.on_segment(request, now + 0.004)
+        end = group.segment(
+            key,
+            token,
+            sequence=301,
+            acknowledged=1 + (ERROR if fails else WHOLE),
+            fin=True,
+        )
+        vm.on_segment(end, now + (0.006 if fails else 0.045))
+
+
+class EjectionTest(TestCase):
+    """What callers get while some endpoints fail."""
+
+    SECONDS = 7.0
+
+    def _play(self, failing: dict[int, float], *, tells: bool = True) -> _Zone:
+        zone = _Zone(failing, tells=tells)
+        zone.play(self.SECONDS)
+        return zone
+
+    @parameterized.expand(
+        [
+            ("one_of_twenty", {1: 1.0}),
+            ("two_of_twenty", {1: 1.0, 2: 1.0}),
+            ("half_of_its_requests", {1: 0.5}),
+        ]
+    )
+    def test_fewer_fail(self, _, failing):
+        """Endpoints answer errors at once; their health check is good."""
+        without = self._play(failing, tells=False)
+        zone = self._play(failing)
+        self.assertGreater(without.failed, 10)
+        self.assertLess(zone.failed, 0.6 * without.failed)
+
+    def test_all_fail_alike(self):
+        """Every endpoint is full now and then: none is kept away."""
+        zone = self._play(dict.fromkeys(range(1, ENDPOINTS + 1), 0.2))
+        fewest = min(zone.asked_at.values())
+        self.assertGreater(fewest, 0.4 * zone.asked / ENDPOINTS)
+
+    def test_calm(self):
+        """A lost answer now and then keeps nobody away."""
+        zone = self._play(dict.fromkeys(range(1, ENDPOINTS + 1), 0.01))
+        fewest = min(zone.asked_at.values())
+        self.assertGreater(fewest, 0.5 * zone.asked / ENDPOINTS)
+
+    def test_floor(self):
+        """Half of the endpoints fail: most of them stay in use.
+
+        The others could not bear the load of all.
+        """
+        zone = _Zone(dict.fromkeys(range(1, 11), 1.0))
+        for number in range(1, 11):
+            for _ in range(100 - number):
+                zone.vms[0].outliers.on_failed(number, 1.0)
+        ejected = zone.vms[0].outliers.eject(1.0)
+        self.assertLessEqual(len(ejected), MOST_PART * ENDPOINTS)
+
+    def test_one_endpoint(self):
+        """A service's only endpoint is used, whatever it does."""
+        core = group.steering(group.endpoint(1))
+        for _ in range(50):
+            core.outliers.on_failed(1, 1.0)
+        self.assertEqual([], core.outliers.eject(1.0))
+
+    def test_tried_again(self):
+        """An endpoint that works again is back after its time."""
+        core = group.steering(group.endpoint(1), group.endpoint(2))
+        for _ in range(LEAST_FAILED):
+            core.outliers.on_failed(1, 1.0)
+        self.assertEqual([1], core.outliers.eject(1.0))
+        health = core.catalog.get(group.endpoint(1).name).health
+        self.assertTrue(health.is_avoided(1.1))
+        self.assertEqual([], core.outliers.eject(1.0 + WINDOW_S + EJECT_S))
+        self.assertFalse(health.is_avoided(1.0 + WINDOW_S + EJECT_S))
+
+    def test_unknown(self):
+        """A peer names endpoints that this VM does not know."""
+        core = group.steering(group.endpoint(1), group.endpoint(2))
+        core.outliers.on_mate("b", {99: 50}, 1.0)
+        core.outliers.on_told([98], 1.0)
+        self.assertEqual([], core.outliers.eject(1.0))
+
+
+class ReportTest(TestCase):
+    """How VMs tell each other."""
+
+    def test_told(self):
+        """Failures and outliers travel with reports."""
+        report = Report(
+            Kind.ASK, "a", "z", 5, 0.0, failures={7: 3}, ejected=(9,)
+        )
+        told = decode(encode(report)).ok_value
+        self.assertEqual({7: 3}, told.failures)
+        self.assertEqual((9,), told.ejected)
+
+    @parameterized.expand(
+        [
+            ("huge", {7: 1 << 60}, 1000),
+            ("negative", {7: -5}, 0),
+        ]
+    )
+    def test_absurd(self, _, failures, believed):
+        """One VM is believed only so much."""
+        report = Report(Kind.ASK, "a", "z", 5, 0.0, failures=failures)
+        told = decode(encode(report)).ok_value
+        self.assertEqual({7: believed}, told.failures)
+
+    def test_too_many(self):
+        """A report of thousands of failures is none."""
+        failures = dict.fromkeys(range(5000), 1)
+        report = Report(Kind.ASK, "a", "z", 5, 0.0, failures=failures)
+        self.assertTrue(decode(encode(report)).is_err())
