A zone's readers are ranked when its VMs change

A reader takes in two reports a second of each VM of its zone, and ranked the zone for each of them and for each answer: work that grows with the square of the fleet. The ranking is kept until a VM comes, goes, is passed over or tells another link. Test: 280 VMs' reports rank it twice at most; random steps give the same readers as a fresh ranking.

--- a/src/pollenmast/steering/_members.py
+++ b/src/pollenmast/steering/_members.py
@@ -15,6 +15,7 @@
 freshness only.
 """
 
+import math
 import zlib
 from collections.abc import Iterable
 
@@ -49,6 +50,14 @@
 somebody must speak first."""
 
 
+@attrs.frozen
+class _Ranking:
+    """A zone's readers, until one that is passed over is asked again."""
+
+    readers: list[str]
+    valid_until: float
+
+
 @attrs.define
 class _Member:
     zone: str
@@ -76,6 +85,7 @@
         self._members: dict[str, _Member] = {}
         self._seeds = set(seeds) - {own}
         self._lost: dict[str, int] = {}
+        self._ranked: dict[str, _Ranking] = {}
 
     @property
     def hosts(self) -> list[str]:
@@ -135,6 +145,8 @@
             return
         self.on_named(host, zone, now, link_mbps)
         member = self._members[host]
+        if member.zone != zone or member.avoided_until > now:
+            self._ranked.clear()
         member.zone = zone
         member.heard_at = now
         member.asked_at = None
@@ -151,9 +163,11 @@
             rank = zlib.crc32(f"{zone}/{host}".encode())
             member = self._members[host] = _Member(zone, rank, now)
             self._lost.pop(host, None)
+            self._ranked.clear()
         member.known_at = now
-        if link_mbps:
+        if link_mbps and link_mbps != member.link_mbps:
             member.link_mbps = link_mbps
+            self._ranked.clear()
 
     def on_asked(self, host: str, now: float) -> None:
         """This VM has asked another one and expects an answer."""
@@ -167,11 +181,13 @@
             if now - member.known_at >= MEMBER_LIFE_S:
                 del self._members[host]
                 self._lost[host] = 0
+                self._ranked.clear()
                 continue
             asked_at = member.asked_at
             if asked_at is not None and now - asked_at >= SILENT_S:
                 member.asked_at = None
                 member.avoided_until = now + AVOID_S
+                self._ranked.clear()
 
     def readers(self, now: float, zone: str | None = None) -> list[str]:
         """Returns the readers of a zone, by default the own one.
@@ -180,17 +196,27 @@
         moves only its own turn.
         """
         zone = self._zone if zone is None else zone
-        ranked = [
-            (-member.link_mbps, member.rank, host)
-            for host, member in self._members.items()
-            if member.zone == zone and member.avoided_until <= now
-        ]
+        known = self._ranked.get(zone)
+        if known is None or now >= known.valid_until:
+            known = self._ranked[zone] = self._rank(zone, now)
+        return list(known.readers)
+
+    def _rank(self, zone: str, now: float) -> _Ranking:
+        ranked = []
+        valid_until = math.inf
+        for host, member in self._members.items():
+            if member.zone != zone:
+                continue
+            if member.avoided_until > now:
+                valid_until = min(valid_until, member.avoided_until)
+                continue
+            ranked.append((-member.link_mbps, member.rank, host))
         if zone == self._zone:
             rank = zlib.crc32(f"{zone}/{self._own}".encode())
             ranked.append((-self._link_mbps, rank, self._own))
         ranked.sort()
         count = 1 if len(ranked) <= SMALL_ZONE else READERS
-        return [host for *_, host in ranked[:count]]
+        return _Ranking([host for *_, host in ranked[:count]], valid_until)
 
     def is_reader(self, now: float) -> bool:
         """Whether this VM is one of its zone's readers."""
--- a/tests/steering_members_test.py
+++ b/tests/steering_members_test.py
@@ -1,5 +1,7 @@
 """Tests of steering._members: who is there, and who reads for a zone."""
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from parameterized import parameterized
 from testtools import TestCase
 
@@ -150,3 +152,55 @@
         members = Members("10.0.0.0", ZONE, ["10.0.0.0", "10.1.0.9"])
         for _ in range(2 * MOST_TRIES):
             self.assertEqual(["10.1.0.9"], members.strangers())
+
+
+class RankingTest(TestCase):
+    """Readers are kept between the datagrams of a zone's VMs."""
+
+    @parameterized.expand([(str(vms), vms) for vms in (70, 140, 280)])
+    def test_work(self, _, vms):
+        """A reader takes in two reports a second of each VM of its zone.
+
+        Ranking the zone for each would grow with the square of the fleet.
+        """
+        members = _members(vms)
+        ranked = []
+        rank = members._rank
+        self.patch(
+            members, "_rank", lambda *args: ranked.append(1) or rank(*args)
+        )
+        for number in range(vms):
+            members.on_heard(f"10.0.0.{number}", ZONE, 1.0)
+            members.readers(1.0)
+        self.assertLessEqual(len(ranked), 2)
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["heard", "named", "asked", "expire"]),
+                st.integers(1, 7),
+                st.sampled_from([ZONE, OTHER]),
+                st.sampled_from([0.0, 0.3, 1.5, 6.5]),
+                st.sampled_from([0, 10, 200]),
+            ),
+            max_size=40,
+        )
+    )
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    def test_same_as_fresh(self, steps):
+        """Whatever happens, readers are those that a new ranking gives."""
+        members, now = _members(3), 0.0
+        for what, number, zone, later_s, mbps in steps:
+            host = f"10.0.0.{number}"
+            now += later_s
+            if what == "heard":
+                members.on_heard(host, zone, now, mbps)
+            elif what == "named":
+                members.on_named(host, zone, now, mbps)
+            elif what == "asked":
+                members.on_asked(host, now)
+            else:
+                members.expire(now)
+            for each in (ZONE, OTHER):
+                kept = members.readers(now, each)
+                self.assertEqual(members._rank(each, now).readers, kept)
