--- a/src/pollenmast/cli/_story.py
+++ b/src/pollenmast/cli/_story.py
@@ -16,6 +16,11 @@
     + ("program", "vm")
 )
 
+_ZONE_EVENTS = frozenset(
+    ("zone_drained", "zone_restored", "zones_unreached", "zones_reached")
+)
+"""What a VM learned of zones explains where it placed a flow."""
+
 BEFORE_S = 10.0
 """How long before the subject an endpoint's lines still explain it."""
 
@@ -65,7 +70,10 @@
     about = [
         line
         for line in lines
-        if line.fields.get("endpoint") in endpoints
+        if (
+            line.fields.get("endpoint") in endpoints
+            or line.name in _ZONE_EVENTS
+        )
         and "flow" not in line.fields
         and line.vm in vms
         and first <= line.at <= last
--- a/src/pollenmast/platform/_adapter.py
+++ b/src/pollenmast/platform/_adapter.py
@@ -39,6 +39,13 @@
             (f"health check of {service}", path)
             for service, path in table.health_paths.items()
         ]
+        rows += [
+            (
+                f"warm-up of {service}",
+                f"{warmup.duration_s:g} s, {warmup.flows_per_s:g} flows/s",
+            )
+            for service, warmup in table.warmups.items()
+        ]
         return Ok(rows)
 
     def packet(self, data: bytes) -> Result[Rows, str]:
--- a/tests/cli_adapted_test.py
+++ b/tests/cli_adapted_test.py
@@ -33,7 +33,12 @@
         }
     ],
     "services": [
-        {"name": "registry", "healthPath": "/health"},
+        {
+            "name": "registry",
+            "healthPath": "/health",
+            "warmupS": 2.0,
+            "warmupPerS": 0.0,
+        },
         {"name": "spare", "healthPath": "/health"},
     ],
     "limits": {"idleTimeoutMs": 15000},
@@ -82,10 +87,13 @@
             "manifest", "check", file, "--adapter", "platform", "--json"
         )
         self.assertEqual(ExitCode.OK, code)
-        told = json.loads(output)["read"]["route feed"]
+        read = json.loads(output)["read"]
         self.assertEqual(
-            "198.18.0.1:443 to registry 90, spare 10; idempotent", told
+            "198.18.0.1:443 to registry 90, spare 10; idempotent",
+            read["route feed"],
         )
+        self.assertEqual("2 s, 0 flows/s", read["warm-up of registry"])
+        self.assertNotIn("warm-up of spare", read)
 
     def test_unknown_adapter(self):
         """The adapters that there are stand in the complaint."""
--- a/tests/cli_story_test.py
+++ b/tests/cli_story_test.py
@@ -44,6 +44,21 @@
         )
         self.assertIn("check=timeout", told[2])
 
+    def test_drained_zone(self):
+        """What the VM knew of drains is told with a flow that was refused.
+
+        A drain of another VM's, or of an hour ago, explains nothing.
+        """
+        log = [
+            _line(101.0, "zone_drained", zone="a", revision=7),
+            _line(10.0, "zone_restored", zone="a", revision=3),
+            _line(101.1, "zone_drained", zone="b").replace("vm-1", "vm-2"),
+            _line(102.0, "flow_reset", flow=FLOW, reason="zone_drained"),
+        ]
+        told = _story.story(_story.read(log), FLOW)
+        self.assertEqual(2, len(told))
+        self.assertIn("zone=a", told[0])
+
     def test_terminal(self):
         """A client's text in a log line cannot steer the terminal."""
         line = _line(1.0, "request_carried", request="ab", flow="\x1b[2J")
