--- a/src/pollenmast/steering/_lengths.py
+++ b/src/pollenmast/steering/_lengths.py
@@ -22,7 +22,7 @@
 SHORTER_BITS = 2
 """How many powers of two shorter an answer has to be."""
 
-Route = tuple[str, str, int]
+RouteKey = tuple[str, str, int]
 """Service, address and port."""
 
 
@@ -30,9 +30,9 @@
     """How long the answers of each route are, as powers of two."""
 
     def __init__(self):
-        self._counts: dict[Route, collections.Counter[int]] = {}
+        self._counts: dict[RouteKey, collections.Counter[int]] = {}
 
-    def is_short(self, route: Route, length: int) -> bool:
+    def is_short(self, route: RouteKey, length: int) -> bool:
         """Takes in an answer; returns whether it is unusually short."""
         counts = self._counts.get(route)
         if counts is None:
--- a/src/pollenmast/steering/_load.py
+++ b/src/pollenmast/steering/_load.py
@@ -19,8 +19,8 @@
 from pollenmast.steering._meter import Meter
 
 WINDOW_S = 2.0
-"""Over which requests are counted. At 20 requests a second to an endpoint the
-count is then within a sixth of the mean; flows move within seconds."""
+"""Over which requests are counted: long enough for a steady count, short
+enough to follow flows that move within seconds."""
 
 REPORT_LIFE_S = 4.0
 """A report older than this no longer counts: eight of them were missed."""
@@ -30,19 +30,15 @@
 has just become a reader has heard from few yet."""
 
 SETTLED_S = 4.0
-"""How long a VM has to hear from others before it compares zones. When a fleet
-of 91 VMs starts at once, each zone hears of the others' load, and of all of it,
-within 3.5 s (played on a network without delay)."""
+"""How long a VM has to hear from others before it compares zones: when a fleet
+starts at once, its zones hear of their own load first."""
 
 LATE_WINDOW_S = 6.0
 """For how long a late request counts: the usual length of such a trouble."""
 
 LATE_RATE = 5.0
-"""Requests a second that one late request counts for. Endpoints of the sheets
-get 8 to 27 a second: a single late one, which any endpoint has now and then,
-moves few flows, and several in six seconds keep new ones away. In a played load
-of 40 clients, one of ten endpoints hanging, 20 to 47 requests hung in 20 s
-instead of 56 to 142 (tests/steering_waiting_test.py)."""
+"""Requests a second that one late request counts for. A single late one, which
+any endpoint has now and then, moves few flows; several keep new ones away."""
 
 Rates = dict[int, float]
 """Requests a second by endpoint number."""
@@ -146,8 +142,8 @@
 
         A VM hears of its own zone's load before it hears of the others', and
         of those from few VMs first. While all VMs start, each zone would take
-        the others for idle: of 408 flows placed in the second after 91 VMs had
-        power again, 268 left their zone, and a cut of a zone then breaks them.
+        the others for idle and place most flows there, and a cut of a zone then
+        breaks them.
         """
         if now - self._heard_at > REPORT_LIFE_S:
             return False
--- a/src/pollenmast/steering/_outliers.py
+++ b/src/pollenmast/steering/_outliers.py
@@ -133,7 +133,7 @@
     def _services(self) -> dict[str, list[int]]:
         services: dict[str, list[int]] = {}
         for record in self._catalog.records:
-            if _counts(record) and not self._catalog.is_drained(record):
+            if _in_use(record) and not self._catalog.is_drained(record):
                 endpoint = record.endpoint
                 members = services.setdefault(endpoint.service, [])
                 members.append(endpoint.number)
@@ -150,7 +150,7 @@
         return totals
 
 
-def _counts(record: Record) -> bool:
+def _in_use(record: Record) -> bool:
     listed = record.presence is Presence.LISTED
     return listed and not record.endpoint.draining and not record.health.down
 
--- a/src/pollenmast/steering/_placement.py
+++ b/src/pollenmast/steering/_placement.py
@@ -12,17 +12,14 @@
 
 What all VMs know of the load is up to two seconds old, and alike at all of
 them. If each took the least loaded of all endpoints, all would take the same
-one until the next reports: one endpoint got half of a zone's 200 new flows of a
-second, and turned most of their requests away. Of two drawn at random the less
-loaded is nearly as good a choice, and no endpoint gets more than twice its
-share.
+one until the next reports, and it would turn most of their requests away. Of
+two drawn at random the less loaded is nearly as good a choice, and no endpoint
+gets more than twice its share.
 
 Nor are the two compared by what all VMs sent: when everything is full, the
 choice would swing with the reports between those that were busy and those that
-were not. A VM's own requests are a sample of all, and up to date: in bursts of
-three times the clients of 91 VMs, 1,928 requests were answered that there is no
-room, and 5,349 by the sum of all. That sum decides whether to leave the zone,
-of which a VM's own requests say nothing.
+were not. A VM's own requests are a sample of all, and up to date. The sum
+decides whether to leave the zone, of which a VM's own requests say nothing.
 """
 
 import enum
@@ -42,8 +39,8 @@
 and the least of a zone's endpoints differ by about as much by chance."""
 
 ZONE_ADVANTAGE = 4.0
-"""Requests a second and slot that it may have besides. A slot serves about 30
-a second; below an eighth of that nobody waits, and crossing is no use."""
+"""Requests a second and slot that it may have besides. Below a small part of
+what a slot serves nobody waits, and crossing is no use."""
 
 CHOICES = 2
 """Endpoints drawn for a flow. With one the longest queue grows as the logarithm
--- a/src/pollenmast/steering/_record.py
+++ b/src/pollenmast/steering/_record.py
@@ -8,8 +8,8 @@
 from pollenmast.steering._model import Endpoint
 
 COLD_SHARE = 0.6
-"""Share of new flows of an endpoint that has just started: it is about 1.6
-times slower for some seconds, and its flows stay with it for long."""
+"""Share of new flows of an endpoint that has just started: it is slower for
+some seconds, and its flows stay with it for long."""
 
 
 class Presence(str, enum.Enum):
--- a/src/pollenmast/steering/_waiting.py
+++ b/src/pollenmast/steering/_waiting.py
@@ -13,8 +13,8 @@
 from pollenmast.steering._model import FlowKey
 
 LATE_S = 0.3
-"""From when on a request is late. On a quiet day 99 of 100 are answered
-within 0.13 s, and a lost packet takes 0.2 s more."""
+"""From when on a request is late: several usual answer times, or one and the
+time after which a lost packet is sent again."""
 
 
 class Waiting:
