--- a/tests/entry_reach_test.py
+++ b/tests/entry_reach_test.py
@@ -106,13 +106,14 @@
 
     def test_learns_of_drain_last(self):
         """The same VM looks before it knows that its zone is drained."""
-        reach = Reach(group.ZONE, Catalog())
+        catalog = Catalog()
+        reach = Reach(group.ZONE, catalog)
         self.assertEqual([], reach.targets(0.0))
         update = group.listing(NEAR, FAR)
         drained = ZoneDrained(group.ZONE, 10)
         changes = (*update.changes, drained)
-        reach._catalog.apply(Update(changes, 10, whole=True), 0.1)
-        reach._catalog.drains.apply(Update((drained,), 10))
+        catalog.apply(Update(changes, 10, whole=True), 0.1)
+        catalog.drains.apply(Update((drained,), 10))
         self.assertTrue(reach.cut_off)
 
     def test_carried_by_others(self):
