--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,7 +17,7 @@
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 _ALL = "all"
 _MEASUREMENTS_PAGE = pathlib.Path("docs/MEASUREMENTS.md")
-_CAPACITY_PAGE = pathlib.Path("docs/CAPACITY.md")
+_CAPACITY_PAGE = pathlib.Path("docs/CAPACITY-QUIC.md")
 
 
 def measurements() -> dict[str, types.ModuleType]:
@@ -92,7 +92,7 @@
 
 @app.command()
 def page(results: pathlib.Path) -> None:
-    """Writes docs/CAPACITY.md from the JSON of a run of `capacity`."""
+    """Writes docs/CAPACITY-QUIC.md from the JSON of a run of `capacity`."""
     result = json.loads(results.read_text())["capacity"]
     _CAPACITY_PAGE.write_text(_capacity_page.page(result))
     print(_CAPACITY_PAGE)
--- a/bench/_capacity_page.py
+++ b/bench/_capacity_page.py
@@ -1,4 +1,4 @@
-"""Writes docs/CAPACITY.md from a run of the bench `capacity`."""
+"""Writes docs/CAPACITY-QUIC.md from a run of the bench `capacity`."""
 
 from bench._capacity_control import FleetSize
 
@@ -193,7 +193,7 @@
     restarts = _SIZE.restarts_a_day / _SIZE.vms
     return f"""<!-- Made by `python -m bench page`; change its code instead. -->
 
-# Capacity
+# Capacity of relay and agent
 
 What each role would spend at the size that the users expect in two years:
 1,400 VMs before 11,000 endpoints behind 2,500 addresses, 24 million open flows
--- a/bench/_measurements_page.py
+++ b/bench/_measurements_page.py
@@ -232,7 +232,7 @@
 
 Written by `python -m bench measurements out/*.json` from the JSON of the runs
 below; no figure on this page was typed in. Reach beyond these sizes is in
-[CAPACITY.md](CAPACITY.md). CI judges none of these figures.
+[CAPACITY-QUIC.md](CAPACITY-QUIC.md). CI judges none of these figures.
 
 Other programs used the machine during the runs; the load average (of one
 minute) before and after each run says how much. Times of the processor suffer
