A VM in its first stage has no part of a cold endpoint's allowance

Cause, by reading: until a VM has a way to hear of others it took itself for alone. Many that start at once would each open the whole part to every cold endpoint, beyond what all of them may.

--- a/src/pollenmast/steering/_cold_limit.py
+++ b/src/pollenmast/steering/_cold_limit.py
@@ -54,7 +54,7 @@
         """Takes the VM's zone and the allowance, None for no limit."""
         self._zone = zone
         self._allowance = allowance
-        self._sharers: Callable[[], tuple[str, list[str]] | None] = _alone
+        self._sharers: Callable[[], tuple[str, list[str]] | None] = _unknown
         self._opened: dict[str, collections.deque[float]] = {}
 
     def join(self, sharers: Callable[[], tuple[str, list[str]] | None]) -> None:
@@ -112,5 +112,5 @@
     return zlib.crc32(f"{endpoint}/{vm}".encode())
 
 
-def _alone() -> tuple[str, list[str]] | None:
-    return "", []
+def _unknown() -> tuple[str, list[str]] | None:
+    return None
--- a/tests/steering_cold_limit_test.py
+++ b/tests/steering_cold_limit_test.py
@@ -192,6 +192,20 @@
         outcomes = self.open(self.core(cold, warm, sharers=sharers), 50, 0.5)
         self.assertEqual(0, _reached(outcomes, cold))
 
+    def test_first_stage(self):
+        """A VM carries packets before it has a way to hear of other VMs.
+
+        Many that start at once would each take the whole part.
+        """
+        cold = group.endpoint(1, warm_in_s=2.0)
+        warm = group.endpoint(2)
+        core = Steering(
+            group.ZONE, Counters(), random.Random(1), None, ALLOWANCE
+        )
+        core.apply(group.listing(cold, warm, routes=_table()), 0.0)
+        core.on_confirmed(0.0)
+        self.assertEqual(0, _reached(self.open(core, 50, 0.5), cold))
+
     def test_all_cold(self):
         """Every other zone is lost: what is beyond the part is refused at once.
 
