Only VMs that know their whole zone share a cold endpoint's allowance

Cause, found by a test of 62 and 150 VMs that start at once: four seconds after the start a VM knows 38 of 150 others, and would take a part for 38. Many such parts are more than all may open.

Change: a VM has a part only if it knows as many VMs as a reader hears from and has learned of no other one for two seconds. Cost: in zones of 60 VMs and more only the readers have parts, as reports name 12 VMs each.

--- a/src/pollenmast/entry/_gossip.py
+++ b/src/pollenmast/entry/_gossip.py
@@ -40,6 +40,10 @@
 MOST_STRANGERS = 3
 """Of them asked at once."""
 
+STABLE_S = 2.0
+"""Without a new VM for so long a VM takes those that it knows for all. While a
+fleet starts each report names some more."""
+
 ALONE_ROUNDS = 10
 """Rounds after which a VM that has never heard from another one takes itself
 for the only one."""
@@ -106,9 +110,18 @@
 
         A VM that has just started, or is cut off, does not know them.
         """
-        now = anyio.current_time()
-        if self._steering.load.is_settled(now):
-            return self._host, self._members.mates
+        return self.sharers_at(anyio.current_time())
+
+    def sharers_at(self, now: float) -> tuple[str, list[str]] | None:
+        """Returns the same at a moment of the runtime's clock, in seconds."""
+        load = self._steering.load
+        if load.is_settled(now):
+            mates = self._members.mates
+            # A reader hears from all VMs of the zone; the others know those
+            # that reports have named.
+            complete = len(mates) + 1 >= load.told_vms(now)
+            stable = now - self._members.joined_at >= STABLE_S
+            return (self._host, mates) if complete and stable else None
         alone = not self._heard and self._round >= ALONE_ROUNDS
         return (self._host, []) if alone else None
 
--- a/src/pollenmast/steering/_load.py
+++ b/src/pollenmast/steering/_load.py
@@ -162,7 +162,7 @@
         time of placing it.
         """
         own = self.own_rate(endpoint, now)
-        if self._told_vms(now) <= self.vms(now):
+        if self.told_vms(now) <= self.vms(now):
             reports = [*_fresh(self._mates, now), *_fresh(self._zones, now)]
             return own + sum(rates.get(endpoint, 0.0) for rates in reports)
         told = self._told.rates.get(endpoint, self._told.floor)
@@ -175,7 +175,8 @@
         rate = meter.count(now) / WINDOW_S if meter is not None else 0.0
         return rate + (LATE_RATE * late.count(now) if late is not None else 0.0)
 
-    def _told_vms(self, now: float) -> int:
+    def told_vms(self, now: float) -> int:
+        """Returns how many VMs of the zone a reader hears from, 0 if untold."""
         told = self._told
         if told is None or now - told.at > REPORT_LIFE_S:
             return 0
--- a/src/pollenmast/steering/_members.py
+++ b/src/pollenmast/steering/_members.py
@@ -86,6 +86,12 @@
         self._seeds = set(seeds) - {own}
         self._lost: dict[str, int] = {}
         self._ranked: dict[str, _Ranking] = {}
+        self._joined_at = float("-inf")
+
+    @property
+    def joined_at(self) -> float:
+        """When this VM last learned of a VM that it had not known."""
+        return self._joined_at
 
     @property
     def hosts(self) -> list[str]:
@@ -164,6 +170,7 @@
             member = self._members[host] = _Member(zone, rank, now)
             self._lost.pop(host, None)
             self._ranked.clear()
+            self._joined_at = now
         member.known_at = now
         if link_mbps and link_mbps != member.link_mbps:
             member.link_mbps = link_mbps
--- a/tests/entry_gossip_test.py
+++ b/tests/entry_gossip_test.py
@@ -8,7 +8,7 @@
 
 from pollenmast.counters import Counters
 from pollenmast.entry import _snapshot as snapshot
-from pollenmast.entry._gossip import EVERY_S, Gossip
+from pollenmast.entry._gossip import ALONE_ROUNDS, EVERY_S, Gossip
 from pollenmast.steering import CheckResult, EndpointAnnounced, Update
 from pollenmast.steering._load import REPORT_LIFE_S
 from tests import steering_group as group
@@ -106,6 +106,39 @@
         return found
 
 
+class SharersTest(TestCase):
+    """Which VMs each one shares a cold endpoint's allowance with."""
+
+    @parameterized.expand([("small", 6), ("usual", 62), ("great", 150)])
+    def test_start(self, _, vms):
+        """All VMs of a zone start at once and learn of each other by and by.
+
+        One that knows only some of them would take a part that is too large.
+        """
+        network = _Network({"pos-frederick": vms, "pos-woodbrook": 3})
+        self.addCleanup(network.close)
+        shares = 0
+        for _ in range(30):
+            network.round()
+            for name, vm in network.vms.items():
+                sharers = vm.sharers_at(network.now)
+                if sharers is None or not name.startswith("pos-frederick"):
+                    continue
+                shares += 1
+                self.assertEqual(vms, len(sharers[1]) + 1)
+        self.assertGreater(shares, 0)
+
+    def test_alone(self):
+        """The only VM of a fleet has the whole allowance, after a while."""
+        network = _Network({"pos-frederick": 1})
+        self.addCleanup(network.close)
+        vm = network.vms["pos-frederick.0"]
+        network.round()
+        self.assertIsNone(vm.sharers_at(network.now))
+        network.round(ALONE_ROUNDS)
+        self.assertEqual(("pos-frederick.0", []), vm.sharers_at(network.now))
+
+
 class FleetTest(TestCase):
     """What every VM comes to know, and what it costs."""
 
