--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -27,10 +27,10 @@
 )
 from pollenmast.steering._cold_limit import ColdAllowance, ColdLimit
 from pollenmast.steering._doubts import Doubts
-from pollenmast.steering._flows import REPEAT_S, FlowTable, note
+from pollenmast.steering._flows import REPEAT_S, FlowTable
 from pollenmast.steering._health import CheckResult
 from pollenmast.steering._journal import Journal
-from pollenmast.steering._lengths import AnswerLengths
+from pollenmast.steering._learning import Learner
 from pollenmast.steering._load import LoadBook
 from pollenmast.steering._model import FlowKey, Route, RouteTable, Segment
 from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
@@ -38,16 +38,12 @@
 from pollenmast.steering._placement import Placed, Placement, Unplaced
 from pollenmast.steering._reach import Reach
 from pollenmast.steering._record import Presence, Record
-from pollenmast.steering._waiting import Waiting
 
 CURRENT_S = 2.5
 """How old a confirmed view may be to say that something does not exist, in
 seconds: less than the three within which a new route must be served. While
 the directory is in reach a watch answers every second."""
 
-WAIT_WEIGHT = 0.05
-"""Weight of one answer in the usual answer time: about the last twenty."""
-
 SETTLE_S = 3.0
 """How long after the directory's return its list may still miss entries, in
 seconds: they are back within about two."""
@@ -80,16 +76,19 @@
         allowance: ColdAllowance | None = None,
     ):
         self._counters = counters
-        self._histograms = histograms or Histograms()
         self._catalog = Catalog()
         self._flows = FlowTable()
         self._doubts = Doubts(self._catalog, self._flows)
-        self._waiting = Waiting()
-        self._usual_wait_s = 0.0
         self._load = LoadBook(zone)
         self._cold_limit = ColdLimit(zone, allowance)
-        self._lengths = AnswerLengths()
         self._outliers = Outliers(self._catalog)
+        self._learner = Learner(
+            self._flows,
+            self._doubts,
+            self._load,
+            self._outliers,
+            histograms or Histograms(),
+        )
         self._reach = Reach(zone, self._catalog)
         self._placement = Placement(
             zone, self._catalog, self._load, rng, self._cold_limit
@@ -253,9 +252,7 @@
         self._catalog.expire(now)
         self._cold_limit.expire(now)
         self._doubts.ask_overdue(now)
-        for endpoint in self._waiting.take_late(now):
-            self._load.on_late(endpoint, now)
-            self._outliers.on_failed(endpoint, now)
+        self._learner.look(now)
 
     def _cool(
         self, zones: list[ZoneDrained | ZoneRestored], now: float
@@ -296,12 +293,12 @@
             return Drop(DropReason.UNKNOWN_TOKEN)
         record.health.on_open(segment.flow)
         if segment.rst:
-            self._forget(segment.flow)
+            self._learner.forget(segment.flow)
             return Forward(record.endpoint)
-        self._learn(segment, record, now)
+        self._learner.on_segment(segment, record, now)
         ended = self._ended(record)
         if ended is not None:
-            self._forget(segment.flow)
+            self._learner.forget(segment.flow)
             return self._reset(segment, ended, record.endpoint.name)
         return Forward(record.endpoint)
 
@@ -313,45 +310,6 @@
             return ResetReason.ENDPOINT_DOWN
         return None
 
-    def _learn(self, segment: Segment, record: Record, now: float) -> None:
-        if self._flows.get(segment.flow) is None:
-            self._doubts.on_arrival(record, now)
-        flow = self._flows.bind(segment.flow, record.endpoint.name, now)
-        if not flow.opened and flow.tried:
-            self._histograms.observe(c.OPEN_WAIT, now - flow.syn_at)
-        progress = note(flow, segment, now)
-        if progress.waited_s is not None:
-            self._on_answer(progress.waited_s)
-            self._on_length(segment.flow, record, progress.received, now)
-        # A request acknowledges the answer before it: it advances first.
-        if progress.advanced:
-            record.health.on_advance(now)
-            self._waiting.end(segment.flow)
-        if progress.request:
-            self._load.on_work(record.endpoint.number, now)
-            record.health.on_request(now, self._usual_wait_s)
-            self._waiting.begin(segment.flow, record.endpoint.number, now)
-        if progress.repeated:
-            record.health.on_repeat(now)
-        if segment.fin:
-            self._forget(segment.flow)
-
-    def _on_answer(self, waited_s: float) -> None:
-        self._histograms.observe(c.ANSWER_WAIT, waited_s)
-        change_s = waited_s - self._usual_wait_s
-        self._usual_wait_s += WAIT_WEIGHT * change_s
-
-    def _on_length(
-        self, flow: FlowKey, record: Record, length: int, now: float
-    ) -> None:
-        route = record.endpoint.service, flow.service_host, flow.service_port
-        if self._lengths.is_short(route, length):
-            self._outliers.on_failed(record.endpoint.number, now)
-
-    def _forget(self, flow: FlowKey) -> None:
-        self._flows.forget(flow)
-        self._waiting.end(flow)
-
     def _open(self, segment: Segment, now: float) -> Outcome:
         route = self._route(segment)
         current = self.age_s(now) < CURRENT_S
@@ -435,7 +393,7 @@
         )
         resets = []
         for flow in self._flows.at(record.endpoint.name):
-            self._forget(flow.key)
+            self._learner.forget(flow.key)
             if flow.opened:
                 self._counters.add(c.RESETS, reason)
                 name = record.endpoint.name
--- /dev/null
+++ b/src/pollenmast/steering/_learning.py
@@ -0,0 +1,87 @@
+"""What a VM learns from the segments that pass by.
+
+It sees no answer: that an endpoint lives, how long it takes and how much it
+says is learned from what its clients acknowledge.
+"""
+
+from pollenmast import counters as c
+from pollenmast.counters import Histograms
+from pollenmast.steering._doubts import Doubts
+from pollenmast.steering._flows import FlowTable, note
+from pollenmast.steering._lengths import AnswerLengths
+from pollenmast.steering._load import LoadBook
+from pollenmast.steering._model import FlowKey, Segment
+from pollenmast.steering._outliers import Outliers
+from pollenmast.steering._record import Record
+from pollenmast.steering._waiting import Waiting
+
+WAIT_WEIGHT = 0.05
+"""Weight of one answer in the usual answer time: about the last twenty."""
+
+
+class Learner:
+    """Takes each segment into what is believed of its flow and endpoint."""
+
+    def __init__(
+        self,
+        flows: FlowTable,
+        doubts: Doubts,
+        load: LoadBook,
+        outliers: Outliers,
+        histograms: Histograms,
+    ):
+        self._flows = flows
+        self._doubts = doubts
+        self._load = load
+        self._outliers = outliers
+        self._histograms = histograms
+        self._waiting = Waiting()
+        self._lengths = AnswerLengths()
+        self._usual_wait_s = 0.0
+
+    def on_segment(self, segment: Segment, record: Record, now: float) -> None:
+        """Takes in a segment of an open flow, which goes to an endpoint."""
+        if self._flows.get(segment.flow) is None:
+            self._doubts.on_arrival(record, now)
+        flow = self._flows.bind(segment.flow, record.endpoint.name, now)
+        if not flow.opened and flow.tried:
+            self._histograms.observe(c.OPEN_WAIT, now - flow.syn_at)
+        progress = note(flow, segment, now)
+        if progress.waited_s is not None:
+            self._on_answer(progress.waited_s)
+            self._on_length(segment.flow, record, progress.received, now)
+        # A request acknowledges the answer before it: it advances first.
+        if progress.advanced:
+            record.health.on_advance(now)
+            self._waiting.end(segment.flow)
+        if progress.request:
+            self._load.on_work(record.endpoint.number, now)
+            record.health.on_request(now, self._usual_wait_s)
+            self._waiting.begin(segment.flow, record.endpoint.number, now)
+        if progress.repeated:
+            record.health.on_repeat(now)
+        if segment.fin:
+            self.forget(segment.flow)
+
+    def forget(self, flow: FlowKey) -> None:
+        """A flow has ended."""
+        self._flows.forget(flow)
+        self._waiting.end(flow)
+
+    def look(self, now: float) -> None:
+        """Notes which requests have become late."""
+        for endpoint in self._waiting.take_late(now):
+            self._load.on_late(endpoint, now)
+            self._outliers.on_failed(endpoint, now)
+
+    def _on_answer(self, waited_s: float) -> None:
+        self._histograms.observe(c.ANSWER_WAIT, waited_s)
+        change_s = waited_s - self._usual_wait_s
+        self._usual_wait_s += WAIT_WEIGHT * change_s
+
+    def _on_length(
+        self, flow: FlowKey, record: Record, length: int, now: float
+    ) -> None:
+        route = record.endpoint.service, flow.service_host, flow.service_port
+        if self._lengths.is_short(route, length):
+            self._outliers.on_failed(record.endpoint.number, now)
