--- a/src/pollenmast/steering/_catalog.py
+++ b/src/pollenmast/steering/_catalog.py
@@ -15,8 +15,11 @@
     EndpointAnnounced,
     EndpointRemoved,
     Update,
+    ZoneDrained,
+    ZoneRestored,
 )
 from pollenmast.steering._drains import Drains
+from pollenmast.steering._model import Warmup
 from pollenmast.steering._record import Presence, Record
 from pollenmast.steering._watchlist import Watchlist
 
@@ -125,6 +128,23 @@
                     changed += self._remove(name, update.revision, now)
         return changed
 
+    def cool(
+        self,
+        zones: list[ZoneDrained | ZoneRestored],
+        warmups: dict[str, Warmup],
+        now: float,
+    ) -> None:
+        """Takes the endpoints of restored zones for cold.
+
+        Nothing was sent there for long. What they announce of it themselves
+        comes a heartbeat later.
+        """
+        restored = {z.zone for z in zones if isinstance(z, ZoneRestored)}
+        for record in self.records if restored else ():
+            warmup = warmups.get(record.endpoint.service)
+            if record.endpoint.zone in restored and warmup is not None:
+                record.cold_until = now + warmup.duration_s
+
     def extend_lapses(self, now: float) -> None:
         """Starts the time of every lapse anew: the directory is just back."""
         for record in self._still_lapsed():
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -205,7 +205,8 @@
         zones = self._catalog.drains.apply(update)
         if self._table is not None and self._table is not before:
             self._placement.set_warmups(self._table.warmups)
-        self._cool(zones, now)
+        if self._table is not None:
+            self._catalog.cool(zones, self._table.warmups, now)
         records = self._catalog.apply(update, now)
         lapsed = [r for r in records if r.presence is Presence.LAPSED]
         self._doubts.on_lapsed(lapsed, now)
@@ -254,21 +255,6 @@
         self._doubts.ask_overdue(now)
         self._learner.look(now)
 
-    def _cool(
-        self, zones: list[ZoneDrained | ZoneRestored], now: float
-    ) -> None:
-        """Takes the endpoints of restored zones for cold.
-
-        Nothing was sent there for long. What they announce of it themselves
-        comes a heartbeat later.
-        """
-        restored = {z.zone for z in zones if isinstance(z, ZoneRestored)}
-        warmups = self._table.warmups if self._table is not None else {}
-        for record in self._catalog.records if restored else ():
-            warmup = warmups.get(record.endpoint.service)
-            if record.endpoint.zone in restored and warmup is not None:
-                record.cold_until = now + warmup.duration_s
-
     def _take(self, change: Change) -> Change | None:
         """Takes in a configuration; returns a change as peers are told it."""
         old = self._table
