--- a/tests/platform_store_test.py
+++ b/tests/platform_store_test.py
@@ -1,111 +1,26 @@
 """Tests of platform._store against answers in memory, and of entry._follow."""
 
-import json
-import math
-import random
-import urllib.parse
-
 import anyio
-import trio
-import trio.testing
 from parameterized import parameterized
-from result import Err, Ok
-from testtools import TestCase
-
-from pollenmast import http1
-from pollenmast.counters import PLATFORM_CALLS, Counters, Histograms
-from pollenmast.entry._follow import STALE_PART, WATCH_S, Follower
-from pollenmast.events import EventLog
-from pollenmast.http1 import HttpFault, Patience, Response
+from result import Err
+
+from pollenmast.counters import PLATFORM_CALLS
+from pollenmast.entry._follow import STALE_PART, WATCH_S
+from pollenmast.http1 import Response
 from pollenmast.platform import _listing
-from pollenmast.platform._store import WATCH_MARGIN_S, StoreDirectory
+from pollenmast.platform._store import WATCH_MARGIN_S
 from pollenmast.steering import (
     DirectoryFault,
     EndpointAnnounced,
     EndpointRemoved,
     Presence,
 )
-from standins.http import Request
-from standins.store import PAGE_ITEMS, Fault, Store
-from tests import steering_group as group
+from standins.store import PAGE_ITEMS, Fault
 from tests.platform_entries_test import CONFIGURATION, ENTRY, NAME
+from tests.store_group import APPLY_S, KEY, StoreCase
 
-KEY = f"servers/{NAME}"
-APPLY_S = 3.0
-
-
-class _Link:
-    """A VM's link to the store, which all its connections share.
-
-    Attributes:
-        bytes_per_s: Its width, infinite for a link that takes no time.
-        carried: Bytes that have passed.
-    """
-
-    def __init__(self):
-        self.bytes_per_s = math.inf
-        self.carried = 0
-        self._free_at = 0.0
-
-    async def carry(self, length: int) -> None:
-        """Waits until so many bytes have passed."""
-        self.carried += length
-        begin = max(anyio.current_time(), self._free_at)
-        self._free_at = begin + length / self.bytes_per_s
-        await anyio.sleep(self._free_at - anyio.current_time())
-
-
-class _Connection:
-    """Asks a stand-in without a network."""
-
-    def __init__(self, store: Store, link: _Link):
-        self._store = store
-        self._link = link
-        self.sent_bytes = 0
-
-    async def get(self, target: str, patience: Patience, most=None):
-        path, _, query = target.partition("?")
-        pairs = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
-        with anyio.move_on_after(patience.first_s):
-            request = Request("GET", path, pairs, b"")
-            answer = await self._store.handle(request)
-            if answer.status is None:
-                return Err(HttpFault.UNREACHABLE)
-            if most is not None and len(answer.body) > most:
-                return Err(HttpFault.OVERSIZED)
-            return await self._rest(answer, patience.total_s)
-        return Err(HttpFault.TIMEOUT)
-
-    async def _rest(self, answer, total_s: float):
-        with anyio.CancelScope(shield=True), anyio.move_on_after(total_s):
-            await self._link.carry(len(answer.body))
-            return Ok(Response(answer.status, answer.body))
-        return Err(HttpFault.INCOMPLETE)
-
-    async def aclose(self) -> None:
-        pass
-
-
-class _StoreCase(TestCase):
-    def setUp(self):
-        super().setUp()
-        self.store = Store()
-        self.store.put("op/config", CONFIGURATION)
-        self.store.put(KEY, ENTRY)
-        self.link = _Link()
-        self.patch(
-            http1, "Connection", lambda *_: _Connection(self.store, self.link)
-        )
-        self.counters = Counters()
-        self.directory = StoreDirectory("10.0.0.1", 1, self.counters)
-
-    def run_main(self, main) -> object:
-        """Runs with a clock that jumps over every wait."""
-        clock = trio.testing.MockClock(autojump_threshold=0)
-        return trio.run(main, clock=clock)
-
-
-class ReadTest(_StoreCase):
+
+class ReadTest(StoreCase):
     """What is read, whole and page by page."""
 
     def _read(self):
@@ -193,7 +108,7 @@
         self.assertEqual(1, self.counters.value(PLATFORM_CALLS, "malformed"))
 
 
-class WatchTest(_StoreCase):
+class WatchTest(StoreCase):
     """What is told of changes."""
 
     def _watch(self, after: int):
@@ -221,31 +136,9 @@
         self.assertEqual(Err(DirectoryFault.HISTORY_GONE), self._watch(before))
 
 
-class FollowerTest(_StoreCase):
+class FollowerTest(StoreCase):
     """A VM's beliefs follow the store through its troubles."""
 
-    def _follow(self, script, join=None, known=False):
-        core = group.steering()
-        follower = Follower(
-            self.directory,
-            core,
-            Histograms(),
-            EventLog("t", "vm"),
-            APPLY_S,
-            random.Random(1),
-        )
-        if join is not None:
-            follower.join(lambda: False, join)
-
-        async def main() -> None:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(follower.run, known)
-                await anyio.sleep(0.5)
-                await script(core, follower)
-                tasks.cancel_scope.cancel()
-
-        self.run_main(main)
-
     def test_change(self):
         """A new configuration is in force at once."""
 
@@ -254,7 +147,7 @@
             await anyio.sleep(0.1)
             self.assertEqual(9, core.table.version)
 
-        self._follow(script)
+        self.follow(script)
 
     def test_silent_connection(self):
         """The watch's connection falls silent for good; new ones work.
@@ -270,7 +163,7 @@
             await anyio.sleep(WATCH_S + WATCH_MARGIN_S)
             self.assertEqual(9, core.table.version)
 
-        self._follow(script)
+        self.follow(script)
 
     def test_history_dropped(self):
         """A change is made and the history dropped while the store is away."""
@@ -286,7 +179,7 @@
             self.assertEqual(9, core.table.version)
             self.assertIs(Presence.LAPSED, core.catalog.get(NAME).presence)
 
-        self._follow(script)
+        self.follow(script)
 
     def test_outage(self):
         """While the store is down, nothing known is forgotten."""
@@ -300,7 +193,7 @@
             await anyio.sleep(10.0)
             self.assertLess(self.store.calls - calls, 20)
 
-        self._follow(script)
+        self.follow(script)
 
     def test_no_reader(self):
         """This VM leaves the watching to others, and hears nothing of them.
@@ -318,7 +211,7 @@
             self.assertEqual(9, core.table.version)
             self.assertTrue(news)
 
-        self._follow(script, join=lambda: news.append(1))
+        self.follow(script, join=lambda: news.append(1))
 
     @parameterized.expand([("known", True, 0), ("unknown", False, 1)])
     def test_start(self, _, known, calls):
@@ -336,7 +229,7 @@
             await anyio.sleep(APPLY_S)
             self.assertEqual(9, core.table.version)
 
-        self._follow(script, join=lambda: None, known=known)
+        self.follow(script, join=lambda: None, known=known)
 
     def test_release(self):
         """A service is released: a dozen entries change each second.
@@ -355,7 +248,7 @@
             await anyio.sleep(1.0)
             self.assertEqual(61, len(core.catalog.records))
 
-        self._follow(script)
+        self.follow(script)
 
     def test_told_by_peers(self):
         """Peers say that nothing is newer: the store is not asked."""
@@ -367,114 +260,4 @@
                 await anyio.sleep(0.5)
             self.assertEqual(calls, self.store.calls)
 
-        self._follow(script, join=lambda: None)
-
-
-class StormTest(_StoreCase):
-    """Configurations come faster than a narrow link carries them."""
-
-    def _routes(self, count: int) -> list[dict[str, object]]:
-        route = CONFIGURATION["routeTable"][1]
-        return [
-            {**route, "name": f"r-{n}", "prefix": f"/{1000 + n}/"}
-            for n in range(count)
-        ]
-
-    @parameterized.expand(
-        [
-            ("small_link", 240, 0.06, 3.1),
-            ("many_routes", 1640, 0.06, 5.0),
-            ("many_routes_slowly", 1640, 1.2, 5.0),
-            ("all_at_once", 1640, 0.001, 10.0),
-        ]
-    )
-    def test_in_force(self, _, routes, gap_s, mbps):
-        """Each version is in force in time, however many are written.
-
-        Operators would see a fleet that follows no change until the storm is
-        over, and the store has forgotten it.
-        """
-        entry = {**CONFIGURATION, "routeTable": self._routes(routes)}
-        changes = min(64, int(4.0 / gap_s))
-        self.link.bytes_per_s = mbps * 1e6 / 8
-        core = group.steering()
-        follower = Follower(
-            self.directory,
-            core,
-            Histograms(),
-            EventLog("t", "vm"),
-            5.0,
-            random.Random(1),
-        )
-        late = []
-
-        async def write() -> None:
-            for version in range(100, 100 + changes):
-                self.store.put("op/config", {**entry, "version": version})
-                tasks.start_soon(judge, version)
-                await anyio.sleep(gap_s)
-
-        async def judge(version: int) -> None:
-            await anyio.sleep(5.0)
-            if core.table.version < version:
-                late.append(version)
-
-        async def main() -> None:
-            nonlocal tasks
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(follower.run)
-                await anyio.sleep(1.0)
-                await write()
-                await anyio.sleep(6.0)
-                tasks.cancel_scope.cancel()
-
-        tasks = None
-        self.run_main(main)
-        self.assertEqual([], late)
-        self.assertIsNone(follower.lost_at)
-
-    def test_bytes(self):
-        """What a reader transfers does not grow with the number of versions."""
-
-        async def script(core, follower):
-            entry = {**CONFIGURATION, "routeTable": self._routes(400)}
-            length = len(json.dumps(entry)) * 4 / 3
-            await anyio.sleep(1.0)
-            carried = self.link.carried
-            for version in range(10, 210):
-                self.store.put("op/config", {**entry, "version": version})
-            await anyio.sleep(5.0)
-            self.assertEqual(209, core.table.version)
-            self.assertLess(self.link.carried - carried, 5 * length)
-
-        FollowerTest._follow(self, script)
-
-    def test_zones_meanwhile(self):
-        """Drains that began or ended during a storm are in force as well."""
-
-        async def script(core, follower):
-            self.store.put("op/evacuate/a", {})
-            await anyio.sleep(1.5)
-            self.assertTrue(core.catalog.drains.is_drained("a"))
-            self.store.delete("op/evacuate/a")
-            self.store.put("op/evacuate/b", {})
-            entry = {**CONFIGURATION, "routeTable": self._routes(1000)}
-            for version in range(10, 40):
-                self.store.put("op/config", {**entry, "version": version})
-            await anyio.sleep(2.0)
-            self.assertEqual({"b"}, set(core.catalog.drains.zones))
-            told = core.journal.since(core.revision - 31)
-            self.assertIn("a", [c.zone for c in told if hasattr(c, "zone")])
-
-        FollowerTest._follow(self, script)
-
-    def test_long_news_of_endpoints(self):
-        """Thousands of entries change at once: everything is read anew."""
-
-        async def script(core, follower):
-            for number in range(1500):
-                self.store.put(f"servers/i-{number:08x}", ENTRY)
-            await anyio.sleep(3.0)
-            self.assertEqual(1501, len(core.catalog.records))
-
-        FollowerTest._follow(self, script)
+        self.follow(script, join=lambda: None)
