A key that only begins like the configuration's says nothing

Found by reading: `op/configuration` with a value that is not base64 was told as refused; with one that is, it was passed over in another place. One check now says which keys are known. The test of other keys covers it.

--- a/src/pollenmast/platform/_items.py
+++ b/src/pollenmast/platform/_items.py
@@ -77,7 +77,7 @@
     key = _key(item)
     if key is None:
         return Err("item without key or revision")
-    if not key.startswith((ENDPOINT_PREFIX, DRAIN_PREFIX, CONFIGURATION_KEY)):
+    if not _is_known(key):
         return Ok(None)
     revision = item["revision"]
     if item.get("deleted") is True:
@@ -89,6 +89,11 @@
     return _written(key, value, revision)
 
 
+def _is_known(key: str) -> bool:
+    prefixes = (ENDPOINT_PREFIX, DRAIN_PREFIX)
+    return key == CONFIGURATION_KEY or key.startswith(prefixes)
+
+
 def _removal(key: str, revision: int) -> Change | None:
     if key.startswith(ENDPOINT_PREFIX):
         return EndpointRemoved(key.removeprefix(ENDPOINT_PREFIX), revision)
@@ -97,17 +102,13 @@
     return None
 
 
-def _written(
-    key: str, value: bytes, revision: int
-) -> Result[Change | None, str]:
+def _written(key: str, value: bytes, revision: int) -> Result[Change, str]:
     if key.startswith(ENDPOINT_PREFIX):
         endpoint = parse_endpoint(key.removeprefix(ENDPOINT_PREFIX), value)
         return endpoint.map(lambda known: EndpointAnnounced(known, revision))
     if key.startswith(DRAIN_PREFIX):
         zone = parse_drain(key.removeprefix(DRAIN_PREFIX), value)
         return zone.map(lambda known: ZoneDrained(known, revision))
-    if key != CONFIGURATION_KEY:
-        return Ok(None)
     table = parse_configuration(value)
     return table.map(lambda known: RoutesPublished(known, revision))
 
--- a/tests/platform_store_test.py
+++ b/tests/platform_store_test.py
@@ -72,7 +72,10 @@
     def test_other_keys(self):
         """Keys that are not ours say nothing."""
         self.store.put("else/where", b"x")
-        self.assertEqual(2, len(self._read().ok_value.changes))
+        self.store.put("op/configuration", b"x")
+        update = self._read().ok_value
+        self.assertEqual(2, len(update.changes))
+        self.assertEqual((), update.refused)
 
     @parameterized.expand(
         [
