A VM's log and metrics tell which copy of the directory has answered

On-call could not tell a store that came back older from one that had only dropped its history: history_gone names the revision asked from and nothing of what answered, and no metric showed what a VM knows. Gauges: revision known, version in force, age of the beliefs.

Decides nothing: what is taken in is as before. A header that is no whole number makes an answer malformed; an absent one is epoch 0.

The stand-in of the store names its epoch and can be restored from a copy.

--- a/src/pollenmast/entry/_boot.py
+++ b/src/pollenmast/entry/_boot.py
@@ -216,6 +216,7 @@
                 ZONE_DRAINED,
                 zone=change.zone,
                 revision=change.revision,
+                epoch=answer.ok_value.epoch,
                 source="directory",
             )
         if applied.table is not None:
@@ -224,6 +225,7 @@
                 version=applied.table.version,
                 routes=len(applied.table.routes),
                 revision=steering.revision,
+                epoch=answer.ok_value.epoch,
                 source="directory",
             )
 
--- a/src/pollenmast/entry/_follow.py
+++ b/src/pollenmast/entry/_follow.py
@@ -18,6 +18,7 @@
 
 from pollenmast.counters import DIRECTORY_READ, Histograms
 from pollenmast.events import (
+    DIRECTORY_RESTORED,
     ENDPOINT_CHANGED,
     ENDPOINT_LAPSED,
     ENTRY_REFUSED,
@@ -112,6 +113,7 @@
         self._behind = False
         self._pause_s = 0.0
         self._lost_at: float | None = None
+        self._epoch: int | None = None
         self._scope: anyio.CancelScope | None = None
 
     @property
@@ -169,6 +171,7 @@
                 version=applied.table.version,
                 routes=len(applied.table.routes),
                 revision=update.revision,
+                epoch=update.epoch,
                 source=source,
             )
         for change in applied.zones:
@@ -177,6 +180,7 @@
                 ZONE_DRAINED if drained else ZONE_RESTORED,
                 zone=change.zone,
                 revision=change.revision,
+                epoch=update.epoch,
                 source=source,
             )
         for record in applied.records:
@@ -188,9 +192,23 @@
                 zone=record.endpoint.zone,
                 draining=record.endpoint.draining,
                 revision=record.revision,
+                epoch=update.epoch,
                 source=source,
             )
 
+    def _note_epoch(self, update: Update) -> None:
+        """Logs that another copy of the directory answers."""
+        before, self._epoch = self._epoch, update.epoch
+        if before is None or before == update.epoch:
+            return
+        self._log.write(
+            DIRECTORY_RESTORED,
+            before=before,
+            epoch=update.epoch,
+            known=self._steering.revision,
+            revision=update.revision,
+        )
+
     def _due(self) -> bool:
         """Whether this VM has to ask the directory itself."""
         if not self._read or self._lost_at is not None or self._is_reader():
@@ -265,8 +283,12 @@
             self._lost_at = None
             self._steering.on_return(now)
             self._log.write(
-                PLATFORM_BACK, away_s=round(away, 3), revision=update.revision
+                PLATFORM_BACK,
+                away_s=round(away, 3),
+                revision=update.revision,
+                epoch=update.epoch,
             )
+        self._note_epoch(update)
         self.take(update, "directory")
         # A watch answers when something is new; a list may be as old as the
         # question.
--- /dev/null
+++ b/src/pollenmast/entry/_gauges.py
@@ -0,0 +1,50 @@
+"""What a VM knows at the moment, as gauges of its metrics."""
+
+import math
+
+import attrs
+
+from pollenmast.steering import Steering
+
+
+@attrs.frozen
+class Gauge:
+    """One value of the moment.
+
+    Attributes:
+        name: In lower case with underscores, with its unit if it has one.
+        description: What it tells an operator.
+        value: The value, not a number where there is none.
+    """
+
+    name: str
+    description: str
+    value: float
+
+
+def read(steering: Steering, now: float) -> list[Gauge]:
+    """Returns the gauges of a VM.
+
+    Args:
+        steering: Its beliefs.
+        now: The moment by the runtime's clock, in seconds.
+    """
+    table = steering.table
+    age_s = steering.age_s(now)
+    return [
+        Gauge(
+            "directory_revision",
+            "The directory's revision that the VM knows everything up to.",
+            steering.revision,
+        ),
+        Gauge(
+            "configuration_version",
+            "The version of the configuration in force.",
+            table.version if table is not None else math.nan,
+        ),
+        Gauge(
+            "beliefs_age_seconds",
+            "Since when the directory has confirmed nothing to the VM.",
+            age_s if math.isfinite(age_s) else math.nan,
+        ),
+    ]
--- a/src/pollenmast/entry/_metrics.py
+++ b/src/pollenmast/entry/_metrics.py
@@ -4,7 +4,8 @@
 MB and 166 ms of processor at start: more than the rest of the program.
 """
 
-from collections.abc import Iterator
+import math
+from collections.abc import Iterable, Iterator
 
 from pollenmast.counters import (
     BOUNDS_S,
@@ -13,16 +14,32 @@
     Counters,
     Histograms,
 )
+from pollenmast.entry._gauges import Gauge
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
-def text(counters: Counters, histograms: Histograms) -> bytes:
+def text(
+    counters: Counters, histograms: Histograms, gauges: Iterable[Gauge] = ()
+) -> bytes:
     """Returns all metrics."""
-    lines = [*_counters(counters), *_histograms(histograms)]
+    lines = [
+        *_gauges(gauges),
+        *_counters(counters),
+        *_histograms(histograms),
+    ]
     return "\n".join([*lines, ""]).encode()
 
 
+def _gauges(gauges: Iterable[Gauge]) -> Iterator[str]:
+    for gauge in gauges:
+        name = f"pollenmast_{gauge.name}"
+        value = "NaN" if math.isnan(gauge.value) else f"{gauge.value:.12g}"
+        yield f"# HELP {name} {gauge.description}"
+        yield f"# TYPE {name} gauge"
+        yield f"{name} {value}"
+
+
 def _counters(counters: Counters) -> Iterator[str]:
     for definition in CATALOGUE:
         name = f"pollenmast_{definition.name}_total"
--- a/src/pollenmast/entry/_site.py
+++ b/src/pollenmast/entry/_site.py
@@ -2,8 +2,11 @@
 
 import urllib.parse
 
+import anyio
+
 from pollenmast import http1
 from pollenmast.counters import Counters, Histograms
+from pollenmast.entry import _gauges as gauges
 from pollenmast.entry import _metrics as metrics
 from pollenmast.entry import _peers as peers
 from pollenmast.entry import _snapshot as snapshot
@@ -79,5 +82,6 @@
         return bodies[known]
 
     def _metrics(self) -> Answer:
-        body = metrics.text(self._counters, self._histograms)
+        known = gauges.read(self._steering, anyio.current_time())
+        body = metrics.text(self._counters, self._histograms, known)
         return Answer(200, body, metrics.CONTENT_TYPE)
--- a/src/pollenmast/events/__init__.py
+++ b/src/pollenmast/events/__init__.py
@@ -4,6 +4,7 @@
     CATALOGUE,
     CHECKS_UNSURE,
     CUT,
+    DIRECTORY_RESTORED,
     ENDPOINT_CHANGED,
     ENDPOINT_CHECKED,
     ENDPOINT_DOWN,
@@ -63,6 +64,7 @@
 __all__ = [
     "CATALOGUE",
     "CUT",
+    "DIRECTORY_RESTORED",
     "ENDPOINT_CHANGED",
     "ENDPOINT_CHECKED",
     "ENDPOINT_DOWN",
--- a/src/pollenmast/events/_catalogue.py
+++ b/src/pollenmast/events/_catalogue.py
@@ -284,6 +284,12 @@
     "The directory has dropped its history; everything is read anew.",
     "Nothing.",
 )
+DIRECTORY_RESTORED = Event(
+    429,
+    "directory_restored",
+    "The directory came back from an older copy: its revisions start lower.",
+    "Compare `known` and `revision`; ask the platform's team for the reason.",
+)
 ZONE_DRAINED = Event(
     425,
     "zone_drained",
@@ -368,6 +374,7 @@
     ROUTES_IN_FORCE,
     ENTRY_REFUSED,
     HISTORY_GONE,
+    DIRECTORY_RESTORED,
     PEER_TOLD,
     ZONE_DRAINED,
     ZONE_RESTORED,
--- a/src/pollenmast/platform/_first_read.py
+++ b/src/pollenmast/platform/_first_read.py
@@ -9,6 +9,7 @@
 from pollenmast.counters import PLATFORM_CALLS, Counters
 from pollenmast.entry import FirstRead
 from pollenmast.exchange import EndedError, ProtocolError, TooLargeError
+from pollenmast.platform._epoch import read_epoch
 from pollenmast.platform._listing import Listing
 from pollenmast.platform._question import StoreQuestion
 from pollenmast.steering import DirectoryFault, Update
@@ -80,6 +81,9 @@
             page = json.loads(response.body)
         except (ValueError, RecursionError):
             return Err(DirectoryFault.MALFORMED)
-        if not self._listing.add(page):
+        epoch = read_epoch(response.headers)
+        if isinstance(epoch, Err):
+            return Err(DirectoryFault.MALFORMED)
+        if not self._listing.add(page, epoch.ok_value or 0):
             return Err(DirectoryFault.MALFORMED)
         return Ok(page)
--- a/src/pollenmast/platform/_items.py
+++ b/src/pollenmast/platform/_items.py
@@ -31,6 +31,7 @@
     *,
     whole: bool,
     all_drains: bool = False,
+    epoch: int = 0,
 ) -> Update:
     """Returns what items tell; those that say nothing usable are refused.
 
@@ -39,6 +40,7 @@
         revision: The store's revision up to which they are complete.
         whole: Whether they are all that there is.
         all_drains: Whether all drains are among them.
+        epoch: Which copy of the store has answered.
     """
     changes, refused, unclear = [], [], []
     for item in items:
@@ -61,6 +63,7 @@
         tuple(refused),
         tuple(unclear),
         all_drains,
+        epoch,
     )
 
 
--- a/src/pollenmast/platform/_listing.py
+++ b/src/pollenmast/platform/_listing.py
@@ -22,6 +22,7 @@
         self._path = path
         self._items: list[Any] = []
         self._revision: int | None = None
+        self._epoch = 0
         self._pages = 0
         self._target = path
 
@@ -30,11 +31,15 @@
         """The path of the next page, None after the last."""
         return self._target or None
 
-    def add(self, page: Any) -> bool:
+    def add(self, page: Any, epoch: int) -> bool:
         """Takes in a page; returns whether it is one.
 
         A list longer than `MOST_PAGES` is refused: taken as whole, it would
         remove the endpoints beyond it.
+
+        Args:
+            page: The body of the store's answer.
+            epoch: Which copy of the store has answered.
         """
         if not isinstance(page, dict):
             return False
@@ -44,7 +49,7 @@
         self._items += items
         self._pages += 1
         if self._revision is None:
-            self._revision = revision
+            self._revision, self._epoch = revision, epoch
         if page.get("morePages") is not True:
             self._target = ""
             return True
@@ -67,9 +72,16 @@
             raise ValueError("no page was read")
         return self._revision
 
+    @property
+    def epoch(self) -> int:
+        """Which copy of the store has listed it."""
+        return self._epoch
+
     def update(self) -> Update:
         """Returns what all pages tell; only after the last."""
-        return read_items(self._items, self.revision, whole=True)
+        return read_items(
+            self._items, self.revision, whole=True, epoch=self._epoch
+        )
 
 
 def _after(path: str, key: str) -> str:
--- a/src/pollenmast/platform/_store.py
+++ b/src/pollenmast/platform/_store.py
@@ -3,11 +3,13 @@
 import json
 from typing import Any
 
+import attrs
 from result import Err, Ok, Result
 
 from pollenmast import http1
 from pollenmast.counters import CONTROL_BYTES, PLATFORM_CALLS, Counters
 from pollenmast.platform._entries import ENDPOINT_PREFIX, OPERATOR_PREFIX
+from pollenmast.platform._epoch import read_epoch
 from pollenmast.platform._items import read_items
 from pollenmast.platform._listing import Listing
 from pollenmast.platform._question import MOST_BODY_BYTES
@@ -43,6 +45,34 @@
 _GONE = 410
 
 
+@attrs.frozen
+class _Answer:
+    """A successful answer.
+
+    Attributes:
+        body: Its content.
+        epoch: Which copy of the store has answered.
+    """
+
+    body: dict[str, Any]
+    epoch: int
+
+
+@attrs.frozen
+class _Events:
+    """A watch's answer.
+
+    Attributes:
+        items: The events.
+        revision: The revision up to which they are complete.
+        epoch: Which copy of the store has answered.
+    """
+
+    items: list[Any]
+    revision: int
+    epoch: int
+
+
 class StoreDirectory(Directory):
     """The store, which lists the endpoints and the configuration.
 
@@ -72,10 +102,14 @@
         events = await self._events(target, READ_PATIENCE, None)
         if isinstance(events, Err):
             return events
-        items = [*operators.items, *events.ok_value[0]]
-        return Ok(
-            read_items(items, operators.revision, whole=False, all_drains=True)
+        update = read_items(
+            [*operators.items, *events.ok_value.items],
+            operators.revision,
+            whole=False,
+            all_drains=True,
+            epoch=operators.epoch,
         )
+        return Ok(update)
 
     async def watch(
         self, after: int, wait_s: float
@@ -89,7 +123,10 @@
         events = await self._events(target, patience, MOST_WATCH_BYTES)
         if isinstance(events, Err):
             return events
-        return Ok(read_items(*events.ok_value, whole=False))
+        told = events.ok_value
+        return Ok(
+            read_items(told.items, told.revision, whole=False, epoch=told.epoch)
+        )
 
     async def _list(self, listing: Listing) -> Result[Listing, DirectoryFault]:
         """Reads all pages of a list."""
@@ -97,24 +134,26 @@
             answer = await self._get(self._reader, target, READ_PATIENCE)
             if isinstance(answer, Err):
                 return answer
-            if not listing.add(answer.ok_value):
+            page = answer.ok_value
+            if not listing.add(page.body, page.epoch):
                 return self._malformed()
         return Ok(listing)
 
     async def _events(
         self, target: str, patience: http1.Patience, most: int | None
-    ) -> Result[tuple[list[Any], int], DirectoryFault]:
-        """Returns a watch's events and the revision they are complete up to."""
+    ) -> Result[_Events, DirectoryFault]:
+        """Returns a watch's events."""
         answer = await self._get(self._watcher, target, patience, most)
         if isinstance(answer, Err):
             return answer
-        events = answer.ok_value.get("events")
+        body = answer.ok_value.body
+        events = body.get("events")
         if not isinstance(events, list):
             return self._malformed()
-        revision = answer.ok_value.get("asOf")
+        revision = body.get("asOf")
         if not isinstance(revision, int):
             return self._malformed()
-        return Ok((events, revision))
+        return Ok(_Events(events, revision, answer.ok_value.epoch))
 
     def _malformed(self) -> Err[DirectoryFault]:
         self._counters.add(PLATFORM_CALLS, "malformed")
@@ -126,7 +165,7 @@
         target: str,
         patience: http1.Patience,
         most: int | None = None,
-    ) -> Result[dict[str, Any], DirectoryFault]:
+    ) -> Result[_Answer, DirectoryFault]:
         before = connection.sent_bytes
         response = await connection.get(target, patience, most)
         self._counters.add(
@@ -145,10 +184,11 @@
             body = json.loads(response.ok_value.body)
         except (ValueError, RecursionError):
             return self._malformed()
-        if not isinstance(body, dict):
+        epoch = read_epoch(response.ok_value.headers)
+        if not isinstance(body, dict) or isinstance(epoch, Err):
             return self._malformed()
         self._counters.add(PLATFORM_CALLS, "answered")
-        return Ok(body)
+        return Ok(_Answer(body, epoch.ok_value or 0))
 
 
 def _watch_target(prefix: str, after: int, wait_s: float) -> str:
--- a/src/pollenmast/steering/_changes.py
+++ b/src/pollenmast/steering/_changes.py
@@ -176,6 +176,8 @@
             known of them before holds.
         all_drains: Whether it names every drained zone, so that the others
             are not drained.
+        epoch: Which copy of the directory has answered. Revisions of
+            different epochs cannot be compared.
     """
 
     changes: tuple[Change, ...]
@@ -184,6 +186,7 @@
     refused: tuple[str, ...] = ()
     unclear_zones: tuple[str, ...] = ()
     all_drains: bool = False
+    epoch: int = 0
 
 
 class Directory(abc.ABC):
--- a/standins/http.py
+++ b/standins/http.py
@@ -37,6 +37,7 @@
 
     status: int | None
     body: bytes = b""
+    headers: Mapping[str, str] = attrs.field(factory=dict)
 
 
 CLOSE_UNANSWERED = Response(None)
@@ -139,6 +140,7 @@
     headers = [
         ("Content-Type", "application/json"),
         ("Content-Length", str(len(response.body))),
+        *response.headers.items(),
     ]
     head = h11.Response(status_code=response.status, headers=headers)
     parts = [connection.send(head)]
--- a/standins/store.py
+++ b/standins/store.py
@@ -31,13 +31,30 @@
     revision: int
 
 
+@attrs.frozen
+class Copy:
+    """What the store held at one moment."""
+
+    items: dict[str, _Item]
+    revision: int
+
+
 class Store(http.Handler):
-    """Keys with values, one revision counter, and a history."""
+    """Keys with values, one revision counter, and a history.
+
+    Attributes:
+        fault: How it misbehaves.
+        delay_s: How long each answer takes, in seconds.
+        calls: Calls so far.
+        epoch: Named by each answer's `Store-Era`; None for a store whose
+            answers have no such header.
+    """
 
     def __init__(self):
         self.fault = Fault.NONE
         self.delay_s = 0.0
         self.calls = 0
+        self.epoch: int | None = 1
         self._items: dict[str, _Item] = {}
         self._history: list[_Item] = []
         self._revision = 10
@@ -62,6 +79,21 @@
         self._history.clear()
         self._oldest = self._revision
 
+    def copy(self) -> Copy:
+        """Returns what it holds, for `restore`."""
+        return Copy(dict(self._items), self._revision)
+
+    def restore(self, copy: Copy) -> None:
+        """Comes back from a copy: what was written since is gone."""
+        self._items = dict(copy.items)
+        self._revision = copy.revision
+        self._history = [
+            item for item in self._history if item.revision <= copy.revision
+        ]
+        self._oldest = min(self._oldest, copy.revision)
+        if self.epoch is not None:
+            self.epoch += 1
+
     def items_body(self) -> bytes:
         """Returns the first page of everything, as the store answers it."""
         return self._range(http.Request("GET", "/kv-range", {}, b"")).body
@@ -69,6 +101,13 @@
     async def handle(self, request: http.Request) -> http.Response:
         """Answers one call, through the fault."""
         self.calls += 1
+        answer = await self._answer(request)
+        if self.epoch is None or answer.status is None:
+            return answer
+        headers = {"Store-Era": str(self.epoch)}
+        return attrs.evolve(answer, headers=headers)
+
+    async def _answer(self, request: http.Request) -> http.Response:
         if self.fault is Fault.SILENT:
             await anyio.sleep_forever()
         if self.delay_s:
@@ -110,10 +149,11 @@
         prefix = request.query.get("prefix", "")
         after = int(request.query["after"])
         until = anyio.current_time() + int(request.query["waitMs"]) / 1000
+        epoch = self.epoch
         while True:
-            if self.fault is Fault.DOWN:
+            if self.fault is Fault.DOWN or self.epoch != epoch:
                 return http.CLOSE_UNANSWERED
-            if after < self._oldest:
+            if not self._oldest <= after <= self._revision:
                 return _GONE
             events = [
                 _shown(item)
--- a/tests/entry_metrics_test.py
+++ b/tests/entry_metrics_test.py
@@ -1,9 +1,15 @@
 """Tests of entry._metrics and counters._histograms."""
 
+import random
+
+from parameterized import parameterized
 from testtools import TestCase
 
 from pollenmast import counters as c
+from pollenmast.entry import _gauges as gauges
 from pollenmast.entry import _metrics as metrics
+from pollenmast.steering import Steering
+from tests import steering_group as group
 
 
 class MetricsTest(TestCase):
@@ -28,3 +34,23 @@
         self.assertIn(f'{name}_bucket{{le="0.05"}} 2', lines)
         self.assertIn(f'{name}_bucket{{le="+Inf"}} 3', lines)
         self.assertIn(f"{name}_count 3", lines)
+
+    @parameterized.expand(
+        [
+            ("revision", "pollenmast_directory_revision 10"),
+            ("version", "pollenmast_configuration_version 1"),
+            ("age", "pollenmast_beliefs_age_seconds 2.5"),
+        ]
+    )
+    def test_gauges(self, _, line):
+        """What a VM knows, and how surely, can be compared between VMs."""
+        known = gauges.read(group.steering(group.endpoint(1)), 2.5)
+        text = metrics.text(c.Counters(), c.Histograms(), known).decode()
+        self.assertIn(line, text.splitlines())
+
+    def test_gauges_at_start(self):
+        """A VM that knows nothing has no version and no age."""
+        core = Steering(group.ZONE, c.Counters(), random.Random(1))
+        known = gauges.read(core, 2.5)
+        text = metrics.text(c.Counters(), c.Histograms(), known).decode()
+        self.assertIn("pollenmast_beliefs_age_seconds NaN", text.splitlines())
--- a/tests/store_group.py
+++ b/tests/store_group.py
@@ -71,7 +71,10 @@
     async def _rest(self, answer, total_s: float):
         with anyio.CancelScope(shield=True), anyio.move_on_after(total_s):
             await self._link.carry(len(answer.body))
-            return Ok(Response(answer.status, answer.body))
+            headers = {
+                name.lower(): value for name, value in answer.headers.items()
+            }
+            return Ok(Response(answer.status, answer.body, headers))
         return Err(HttpFault.INCOMPLETE)
 
     async def aclose(self) -> None:
