--- /dev/null
+++ b/tests/fleet_group.py
@@ -0,0 +1,207 @@
+"""VMs that follow one store and tell each other, without a network."""
+
+import random
+import urllib.parse
+
+import anyio
+import trio
+import trio.testing
+from result import Err, Ok
+from testtools import TestCase
+
+from pollenmast import http1
+from pollenmast.counters import Counters, Histograms
+from pollenmast.entry._follow import Follower
+from pollenmast.entry._gossip import Gossip
+from pollenmast.entry._peers import PeerReader
+from pollenmast.entry._site import Site
+from pollenmast.events import EventLog
+from pollenmast.http1 import HttpFault, Response
+from pollenmast.platform._store import StoreDirectory
+from pollenmast.steering import Steering
+from standins.store import Store
+from tests import store_group
+from tests.platform_entries_test import CONFIGURATION, ENTRY
+
+STORE = "10.200.0.1"
+APPLY_S = 3.0
+ANSWER_S = 0.004
+"""How long the store takes to answer."""
+
+START_S = 4.0
+"""After it each zone has readers, and all VMs know the same."""
+
+
+class _PeerConnection:
+    """Asks another VM without a network."""
+
+    def __init__(self, site: Site | None):
+        self._site = site
+
+    async def get(self, target: str, patience, most=None):
+        if self._site is None:
+            return Err(HttpFault.UNREACHABLE)
+        answer = await self._site.answer(http1.Request("GET", target))
+        return Ok(Response(answer.status, answer.body))
+
+    async def aclose(self) -> None:
+        """Closes nothing."""
+
+
+class _MemoryGossip(Gossip):
+    """Reports that go through memory."""
+
+    def __init__(self, fleet: "Fleet", vm: "FleetVm", peers: PeerReader):
+        super().__init__(
+            vm.host,
+            vm.zone,
+            ("127.0.0.1", 0),
+            tuple((seed, 1) for seed in fleet.seeds),
+            vm.core,
+            peers,
+            Counters(),
+            random.Random(vm.host),
+        )
+        self._fleet = fleet
+        self._host = vm.host
+        self._members = type(self._members)(vm.host, vm.zone, fleet.seeds)
+
+    def _send(self, datagram, host):
+        vm = self._fleet.vms.get(host)
+        if vm is not None and host not in self._fleet.deaf:
+            now = anyio.current_time()
+            vm.gossip.take(datagram, self._host, now)
+
+
+class FleetVm:
+    """One VM's beliefs and what keeps them up to date."""
+
+    def __init__(self, fleet: "Fleet", host: str, zone: str):
+        self.host = host
+        self.zone = zone
+        self.core = Steering(zone, Counters(), random.Random(host))
+        log = EventLog("t", host)
+        self.follower = Follower(
+            StoreDirectory(STORE, 1, Counters()),
+            self.core,
+            Histograms(),
+            log,
+            APPLY_S,
+            random.Random(host),
+        )
+        seeds = tuple((seed, 1) for seed in fleet.seeds)
+        self.peers = PeerReader(seeds, (host, 1), self.core, self.follower, log)
+        self.gossip = _MemoryGossip(fleet, self, self.peers)
+        self.site = Site("/ready", self.core, Counters(), Histograms())
+        self.follower.join(self.gossip.is_reader, self.gossip.push)
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.follower.run)
+            tasks.start_soon(self.peers.run)
+            tasks.start_soon(self.peers.catch_up)
+            tasks.start_soon(self.gossip.send)
+            tasks.start_soon(self.gossip.send_news)
+            tasks.start_soon(self._tick)
+
+    async def _tick(self) -> None:
+        while True:
+            await anyio.sleep(0.5)
+            self.core.tick(anyio.current_time())
+
+
+class Fleet:
+    """A store and its VMs.
+
+    Attributes:
+        store: The store.
+        vms: The VMs by address.
+        seeds: Addresses of some of them.
+        cut_off: Addresses of VMs that the store does not answer.
+        deaf: Addresses of VMs that no report reaches.
+    """
+
+    def __init__(self, test: TestCase, zones: dict[str, int]):
+        self.store = Store()
+        self.cut_off: set[str] = set()
+        self.deaf: set[str] = set()
+        hosts = [
+            (f"10.{index}.0.{number}", zone)
+            for index, (zone, count) in enumerate(zones.items(), 1)
+            for number in range(1, count + 1)
+        ]
+        self.seeds = [host for host, _ in hosts[:3]]
+        self.vms: dict[str, FleetVm] = {}
+        self._link = store_group.Link()
+        test.patch(http1, "Connection", self._connect)
+        for host, zone in hosts:
+            self.add(test, host, zone)
+
+    def add(self, test: TestCase, host: str, zone: str) -> FleetVm:
+        """Adds a VM; the caller runs it if the others run already."""
+        vm = self.vms[host] = FleetVm(self, host, zone)
+        test.addCleanup(vm.gossip.close)
+        return vm
+
+    def _connect(self, host: str, port: int, most: int = 0):
+        if host == STORE:
+            return store_group.Connection(self.store, self._link)
+        vm = self.vms.get(host)
+        return _PeerConnection(vm.site if vm is not None else None)
+
+    def lacking(self, holds) -> list[str]:
+        """Returns the VMs of which something does not hold."""
+        return [host for host, vm in self.vms.items() if not holds(vm.core)]
+
+
+class FleetCase(TestCase):
+    """A fleet of two zones, one larger than its number of readers."""
+
+    def setUp(self):
+        """Makes a store with two endpoints, and the VMs."""
+        super().setUp()
+        self.fleet = Fleet(self, {"pos-frederick": 5, "pos-woodbrook": 3})
+        self.store = self.fleet.store
+        self.store.delay_s = ANSWER_S
+        self.publish(7)
+        for number in (1, 2):
+            self.announce(number)
+
+    def publish(self, version: int) -> None:
+        """Writes a configuration."""
+        entry = {**CONFIGURATION, "version": version}
+        self.store.put("op/config", entry)
+
+    def announce(self, number: int, **fields) -> None:
+        """Writes an endpoint's entry."""
+        self.store.put(name_key(number), {**ENTRY, **fields})
+
+    def play(self, script) -> None:
+        """Lets the fleet start, and runs a script beside it."""
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                for vm in self.fleet.vms.values():
+                    tasks.start_soon(vm.run)
+                await anyio.sleep(START_S)
+                await script(tasks)
+                tasks.cancel_scope.cancel()
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(main, clock=clock)
+
+
+def name(number: int) -> str:
+    """Returns an endpoint's name."""
+    return f"i-{number:010x}"
+
+
+def name_key(number: int) -> str:
+    """Returns the key of an endpoint's entry."""
+    return f"servers/{name(number)}"
+
+
+def target(path: str, **query: object) -> str:
+    """Returns a path with a query."""
+    return f"{path}?{urllib.parse.urlencode(query)}"
