--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -288,7 +288,7 @@
     "platform_calls",
     "{call}",
     "Calls to the platform's service.",
-    ("answered", "failed", "malformed", "too_long"),
+    ("answered", "failed", "malformed", "too_long", "restored", "stale"),
 )
 
 CATALOGUE: tuple[CounterDefinition, ...] = (
--- a/src/pollenmast/entry/_boot.py
+++ b/src/pollenmast/entry/_boot.py
@@ -34,13 +34,11 @@
 
 from pollenmast.counters import Counters, Histograms
 from pollenmast.entry._carrier import Carrier
+from pollenmast.entry._news import NewsLog
 from pollenmast.entry._ports import EntrySettings, PacketFormat
 from pollenmast.events import (
-    ENTRY_REFUSED,
     LOAD_FAILED,
-    ROUTES_IN_FORCE,
     STARTED,
-    ZONE_DRAINED,
     BoundedStream,
     EventLog,
     JsonSink,
@@ -207,27 +205,10 @@
         steering = self._parts.steering
         applied = steering.apply(answer.ok_value, now)
         steering.on_confirmed(now)
-        for refused in answer.ok_value.refused:
-            self._parts.log.write(
-                ENTRY_REFUSED, entry=refused, source="directory"
-            )
-        for change in applied.zones:
-            self._parts.log.write(
-                ZONE_DRAINED,
-                zone=change.zone,
-                revision=change.revision,
-                epoch=answer.ok_value.epoch,
-                source="directory",
-            )
-        if applied.table is not None:
-            self._parts.log.write(
-                ROUTES_IN_FORCE,
-                version=applied.table.version,
-                routes=len(applied.table.routes),
-                revision=steering.revision,
-                epoch=answer.ok_value.epoch,
-                source="directory",
-            )
+        update, news = answer.ok_value, NewsLog(self._parts.log)
+        news.refused(update, "directory")
+        news.zones(applied, update.epoch, "directory")
+        news.routes(applied, update.position, "directory")
 
 
 def _now() -> float:
--- a/src/pollenmast/entry/_follow.py
+++ b/src/pollenmast/entry/_follow.py
@@ -17,27 +17,20 @@
 from result import Err, Result
 
 from pollenmast.counters import DIRECTORY_READ, Histograms
+from pollenmast.entry._news import NewsLog
 from pollenmast.events import (
-    DIRECTORY_RESTORED,
-    ENDPOINT_CHANGED,
-    ENDPOINT_LAPSED,
-    ENTRY_REFUSED,
     HISTORY_GONE,
     PLATFORM_BACK,
     PLATFORM_LOST,
-    ROUTES_IN_FORCE,
-    ZONE_DRAINED,
-    ZONE_RESTORED,
     EventLog,
 )
 from pollenmast.steering import (
+    NOTHING_KNOWN,
     Directory,
     DirectoryFault,
-    Presence,
     RoutesPublished,
     Steering,
     Update,
-    ZoneDrained,
 )
 
 WATCH_S = 1.0
@@ -77,6 +70,9 @@
 """The longest pause: the return of the directory is seen within it, and a
 thousand VMs at this pace are within its rate of reads."""
 
+_READ_ANEW = (DirectoryFault.HISTORY_GONE, DirectoryFault.RESTORED)
+"""Faults after which only a list of everything leads on."""
+
 
 class Follower:
     """Keeps the beliefs of one VM up to date."""
@@ -104,6 +100,7 @@
         self._steering = steering
         self._histograms = histograms
         self._log = log
+        self._news = NewsLog(log)
         self._apply_s = apply_s
         self._rng = rng
         self._is_reader: Callable[[], bool] = _always
@@ -112,8 +109,8 @@
         self._read = False
         self._behind = False
         self._pause_s = 0.0
+        self._reread_pause_s = 0.0
         self._lost_at: float | None = None
-        self._epoch: int | None = None
         self._scope: anyio.CancelScope | None = None
 
     @property
@@ -159,55 +156,24 @@
     def take(self, update: Update, source: str) -> None:
         """Takes in what the directory or a peer has told."""
         now = anyio.current_time()
-        before = self._steering.revision
+        before = self._steering.position
         applied = self._steering.apply(update, now)
-        if self._steering.revision > before:
+        position = self._steering.position
+        if position > before:
             self._on_news()
-        for refused in update.refused:
-            self._log.write(ENTRY_REFUSED, entry=refused, source=source)
-        if applied.table is not None:
-            self._log.write(
-                ROUTES_IN_FORCE,
-                version=applied.table.version,
-                routes=len(applied.table.routes),
-                revision=update.revision,
-                epoch=update.epoch,
-                source=source,
-            )
-        for change in applied.zones:
-            drained = isinstance(change, ZoneDrained)
-            self._log.write(
-                ZONE_DRAINED if drained else ZONE_RESTORED,
-                zone=change.zone,
-                revision=change.revision,
-                epoch=update.epoch,
-                source=source,
-            )
-        for record in applied.records:
-            lapsed = record.presence is Presence.LAPSED
-            self._log.write(
-                ENDPOINT_LAPSED if lapsed else ENDPOINT_CHANGED,
-                endpoint=record.endpoint.name,
-                service=record.endpoint.service,
-                zone=record.endpoint.zone,
-                draining=record.endpoint.draining,
-                revision=record.revision,
-                epoch=update.epoch,
-                source=source,
-            )
-
-    def _note_epoch(self, update: Update) -> None:
-        """Logs that another copy of the directory answers."""
-        before, self._epoch = self._epoch, update.epoch
-        if before is None or before == update.epoch:
-            return
-        self._log.write(
-            DIRECTORY_RESTORED,
-            before=before,
-            epoch=update.epoch,
-            known=self._steering.revision,
-            revision=update.revision,
-        )
+        if position.epoch > before.epoch and before != NOTHING_KNOWN:
+            self._news.restored(before, update, source)
+        self._news.refused(update, source)
+        self._news.routes(applied, update.position, source)
+        self._news.zones(applied, update.epoch, source)
+        self._news.endpoints(applied, update.epoch, source)
+
+    def settle(self) -> None:
+        """Takes a restored directory's word once its writers had time."""
+        applied = self._steering.settle(anyio.current_time())
+        epoch = self._steering.position.epoch
+        self._news.zones(applied, epoch, "settled")
+        self._news.endpoints(applied, epoch, "settled")
 
     def _due(self) -> bool:
         """Whether this VM has to ask the directory itself."""
@@ -232,10 +198,11 @@
             return
         # The revision may be a peer's: a watch from there is complete too.
         asked_at = anyio.current_time()
-        answer = await self._ask()
+        answer = self._in_order(await self._ask())
         if isinstance(answer, Err):
             await self._on_fault(answer.err_value)
             return
+        self._reread_pause_s = 0.0
         self._read = True
         self._draw_patience()
         self._pace(answer.ok_value)
@@ -245,15 +212,15 @@
 
     async def _ask(self) -> Result[Update, DirectoryFault]:
         """Asks what is new, in the way that takes the fewest bytes."""
-        revision = self._steering.revision
-        if not self._read and not revision:
+        position = self._steering.position
+        if not self._read and not position.revision:
             return await self._read_all()
         if not self._behind:
-            answer = await self._directory.watch(revision, WATCH_S)
+            answer = await self._directory.watch(position, WATCH_S)
             if answer != Err(DirectoryFault.TOO_LONG):
                 return answer
             self._behind = True
-        answer = await self._directory.catch_up(revision)
+        answer = await self._directory.catch_up(position)
         if answer != Err(DirectoryFault.TOO_LONG):
             return answer
         return await self._read_all()
@@ -269,12 +236,31 @@
 
     async def _read_all(self) -> Result[Update, DirectoryFault]:
         began = anyio.current_time()
-        answer = await self._directory.read()
+        answer = await self._directory.read(self._steering.position)
         if not isinstance(answer, Err):
             took = anyio.current_time() - began
             self._histograms.observe(DIRECTORY_READ, took)
         return answer
 
+    async def _read_anew(self) -> Result[Update, DirectoryFault]:
+        """Reads everything, less often while that leads to no watch."""
+        await anyio.sleep(self._reread_pause_s)
+        self._reread_pause_s = _longer(self._reread_pause_s)
+        asked_at = anyio.current_time()
+        answer = self._in_order(await self._read_all())
+        if not isinstance(answer, Err):
+            self._on_answer(answer.ok_value, asked_at)
+        return answer
+
+    def _in_order(
+        self, answer: Result[Update, DirectoryFault]
+    ) -> Result[Update, DirectoryFault]:
+        """Refuses what was overtaken by peers' news of a later epoch."""
+        known = self._steering.position.epoch
+        if isinstance(answer, Err) or answer.ok_value.epoch >= known:
+            return answer
+        return Err(DirectoryFault.STALE)
+
     def _on_answer(self, update: Update, asked_at: float) -> None:
         now = anyio.current_time()
         self._pause_s = 0.0
@@ -288,7 +274,6 @@
                 revision=update.revision,
                 epoch=update.epoch,
             )
-        self._note_epoch(update)
         self.take(update, "directory")
         # A watch answers when something is new; a list may be as old as the
         # question.
@@ -296,23 +281,28 @@
         self._steering.on_confirmed(asked_at if listed else now)
 
     async def _on_fault(self, fault: DirectoryFault) -> None:
-        if fault is DirectoryFault.HISTORY_GONE:
-            self._log.write(HISTORY_GONE, revision=self._steering.revision)
-            asked_at = anyio.current_time()
-            answer = await self._read_all()
+        if fault in _READ_ANEW:
+            self._log.write(
+                HISTORY_GONE,
+                fault=fault,
+                epoch=self._steering.position.epoch,
+                revision=self._steering.revision,
+            )
+            answer = await self._read_anew()
             if not isinstance(answer, Err):
-                self._on_answer(answer.ok_value, asked_at)
                 return
             fault = answer.err_value
         if self._lost_at is None:
             self._lost_at = anyio.current_time()
             self._log.write(PLATFORM_LOST, fault=fault)
-        self._pause_s = min(
-            max(2.0 * self._pause_s, FIRST_RETRY_S), MOST_RETRY_S
-        )
+        self._pause_s = _longer(self._pause_s)
         await anyio.sleep(self._pause_s)
 
 
+def _longer(pause_s: float) -> float:
+    return min(max(2.0 * pause_s, FIRST_RETRY_S), MOST_RETRY_S)
+
+
 def _always() -> bool:
     return True
 
--- a/src/pollenmast/entry/_gauges.py
+++ b/src/pollenmast/entry/_gauges.py
@@ -32,9 +32,14 @@
     table = steering.table
     age_s = steering.age_s(now)
     return [
+        Gauge(
+            "directory_epoch",
+            "Grows each time the directory is restored from a copy.",
+            steering.position.epoch,
+        ),
         Gauge(
             "directory_revision",
-            "The directory's revision that the VM knows everything up to.",
+            "The revision of this epoch that the VM knows everything up to.",
             steering.revision,
         ),
         Gauge(
--- a/src/pollenmast/entry/_gossip.py
+++ b/src/pollenmast/entry/_gossip.py
@@ -28,7 +28,14 @@
 from pollenmast.entry._peers import PeerReader
 from pollenmast.entry._ports import Address
 from pollenmast.entry._report import MOST_CHANGE_BYTES, Kind, Report
-from pollenmast.steering import Failures, Members, Presence, Steering
+from pollenmast.steering import (
+    NOTHING_KNOWN,
+    Failures,
+    Members,
+    Position,
+    Presence,
+    Steering,
+)
 
 EVERY_S = 0.5
 """Between two reports. Load is measured over two seconds."""
@@ -90,8 +97,8 @@
         self._rng = rng
         self._round = 0
         self._heard = False
-        self._told_revision = 0
-        self._answered = (float("-inf"), 0, b"")
+        self._told = NOTHING_KNOWN
+        self._answered = (float("-inf"), NOTHING_KNOWN, b"")
         self._news = anyio.Event()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setblocking(False)
@@ -206,13 +213,15 @@
 
         Readers share them out, as each of them learns of a change itself.
         """
-        after, self._told_revision = self._told_revision, self._revision
-        changes = self._changes(after) if after else b""
+        after, self._told = self._told, self._position
+        changes = self._changes(after)
         readers = self._members.readers(now)
         if self._host not in readers or not changes:
             return
         own = readers.index(self._host)
-        news = self._report(Kind.NEWS, now, after=after, changes=changes)
+        news = self._report(
+            Kind.NEWS, now, after=after.revision, changes=changes
+        )
         for host in set(self._members.mates) - set(readers):
             if zlib.crc32(host.encode()) % len(readers) == own:
                 self._send(news, host)
@@ -240,8 +249,8 @@
             self._send(self._report(Kind.ANSWER, now), host)
 
     @property
-    def _revision(self) -> int:
-        return self._steering.revision
+    def _position(self) -> Position:
+        return self._steering.position
 
     def _learn_down(self, report: Report, now: float) -> None:
         if not report.down:
@@ -267,17 +276,24 @@
 
     def _learn_changes(self, report: Report, host: str, now: float) -> None:
         """Learns from a peer that knows more, or that it knows no more."""
-        if report.changes and report.after <= self._revision:
+        follows = Position(report.position.epoch, report.after)
+        if report.changes and self._is_reached(follows):
             self._peers.told(report.changes, host)
-        if report.revision > self._revision:
-            self._peers.behind(host, report.revision)
-        elif report.revision == self._revision:
+        if report.position > self._position:
+            self._peers.behind(host, report.position)
+        elif report.position == self._position:
             self._steering.on_confirmed(now - report.age_s)
 
+    def _is_reached(self, position: Position) -> bool:
+        """Whether what follows a position continues what is known."""
+        same_epoch = position.epoch == self._position.epoch
+        return same_epoch and position <= self._position
+
     def _answer(self, report: Report, host: str, now: float) -> None:
-        if 0 < report.revision < self._revision:
-            changes = self._changes(report.revision)
-            answer = self._total(now, report.zone, report.revision, changes)
+        if NOTHING_KNOWN < report.position < self._position:
+            after = report.position
+            changes = self._changes(after)
+            answer = self._total(now, report.zone, after.revision, changes)
         elif report.zone != self._zone:
             answer = self._total(now, report.zone)
         else:
@@ -285,10 +301,10 @@
         self._send(answer, host)
 
     def _same_answer(self, now: float) -> bytes:
-        at, revision, answer = self._answered
-        if now - at >= ANSWER_LIFE_S or revision != self._revision:
+        at, position, answer = self._answered
+        if now - at >= ANSWER_LIFE_S or position != self._position:
             answer = self._total(now, self._zone)
-            self._answered = (now, self._revision, answer)
+            self._answered = (now, self._position, answer)
         return answer
 
     def _total(
@@ -322,9 +338,9 @@
     def _some(self, hosts: list[str], most: int) -> list[str]:
         return hosts if len(hosts) <= most else self._rng.sample(hosts, most)
 
-    def _changes(self, after: int) -> bytes:
-        """Returns the changes after a revision, empty if they are too long."""
-        if self._steering.journal.since(after) is None:
+    def _changes(self, after: Position) -> bytes:
+        """Returns the changes after a position, empty if they are too long."""
+        if snapshot.changes_since(self._steering, after) is None:
             return b""
         changes = snapshot.encode(self._steering, after)
         return changes if len(changes) <= MOST_CHANGE_BYTES else b""
@@ -352,7 +368,7 @@
             kind,
             self._vm,
             self._zone,
-            self._revision,
+            self._position,
             self._steering.age_s(now) + ANSWER_LIFE_S,
             vms,
             rates or {},
--- /dev/null
+++ b/src/pollenmast/entry/_news.py
@@ -0,0 +1,92 @@
+"""Log lines of what a VM has taken in from the directory or a peer."""
+
+from pollenmast.events import (
+    DIRECTORY_RESTORED,
+    ENDPOINT_CHANGED,
+    ENDPOINT_LAPSED,
+    ENTRY_REFUSED,
+    ROUTES_IN_FORCE,
+    ZONE_DRAINED,
+    ZONE_RESTORED,
+    EventLog,
+)
+from pollenmast.steering import (
+    Applied,
+    Position,
+    Presence,
+    Record,
+    Update,
+    ZoneDrained,
+)
+
+
+class NewsLog:
+    """Writes one line for each belief that has changed."""
+
+    def __init__(self, log: EventLog):
+        self._log = log
+
+    def restored(self, known: Position, update: Update, source: str) -> None:
+        """Tells that the directory was restored from a copy.
+
+        Args:
+            known: How far it was known before.
+            update: What tells of the restored one.
+            source: Who told.
+        """
+        self._log.write(
+            DIRECTORY_RESTORED,
+            before=known.epoch,
+            known=known.revision,
+            epoch=update.epoch,
+            revision=update.revision,
+            source=source,
+        )
+
+    def refused(self, update: Update, source: str) -> None:
+        """Tells what could not be understood."""
+        for entry in update.refused:
+            self._log.write(ENTRY_REFUSED, entry=entry, source=source)
+
+    def routes(self, applied: Applied, position: Position, source: str) -> None:
+        """Tells which configuration came into force, if one did."""
+        if applied.table is None:
+            return
+        self._log.write(
+            ROUTES_IN_FORCE,
+            version=applied.table.version,
+            routes=len(applied.table.routes),
+            revision=position.revision,
+            epoch=position.epoch,
+            source=source,
+        )
+
+    def zones(self, applied: Applied, epoch: int, source: str) -> None:
+        """Tells which zones were drained or are in service again."""
+        for change in applied.zones:
+            drained = isinstance(change, ZoneDrained)
+            self._log.write(
+                ZONE_DRAINED if drained else ZONE_RESTORED,
+                zone=change.zone,
+                revision=change.revision,
+                epoch=epoch,
+                source=source,
+            )
+
+    def endpoints(self, applied: Applied, epoch: int, source: str) -> None:
+        """Tells which endpoints came, changed or vanished."""
+        for record in applied.records:
+            self._endpoint(record, epoch, source)
+
+    def _endpoint(self, record: Record, epoch: int, source: str) -> None:
+        lapsed = record.presence is Presence.LAPSED
+        self._log.write(
+            ENDPOINT_LAPSED if lapsed else ENDPOINT_CHANGED,
+            endpoint=record.endpoint.name,
+            service=record.endpoint.service,
+            zone=record.endpoint.zone,
+            draining=record.endpoint.draining,
+            revision=record.revision,
+            epoch=epoch,
+            source=source,
+        )
--- a/src/pollenmast/entry/_peers.py
+++ b/src/pollenmast/entry/_peers.py
@@ -13,7 +13,7 @@
 from pollenmast.entry._follow import Follower
 from pollenmast.entry._ports import Address
 from pollenmast.events import PEER_TOLD, EventLog
-from pollenmast.steering import Steering
+from pollenmast.steering import NOTHING_KNOWN, Position, Steering
 
 PATH = "/snapshot"
 
@@ -43,16 +43,16 @@
     ):
         self._seeds = [seed for seed in seeds if seed != own]
         self._port = own[1] if own is not None else 0
-        self._ahead: dict[str, int] = {}
+        self._ahead: dict[str, Position] = {}
         self._woken = anyio.Event()
         self._lost_track = False
         self._steering = steering
         self._follower = follower
         self._log = log
 
-    def behind(self, host: str, revision: int) -> None:
+    def behind(self, host: str, position: Position) -> None:
         """A peer knows more: it is asked for what is missing."""
-        self._ahead[host] = revision
+        self._ahead[host] = position
         self._woken.set()
 
     async def run(self) -> None:
@@ -73,8 +73,8 @@
             await self._woken.wait()
             self._woken = anyio.Event()
             while self._ahead:
-                host, revision = self._ahead.popitem()
-                if revision > self._steering.revision:
+                host, position = self._ahead.popitem()
+                if position > self._steering.position:
                     await self._ask((host, self._port))
 
     async def _ask_all(self) -> None:
@@ -84,8 +84,8 @@
 
     async def _ask(self, seed: Address) -> None:
         connection = http1.Connection(*seed)
-        after = 0 if self._lost_track else self._steering.revision
-        target = f"{PATH}?after={after}"
+        known = NOTHING_KNOWN if self._lost_track else self._steering.position
+        target = f"{PATH}?epoch={known.epoch}&after={known.revision}"
         try:
             answer = await connection.get(target, PATIENCE)
         finally:
@@ -101,9 +101,14 @@
             self._log.write(PEER_TOLD, peer=source, fault=told.err_value)
             return
         update = told.ok_value
-        if update.revision <= self._steering.revision:
+        if update.position <= self._steering.position:
             return
         # Changes of a table that this VM does not have: it asks for it all.
         self._lost_track = not self._steering.fits(update)
-        self._log.write(PEER_TOLD, peer=source, revision=update.revision)
+        self._log.write(
+            PEER_TOLD,
+            peer=source,
+            revision=update.revision,
+            epoch=update.epoch,
+        )
         self._follower.take(update, source)
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -219,6 +219,7 @@
         while True:
             await anyio.sleep(UPKEEP_S)
             self._steering.tick(anyio.current_time())
+            self._follower.settle()
             self._stream.flush()
 
 
--- a/src/pollenmast/entry/_report.py
+++ b/src/pollenmast/entry/_report.py
@@ -6,9 +6,9 @@
 import msgpack
 from result import Err, Ok, Result
 
-from pollenmast.steering import Failures, Rates
+from pollenmast.steering import Failures, Position, Rates
 
-FORMAT = 5
+FORMAT = 6
 """Number of this format; others are ignored."""
 
 MOST_ENDPOINTS = 90
@@ -57,7 +57,7 @@
         kind: What for.
         vm: Its name.
         zone: Its availability zone.
-        revision: The directory's revision up to which it knows everything.
+        position: How far it follows the directory.
         age_s: How long ago the directory said that nothing is newer.
         vms: How many VMs of its zone the rates are summed over.
         rates: Requests a second to each endpoint.
@@ -65,7 +65,7 @@
         members: VMs that it has heard from lately: the width of each one's
             link in Mbit/s, 0 if not known, by address.
         members_zone: The zone of these.
-        after: The revision that `changes` follow.
+        after: The revision of its epoch that `changes` follow.
         changes: Changes of endpoints and routes, encoded; empty if none.
         link_mbps: The width of its own link in Mbit/s, 0 if not known.
         failures: Requests that failed lately, by endpoint.
@@ -75,7 +75,7 @@
     kind: Kind
     vm: str
     zone: str
-    revision: int
+    position: Position
     age_s: float
     vms: int = 0
     rates: Rates = attrs.field(factory=dict)
@@ -111,7 +111,8 @@
         report.kind,
         report.vm,
         report.zone,
-        report.revision,
+        report.position.epoch,
+        report.position.revision,
         round(min(report.age_s * _MILLIS, MOST_AGE_MS)),
         report.vms,
         rates,
@@ -132,13 +133,13 @@
     try:
         fields = msgpack.unpackb(datagram, strict_map_key=False)
         number, kind, vm, zone, *rest = fields
-        revision, age, vms, rates, down, members, of, after, *rest = rest
-        changes, link_mbps, failures, ejected = rest
+        epoch, revision, age, vms, rates, down, members, of, *rest = rest
+        after, changes, link_mbps, failures, ejected = rest
         if number != FORMAT:
             return Err(f"format {number!r}")
         if not all(isinstance(each, str) for each in (vm, zone, of)):
             return Err("names")
-        numbers = (revision, age, vms, after, link_mbps)
+        numbers = (epoch, revision, age, vms, after, link_mbps)
         if not all(isinstance(each, int) for each in numbers):
             return Err("numbers")
         if not isinstance(changes, bytes):
@@ -148,7 +149,7 @@
                 Kind(kind),
                 vm,
                 zone,
-                revision,
+                Position(epoch, revision),
                 max(0, age) / _MILLIS,
                 vms,
                 _rates(rates),
--- a/src/pollenmast/entry/_site.py
+++ b/src/pollenmast/entry/_site.py
@@ -11,13 +11,16 @@
 from pollenmast.entry import _peers as peers
 from pollenmast.entry import _snapshot as snapshot
 from pollenmast.http1 import Answer, Request
-from pollenmast.steering import Steering
+from pollenmast.steering import NOTHING_KNOWN, Position, Steering
 
 METRICS_PATH = "/metrics"
 
 MOST_ENCODED = 8
 """Answers kept: VMs that ask together know one or two different revisions."""
 
+MOST_DIGITS = 19
+"""Digits of the longest number that is read from a question."""
+
 _NOT_FOUND = Answer(404, b"not found\n")
 _NOTHING_NEWER = Answer(204)
 
@@ -37,7 +40,7 @@
         self._counters = counters
         self._histograms = histograms
         self._stopping = False
-        self._snapshots = (0, dict[int, bytes]())
+        self._snapshots = (NOTHING_KNOWN, dict[Position, bytes]())
 
     def stop(self) -> None:
         """From now on the VM is not ready: it is about to end."""
@@ -60,21 +63,21 @@
         return Answer(503, b"not ready\n")
 
     def _snapshot(self, query: str) -> Answer:
-        after = urllib.parse.parse_qs(query).get("after", ["0"])[0]
-        known = int(after) if after.isdecimal() else 0
-        if not self._steering.ready or self._steering.revision <= known:
+        fields = urllib.parse.parse_qs(query)
+        known = Position(_count(fields, "epoch"), _count(fields, "after"))
+        if not self._steering.ready or self._steering.position <= known:
             return _NOTHING_NEWER
         return Answer(200, self._encoded(known), "application/zlib")
 
-    def _encoded(self, known: int) -> bytes:
+    def _encoded(self, known: Position) -> bytes:
         """Returns what is newer; encoded once for all VMs that ask for it.
 
         A zone's VMs learn of a change together, and ask a reader at once.
         """
-        revision, bodies = self._snapshots
-        if revision != self._steering.revision:
-            revision, bodies = self._steering.revision, {}
-            self._snapshots = (revision, bodies)
+        position, bodies = self._snapshots
+        if position != self._steering.position:
+            position, bodies = self._steering.position, {}
+            self._snapshots = (position, bodies)
         if len(bodies) >= MOST_ENCODED:
             bodies.clear()
         if known not in bodies:
@@ -85,3 +88,10 @@
         known = gauges.read(self._steering, anyio.current_time())
         body = metrics.text(self._counters, self._histograms, known)
         return Answer(200, body, metrics.CONTENT_TYPE)
+
+
+def _count(fields: dict[str, list[str]], name: str) -> int:
+    """Returns a field's whole number, 0 if it has none."""
+    text = fields.get(name, [""])[0]
+    usable = text.isascii() and text.isdecimal() and len(text) <= MOST_DIGITS
+    return int(text) if usable else 0
--- a/src/pollenmast/entry/_snapshot.py
+++ b/src/pollenmast/entry/_snapshot.py
@@ -14,11 +14,12 @@
 from result import Err, Ok, Result
 
 from pollenmast.steering import (
+    NOTHING_KNOWN,
     Change,
     Endpoint,
     EndpointAnnounced,
     EndpointRemoved,
-    Presence,
+    Position,
     Route,
     RoutesChanged,
     RoutesPublished,
@@ -31,7 +32,7 @@
     ZoneRestored,
 )
 
-FORMAT = 5
+FORMAT = 6
 """Number of this format; another one is refused, and the directory asked."""
 
 MOST_BYTES = 8 << 20
@@ -45,16 +46,26 @@
 _DRAINED, _RESTORED = 5, 6
 
 
-def encode(steering: Steering, after: int) -> bytes:
-    """Returns what this VM knows after a revision, or everything."""
-    changes = steering.journal.since(after) if after else None
+def encode(steering: Steering, after: Position = NOTHING_KNOWN) -> bytes:
+    """Returns what this VM knows after a position, or everything."""
+    changes = changes_since(steering, after)
     whole = changes is None
     if changes is None:
         changes = _everything(steering)
-    body = (FORMAT, steering.revision, whole, [_pack(c) for c in changes])
+    epoch, revision = attrs.astuple(steering.position)
+    body = (FORMAT, epoch, revision, whole, [_pack(c) for c in changes])
     return zlib.compress(msgpack.packb(body), _LEVEL)
 
 
+def changes_since(
+    steering: Steering, after: Position
+) -> tuple[Change, ...] | None:
+    """Returns every change after a position, None if some are not known."""
+    if not after.revision or after.epoch != steering.position.epoch:
+        return None
+    return steering.journal.since(after.revision)
+
+
 def decode(data: bytes) -> Result[Update, str]:
     """Returns what a peer has told, or what is wrong with it."""
     try:
@@ -62,11 +73,11 @@
         body = inflater.decompress(data, MOST_BYTES)
         if not inflater.eof:
             return Err("not whole, or too long")
-        number, revision, whole, changes = msgpack.unpackb(body)
-        if number != FORMAT or not isinstance(revision, int):
+        number, epoch, revision, whole, changes = msgpack.unpackb(body)
+        if number != FORMAT or not _are_counts(epoch, revision):
             return Err(f"format {number!r}")
         unpacked = tuple(_unpack(*each) for each in changes)
-        return Ok(Update(unpacked, revision, whole is True))
+        return Ok(Update(unpacked, revision, whole is True, epoch=epoch))
     except (
         ValueError,
         TypeError,
@@ -77,15 +88,19 @@
         return Err(f"{type(error).__name__}: {error}"[:120])
 
 
+def _are_counts(*values: Any) -> bool:
+    return all(isinstance(value, int) and value >= 0 for value in values)
+
+
 def _everything(steering: Steering) -> list[Change]:
     changes: list[Change] = [
-        EndpointAnnounced(record.endpoint, record.revision)
+        EndpointAnnounced(record.announced, record.revision)
         for record in steering.catalog.records
-        if record.presence is Presence.LISTED
+        if record.announced is not None
     ]
     changes += [
         ZoneDrained(zone, revision)
-        for zone, revision in steering.catalog.drains.zones.items()
+        for zone, revision in steering.catalog.drains.confirmed.items()
     ]
     if steering.table is not None:
         changes.append(RoutesPublished(steering.table, steering.revision))
--- a/src/pollenmast/platform/_first_read.py
+++ b/src/pollenmast/platform/_first_read.py
@@ -84,6 +84,5 @@
         epoch = read_epoch(response.headers)
         if isinstance(epoch, Err):
             return Err(DirectoryFault.MALFORMED)
-        if not self._listing.add(page, epoch.ok_value or 0):
-            return Err(DirectoryFault.MALFORMED)
-        return Ok(page)
+        added = self._listing.add(page, epoch.ok_value or 0)
+        return added.map(lambda _: page)
--- a/src/pollenmast/platform/_listing.py
+++ b/src/pollenmast/platform/_listing.py
@@ -2,14 +2,19 @@
 
 from typing import Any
 
+from result import Err, Ok, Result
+
 from pollenmast.platform._early import EVERYTHING_PATH
 from pollenmast.platform._items import read_items
-from pollenmast.steering import Update
+from pollenmast.steering import DirectoryFault, Position, Update
 
 MOST_PAGES = 1000
 """Pages read in a row; a store may give as few as 50 items in each."""
 
 
+_MALFORMED = Err(DirectoryFault.MALFORMED)
+
+
 class Listing:
     """The pages of one list, one after the other.
 
@@ -21,8 +26,7 @@
         """Takes the path of the first page, by default of everything."""
         self._path = path
         self._items: list[Any] = []
-        self._revision: int | None = None
-        self._epoch = 0
+        self._position: Position | None = None
         self._pages = 0
         self._target = path
 
@@ -31,34 +35,37 @@
         """The path of the next page, None after the last."""
         return self._target or None
 
-    def add(self, page: Any, epoch: int) -> bool:
-        """Takes in a page; returns whether it is one.
+    def add(self, page: Any, epoch: int) -> Result[None, DirectoryFault]:
+        """Takes in a page, or tells why it cannot.
 
         A list longer than `MOST_PAGES` is refused: taken as whole, it would
-        remove the endpoints beyond it.
+        remove the endpoints beyond it. So is one whose pages come from
+        different copies of the store.
 
         Args:
             page: The body of the store's answer.
             epoch: Which copy of the store has answered.
         """
         if not isinstance(page, dict):
-            return False
+            return _MALFORMED
         items, revision = page.get("items"), page.get("asOf")
         if not isinstance(items, list) or not isinstance(revision, int):
-            return False
+            return _MALFORMED
+        if self._position is None:
+            self._position = Position(epoch, revision)
+        if self._position.epoch != epoch:
+            return Err(DirectoryFault.RESTORED)
         self._items += items
         self._pages += 1
-        if self._revision is None:
-            self._revision, self._epoch = revision, epoch
         if page.get("morePages") is not True:
             self._target = ""
-            return True
+            return Ok(None)
         last = items[-1] if items else None
         key = last.get("key") if isinstance(last, dict) else None
         if not isinstance(key, str) or self._pages >= MOST_PAGES:
-            return False
+            return _MALFORMED
         self._target = _after(self._path, key)
-        return True
+        return Ok(None)
 
     @property
     def items(self) -> list[Any]:
@@ -66,21 +73,19 @@
         return self._items
 
     @property
-    def revision(self) -> int:
-        """The revision up to which the list is complete."""
-        if self._revision is None:
+    def position(self) -> Position:
+        """How far the list is complete."""
+        if self._position is None:
             raise ValueError("no page was read")
-        return self._revision
-
-    @property
-    def epoch(self) -> int:
-        """Which copy of the store has listed it."""
-        return self._epoch
+        return self._position
 
     def update(self) -> Update:
         """Returns what all pages tell; only after the last."""
         return read_items(
-            self._items, self.revision, whole=True, epoch=self._epoch
+            self._items,
+            self.position.revision,
+            whole=True,
+            epoch=self.position.epoch,
         )
 
 
--- a/src/pollenmast/platform/_store.py
+++ b/src/pollenmast/platform/_store.py
@@ -13,7 +13,13 @@
 from pollenmast.platform._items import read_items
 from pollenmast.platform._listing import Listing
 from pollenmast.platform._question import MOST_BODY_BYTES
-from pollenmast.steering import Directory, DirectoryFault, Update
+from pollenmast.steering import (
+    NOTHING_KNOWN,
+    Directory,
+    DirectoryFault,
+    Position,
+    Update,
+)
 
 READ_PATIENCE = http1.Patience(first_s=1.0, idle_s=1.0, total_s=8.0)
 """The store answers in 4 ms; a second without a byte means that it is away or
@@ -64,13 +70,11 @@
 
     Attributes:
         items: The events.
-        revision: The revision up to which they are complete.
-        epoch: Which copy of the store has answered.
+        position: How far they are complete.
     """
 
     items: list[Any]
-    revision: int
-    epoch: int
+    position: Position
 
 
 class StoreDirectory(Directory):
@@ -85,84 +89,114 @@
         self._watcher = http1.Connection(address, port, MOST_BODY_BYTES)
         self._counters = counters
 
-    async def read(self) -> Result[Update, DirectoryFault]:
+    async def read(
+        self, known: Position = NOTHING_KNOWN
+    ) -> Result[Update, DirectoryFault]:
         """Returns everything that is published now."""
-        listed = await self._list(Listing())
+        listed = await self._list(Listing(), known)
         return listed.map(Listing.update)
 
-    async def catch_up(self, after: int) -> Result[Update, DirectoryFault]:
-        """Returns changes after a revision, with the latest configuration."""
-        listed = await self._list(Listing(_OPERATORS_PATH))
+    async def catch_up(self, after: Position) -> Result[Update, DirectoryFault]:
+        """Returns changes after a position, with the latest configuration."""
+        listed = await self._list(Listing(_OPERATORS_PATH), after)
         if isinstance(listed, Err):
             return listed
         operators = listed.ok_value
+        if operators.position.epoch != after.epoch:
+            return self._refuse(DirectoryFault.RESTORED)
         # Asked after the list, so that together they are complete up to its
         # revision.
         target = _watch_target(ENDPOINT_PREFIX, after, 0.0)
-        events = await self._events(target, READ_PATIENCE, None)
+        events = await self._events(target, after, READ_PATIENCE)
         if isinstance(events, Err):
             return events
         update = read_items(
             [*operators.items, *events.ok_value.items],
-            operators.revision,
+            operators.position.revision,
             whole=False,
             all_drains=True,
-            epoch=operators.epoch,
+            epoch=operators.position.epoch,
         )
         return Ok(update)
 
     async def watch(
-        self, after: int, wait_s: float
+        self, after: Position, wait_s: float
     ) -> Result[Update, DirectoryFault]:
-        """Returns what changed after a revision, or nothing in time."""
+        """Returns what changed after a position, or nothing in time."""
         first_s = wait_s + WATCH_MARGIN_S
         patience = http1.Patience(
             first_s, WATCH_IDLE_S, first_s + WATCH_TOTAL_S
         )
         target = _watch_target(_EVERYTHING, after, wait_s)
-        events = await self._events(target, patience, MOST_WATCH_BYTES)
+        events = await self._events(target, after, patience, MOST_WATCH_BYTES)
         if isinstance(events, Err):
             return events
-        told = events.ok_value
+        position = events.ok_value.position
         return Ok(
-            read_items(told.items, told.revision, whole=False, epoch=told.epoch)
+            read_items(
+                events.ok_value.items,
+                position.revision,
+                whole=False,
+                epoch=position.epoch,
+            )
         )
 
-    async def _list(self, listing: Listing) -> Result[Listing, DirectoryFault]:
+    async def _list(
+        self, listing: Listing, known: Position
+    ) -> Result[Listing, DirectoryFault]:
         """Reads all pages of a list."""
         while (target := listing.target) is not None:
-            answer = await self._get(self._reader, target, READ_PATIENCE)
+            answer = await self._get(
+                self._reader, target, known.epoch, READ_PATIENCE
+            )
             if isinstance(answer, Err):
                 return answer
             page = answer.ok_value
-            if not listing.add(page.body, page.epoch):
-                return self._malformed()
+            added = listing.add(page.body, page.epoch)
+            if isinstance(added, Err):
+                return self._refuse(added.err_value)
+        if listing.position < known:
+            return self._refuse(DirectoryFault.STALE)
         return Ok(listing)
 
     async def _events(
-        self, target: str, patience: http1.Patience, most: int | None
+        self,
+        target: str,
+        after: Position,
+        patience: http1.Patience,
+        most: int | None = None,
     ) -> Result[_Events, DirectoryFault]:
-        """Returns a watch's events."""
-        answer = await self._get(self._watcher, target, patience, most)
+        """Returns a watch's events.
+
+        A restored store may by now have a revision of the number that is
+        watched from. What it has written up to there would be missing, so
+        events of another epoch are of no use.
+        """
+        answer = await self._get(
+            self._watcher, target, after.epoch, patience, most
+        )
         if isinstance(answer, Err):
             return answer
         body = answer.ok_value.body
-        events = body.get("events")
-        if not isinstance(events, list):
-            return self._malformed()
-        revision = body.get("asOf")
-        if not isinstance(revision, int):
-            return self._malformed()
-        return Ok(_Events(events, revision, answer.ok_value.epoch))
-
-    def _malformed(self) -> Err[DirectoryFault]:
-        self._counters.add(PLATFORM_CALLS, "malformed")
-        return Err(DirectoryFault.MALFORMED)
+        events, revision = body.get("events"), body.get("asOf")
+        if not isinstance(events, list) or not isinstance(revision, int):
+            return self._refuse(DirectoryFault.MALFORMED)
+        position = Position(answer.ok_value.epoch, revision)
+        if position < after:
+            return self._refuse(DirectoryFault.STALE)
+        if position.epoch != after.epoch:
+            return self._refuse(DirectoryFault.RESTORED)
+        return Ok(_Events(events, position))
+
+    def _refuse(self, fault: DirectoryFault) -> Err[DirectoryFault]:
+        self._counters.add(PLATFORM_CALLS, fault)
+        return Err(fault)
 
     async def _get(
         self,
         connection: http1.Connection,
         target: str,
+        known_epoch: int,
         patience: http1.Patience,
         most: int | None = None,
     ) -> Result[_Answer, DirectoryFault]:
@@ -173,8 +207,7 @@
         )
         if isinstance(response, Err):
             if response.err_value in _TOO_LONG:
-                self._counters.add(PLATFORM_CALLS, "too_long")
-                return Err(DirectoryFault.TOO_LONG)
+                return self._refuse(DirectoryFault.TOO_LONG)
             self._counters.add(PLATFORM_CALLS, "failed")
             return Err(DirectoryFault.UNREACHABLE)
         if response.ok_value.status != 200:
@@ -183,17 +216,19 @@
         try:
             body = json.loads(response.ok_value.body)
         except (ValueError, RecursionError):
-            return self._malformed()
+            return self._refuse(DirectoryFault.MALFORMED)
         epoch = read_epoch(response.ok_value.headers)
         if not isinstance(body, dict) or isinstance(epoch, Err):
-            return self._malformed()
+            return self._refuse(DirectoryFault.MALFORMED)
         self._counters.add(PLATFORM_CALLS, "answered")
-        return Ok(_Answer(body, epoch.ok_value or 0))
+        named = epoch.ok_value
+        return Ok(_Answer(body, known_epoch if named is None else named))
 
 
-def _watch_target(prefix: str, after: int, wait_s: float) -> str:
+def _watch_target(prefix: str, after: Position, wait_s: float) -> str:
     wait_ms = int(wait_s * 1000)
-    return f"/kv-watch?prefix={prefix}&after={after}&waitMs={wait_ms}"
+    query = f"prefix={prefix}&after={after.revision}&waitMs={wait_ms}"
+    return f"/kv-watch?{query}"
 
 
 def _fault(status: int) -> DirectoryFault:
--- a/src/pollenmast/steering/__init__.py
+++ b/src/pollenmast/steering/__init__.py
@@ -2,6 +2,7 @@
 
 from pollenmast.steering._catalog import Catalog
 from pollenmast.steering._changes import (
+    NOTHING_KNOWN,
     Change,
     Directory,
     DirectoryFault,
@@ -30,10 +31,12 @@
 )
 from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
 from pollenmast.steering._outliers import Failures, Outliers
+from pollenmast.steering._position import Position
 from pollenmast.steering._reach import Reach
 from pollenmast.steering._record import Presence, Record
 
 __all__ = [
+    "NOTHING_KNOWN",
     "Applied",
     "Catalog",
     "Change",
@@ -55,6 +58,7 @@
     "Members",
     "Outcome",
     "Outliers",
+    "Position",
     "Presence",
     "Rates",
     "Reach",
--- a/src/pollenmast/steering/_catalog.py
+++ b/src/pollenmast/steering/_catalog.py
@@ -10,6 +10,9 @@
 """
 
 import functools
+from collections.abc import Iterable
+
+import attrs
 
 from pollenmast.steering._changes import (
     EndpointAnnounced,
@@ -19,7 +22,8 @@
     ZoneRestored,
 )
 from pollenmast.steering._drains import Drains
-from pollenmast.steering._model import Warmup
+from pollenmast.steering._model import Endpoint, Warmup
+from pollenmast.steering._position import EARLIER_EPOCH
 from pollenmast.steering._record import Presence, Record
 from pollenmast.steering._watchlist import Watchlist
 
@@ -32,6 +36,12 @@
 to it: flows are at most a minute old."""
 
 
+RESTORE_SETTLE_S = 3.0
+"""How long what was known before the directory was restored goes before what
+its copy lists, in seconds: endpoints write their entries again with their next
+heartbeat."""
+
+
 class Catalog:
     """The endpoints by name, token and service."""
 
@@ -43,6 +53,7 @@
         self._lapsed: dict[str, Record] = {}
         self._drains = Drains()
         self._confirmed_at = float("-inf")
+        self._settles_at: float | None = None
 
     @property
     def records(self) -> list[Record]:
@@ -128,9 +139,31 @@
                     changed += self._remove(name, update.revision, now)
         return changed
 
+    def begin_epoch(self, now: float) -> None:
+        """The directory was restored: what is known is older than its news."""
+        self._settles_at = now + RESTORE_SETTLE_S
+        self._drains.begin_epoch()
+        for record in self._records.values():
+            record.revision = EARLIER_EPOCH
+            record.listed = None
+
+    def settle(self, now: float) -> tuple[list[Record], list[ZoneRestored]]:
+        """Takes the directory's word where an earlier epoch's still held.
+
+        Returns:
+            The endpoints and the zones that are in service again by it.
+        """
+        if self._settles_at is None or now < self._settles_at:
+            return [], []
+        self._settles_at = None
+        listed = [r for r in self._records.values() if r.listed is not None]
+        for record in listed:
+            self._list(record, record.listed, now)
+        return listed, self._drains.settle()
+
     def cool(
         self,
-        zones: list[ZoneDrained | ZoneRestored],
+        zones: Iterable[ZoneDrained | ZoneRestored],
         warmups: dict[str, Warmup],
         now: float,
     ) -> None:
@@ -186,16 +219,39 @@
             return [record]
         if change.revision <= record.revision:
             return []
+        held = self._is_held(record, endpoint)
+        record.revision = change.revision
+        if held:
+            record.endpoint = attrs.evolve(
+                endpoint, draining=record.endpoint.draining
+            )
+            record.listed = endpoint
+            return []
         same = record.endpoint == endpoint
         back = record.presence is not Presence.LISTED
-        record.endpoint = endpoint
-        record.revision = change.revision
-        record.presence = Presence.LISTED
         if same and not back:
+            record.listed = None
             return []
+        self._list(record, endpoint, now)
+        return [record]
+
+    def _is_held(self, record: Record, endpoint: Endpoint) -> bool:
+        """Whether a restored directory lists what had left by then.
+
+        Its copy may be older than the endpoint's end: taken at its word, it
+        would bring back new flows to where they may no longer go.
+        """
+        if record.revision != EARLIER_EPOCH or self._settles_at is None:
+            return False
+        drained = record.endpoint.draining and not endpoint.draining
+        return drained or self.is_missing(record)
+
+    def _list(self, record: Record, endpoint: Endpoint, now: float) -> None:
+        record.endpoint = endpoint
+        record.listed = None
+        record.presence = Presence.LISTED
         record.announced_at = now
         self._watchlist.add(record)
-        return [record]
 
     def _remove(self, name: str, revision: int, now: float) -> list[Record]:
         record = self._records.get(name)
@@ -204,6 +260,7 @@
         if revision < record.revision:
             return []
         record.revision = revision
+        record.listed = None
         if record.presence is not Presence.LISTED:
             return []
         record.presence = Presence.LAPSED
--- a/src/pollenmast/steering/_changes.py
+++ b/src/pollenmast/steering/_changes.py
@@ -7,6 +7,10 @@
 from result import Result
 
 from pollenmast.steering._model import Endpoint, Route, RouteTable, Warmup
+from pollenmast.steering._position import Position
+
+NOTHING_KNOWN = Position()
+"""Before the first answer."""
 
 
 class DirectoryFault(str, enum.Enum):
@@ -20,6 +24,13 @@
     TOO_LONG = "too_long"
     """There is more news than is worth its transfer."""
 
+    RESTORED = "restored"
+    """The directory was restored from a copy: what it tells does not follow
+    from what was known."""
+
+    STALE = "stale"
+    """The answer is older than what was known before the question."""
+
 
 @attrs.frozen
 class EndpointAnnounced:
@@ -188,23 +199,34 @@
     all_drains: bool = False
     epoch: int = 0
 
+    @property
+    def position(self) -> Position:
+        """How far it is complete."""
+        return Position(self.epoch, self.revision)
+
 
 class Directory(abc.ABC):
     """Where endpoints and routes are published; it can only be read."""
 
     @abc.abstractmethod
-    async def read(self) -> Result[Update, DirectoryFault]:
-        """Returns everything that is published now."""
+    async def read(
+        self, known: Position = NOTHING_KNOWN
+    ) -> Result[Update, DirectoryFault]:
+        """Returns everything that is published now.
+
+        Args:
+            known: What is known already; an older answer is refused.
+        """
 
     @abc.abstractmethod
     async def watch(
-        self, after: int, wait_s: float
+        self, after: Position, wait_s: float
     ) -> Result[Update, DirectoryFault]:
-        """Returns what changed after a revision, or nothing in time."""
+        """Returns what changed after a position, or nothing in time."""
 
     @abc.abstractmethod
-    async def catch_up(self, after: int) -> Result[Update, DirectoryFault]:
-        """Returns changes after a revision, with the latest configuration.
+    async def catch_up(self, after: Position) -> Result[Update, DirectoryFault]:
+        """Returns changes after a position, with the latest configuration.
 
         Configurations in between are left out, so that its length does not
         grow with their number.
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Sequence
 
 import attrs
 
@@ -18,9 +19,6 @@
 )
 from pollenmast.steering._catalog import Catalog
 from pollenmast.steering._changes import (
-    Change,
-    RoutesChanged,
-    RoutesPublished,
     Update,
     ZoneDrained,
     ZoneRestored,
@@ -36,8 +34,10 @@
 from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
 from pollenmast.steering._outliers import Outliers
 from pollenmast.steering._placement import Placed, Placement, Unplaced
+from pollenmast.steering._position import Position
 from pollenmast.steering._reach import Reach
 from pollenmast.steering._record import Presence, Record
+from pollenmast.steering._routes import RouteBook
 
 CURRENT_S = 2.5
 """How old a confirmed view may be to say that something does not exist, in
@@ -94,8 +94,8 @@
             zone, self._catalog, self._load, rng, self._cold_limit
         )
         self._journal = Journal()
-        self._table: RouteTable | None = None
-        self._revision = 0
+        self._routes = RouteBook()
+        self._position = Position()
         self._confirmed_at = float("-inf")
         self._returned_at = float("-inf")
 
@@ -142,17 +142,22 @@
     @property
     def table(self) -> RouteTable | None:
         """The configuration in force."""
-        return self._table
+        return self._routes.table
+
+    @property
+    def position(self) -> Position:
+        """How far the beliefs follow the directory."""
+        return self._position
 
     @property
     def revision(self) -> int:
         """The directory's revision that the beliefs are complete up to."""
-        return self._revision
+        return self._position.revision
 
     @property
     def ready(self) -> bool:
         """Whether routes and endpoints are known."""
-        return self._table is not None and bool(self._catalog.records)
+        return self.table is not None and bool(self._catalog.records)
 
     @property
     def serves(self) -> bool:
@@ -183,42 +188,45 @@
         self._catalog.extend_lapses(now)
 
     def fits(self, update: Update) -> bool:
-        """Whether an update follows from what this VM knows."""
-        version = self._table.version if self._table is not None else None
-        for change in update.changes:
-            if isinstance(change, RoutesPublished):
-                version = max(version or 0, change.table.version)
-            elif isinstance(change, RoutesChanged):
-                if version is not None and change.version <= version:
-                    continue
-                if change.base != version:
-                    return False
-                version = change.version
-        return True
+        """Whether an update follows from what this VM knows.
+
+        Of another epoch only a list of everything can be taken, and none of
+        an earlier one.
+        """
+        if update.epoch != self._position.epoch:
+            return update.whole and update.epoch > self._position.epoch
+        return self._routes.fits(update.changes)
 
     def apply(self, update: Update, now: float) -> Applied:
         """Takes in what the directory, or a peer, told."""
         if not self.fits(update):
             return Applied([], None)
-        before = self._table
-        changes = [self._take(change) for change in update.changes]
+        if update.epoch > self._position.epoch:
+            self._catalog.begin_epoch(now)
+        before = self.table
+        changes = [self._routes.take(change) for change in update.changes]
         zones = self._catalog.drains.apply(update)
-        if self._table is not None and self._table is not before:
-            self._placement.set_warmups(self._table.warmups)
-        if self._table is not None:
-            self._catalog.cool(zones, self._table.warmups, now)
+        table = self.table if self.table is not before else None
+        if table is not None:
+            self._placement.set_warmups(table.warmups)
+        self._cool(zones, now)
         records = self._catalog.apply(update, now)
         lapsed = [r for r in records if r.presence is Presence.LAPSED]
         self._doubts.on_lapsed(lapsed, now)
-        if update.revision > self._revision:
+        if update.position > self._position:
             implied = [zone for zone in zones if zone not in update.changes]
             told = tuple(c for c in (*changes, *implied) if c is not None)
             kept = Update(told, update.revision, update.whole)
-            self._journal.add(kept, self._revision)
-            self._revision = update.revision
-        table = self._table if self._table is not before else None
+            self._journal.add(kept, self._position.revision)
+            self._position = update.position
         return Applied(records, table, zones)
 
+    def settle(self, now: float) -> Applied:
+        """Takes a restored directory's word once its writers had time."""
+        records, zones = self._catalog.settle(now)
+        self._cool(zones, now)
+        return Applied(records, None, list(zones))
+
     def on_segment(self, segment: Segment, now: float) -> Outcome:
         """Decides what becomes of a client's segment."""
         outcome = self._decide(segment, now)
@@ -255,21 +263,11 @@
         self._doubts.ask_overdue(now)
         self._learner.look(now)
 
-    def _take(self, change: Change) -> Change | None:
-        """Takes in a configuration; returns a change as peers are told it."""
-        old = self._table
-        if isinstance(change, RoutesPublished):
-            if old is not None and change.table.version <= old.version:
-                return None
-            self._table = change.table
-            if old is None:
-                return change
-            return RoutesChanged.between(old, change.table, change.revision)
-        if isinstance(change, RoutesChanged):
-            if old is None or change.base != old.version:
-                return None
-            self._table = change.apply(old)
-        return change
+    def _cool(
+        self, zones: Sequence[ZoneDrained | ZoneRestored], now: float
+    ) -> None:
+        if self.table is not None:
+            self._catalog.cool(zones, self.table.warmups, now)
 
     def _decide(self, segment: Segment, now: float) -> Outcome:
         if segment.syn:
@@ -300,7 +298,7 @@
         route = self._route(segment)
         current = self.age_s(now) < CURRENT_S
         if route is None:
-            if self._table is None or not current:
+            if self.table is None or not current:
                 return Drop(DropReason.NO_ROUTE_YET)
             return self._reset(segment, ResetReason.NO_ROUTE)
         flow = self._flows.get(segment.flow)
@@ -356,10 +354,10 @@
         return Drop(DropReason.NO_ENDPOINT_YET)
 
     def _route(self, segment: Segment) -> Route | None:
-        if self._table is None:
+        if self.table is None:
             return None
         flow = segment.flow
-        return self._table.routes.get((flow.service_host, flow.service_port))
+        return self.table.routes.get((flow.service_host, flow.service_port))
 
     def _doubt(self, name: str, now: float) -> None:
         record = self._catalog.get(name)
--- a/src/pollenmast/steering/_drains.py
+++ b/src/pollenmast/steering/_drains.py
@@ -6,6 +6,7 @@
 import attrs
 
 from pollenmast.steering._changes import Update, ZoneDrained, ZoneRestored
+from pollenmast.steering._position import EARLIER_EPOCH
 
 MOST_ZONES = 1024
 """Zones remembered, drained or restored; beyond that the oldest restored ones
@@ -33,6 +34,30 @@
             if state.drained
         }
 
+    @property
+    def confirmed(self) -> dict[str, int]:
+        """The drained zones that the directory's present epoch has told."""
+        return {
+            zone: revision
+            for zone, revision in self.zones.items()
+            if revision != EARLIER_EPOCH
+        }
+
+    def begin_epoch(self) -> None:
+        """The directory was restored: what is known is older than its news.
+
+        Drains stay in force until they are confirmed or `settle` ends them: a
+        copy may lack one that the operator has not yet written again.
+        """
+        self._zones = {zone: _State(True, EARLIER_EPOCH) for zone in self.zones}
+
+    def settle(self) -> list[ZoneRestored]:
+        """Ends the drains that the present epoch has not confirmed."""
+        unconfirmed = self.zones.keys() - self.confirmed.keys()
+        for zone in unconfirmed:
+            del self._zones[zone]
+        return [ZoneRestored(zone, EARLIER_EPOCH) for zone in unconfirmed]
+
     def is_drained(self, zone: str) -> bool:
         """Whether new flows are kept away from a zone."""
         state = self._zones.get(zone)
@@ -55,7 +80,7 @@
             listed.update(update.unclear_zones)
             changes += [
                 ZoneRestored(zone, update.revision)
-                for zone in self.zones
+                for zone in self.confirmed
                 if zone not in listed
             ]
         return [change for change in changes if self._take(change)]
--- a/src/pollenmast/steering/_record.py
+++ b/src/pollenmast/steering/_record.py
@@ -31,6 +31,8 @@
         presence: How surely it exists.
         lapsed_at: When its entry vanished.
         cold_until: Until when it is cold whatever it has announced.
+        listed: What a restored directory lists of it, while what was known
+            before the restore goes first; else None.
         health: What passed by.
     """
 
@@ -40,8 +42,16 @@
     presence: Presence = Presence.LISTED
     lapsed_at: float = 0.0
     cold_until: float = float("-inf")
+    listed: Endpoint | None = None
     health: Health = attrs.field(factory=Health)
 
+    @property
+    def announced(self) -> Endpoint | None:
+        """What the directory lists of it now, None if nothing."""
+        if self.listed is not None:
+            return self.listed
+        return self.endpoint if self.presence is Presence.LISTED else None
+
     def is_cold(self, now: float) -> bool:
         """Whether it still warms up."""
         announced_until = self.announced_at + self.endpoint.warm_in_s
--- a/tests/entry_pause_test.py
+++ b/tests/entry_pause_test.py
@@ -12,6 +12,7 @@
 from pollenmast.steering import (
     EndpointAnnounced,
     EndpointRemoved,
+    Position,
     Presence,
     Route,
     RoutesPublished,
@@ -58,7 +59,7 @@
     def test_round_trip(self):
         """The peer knows the same endpoints and routes."""
         known = group.steering(group.endpoint(1), group.endpoint(2))
-        update = snapshot.decode(snapshot.encode(known, 0)).ok_value
+        update = snapshot.decode(snapshot.encode(known)).ok_value
         learner = group.steering()
         learner.apply(update, 1.0)
         self.assertEqual(known.revision, learner.revision)
@@ -72,7 +73,9 @@
         learner = group.steering(group.endpoint(1), group.endpoint(2))
         removed = EndpointRemoved(group.endpoint(1).name, 11)
         known.apply(Update((removed,), 11), 1.0)
-        update = snapshot.decode(snapshot.encode(known, 10)).ok_value
+        update = snapshot.decode(
+            snapshot.encode(known, Position(0, 10))
+        ).ok_value
         self.assertEqual(((removed,), False), (update.changes, update.whole))
         learner.apply(update, 1.0)
         self.assertEqual(11, learner.revision)
@@ -89,7 +92,7 @@
         learner = group.steering(group.endpoint(1), routes=_routes(1, 240))
         published = RoutesPublished(_routes(2, 1080), 11)
         known.apply(Update((published,), 11), 1.0)
-        told = snapshot.encode(known, 10)
+        told = snapshot.encode(known, Position(0, 10))
         self.assertLess(15 * len(told), 312_000)
         learner.apply(snapshot.decode(told).ok_value, 1.0)
         self.assertEqual(known.table, learner.table)
@@ -106,7 +109,7 @@
         known = group.steering(group.endpoint(1), group.endpoint(2))
         changed = EndpointAnnounced(group.endpoint(3), 11)
         known.apply(Update((changed,), 11), 1.0)
-        told = snapshot.encode(known, after)
+        told = snapshot.encode(known, Position(0, after))
         for length in range(len(told)):
             self.assertTrue(snapshot.decode(told[:length]).is_err())
 
@@ -120,13 +123,13 @@
         learner = group.steering(group.endpoint(1), routes=many)
         published = RoutesPublished(_routes(2, 301), 11)
         known.apply(Update((published,), 11), 1.0)
-        told = snapshot.encode(known, 10)
+        told = snapshot.encode(known, Position(0, 10))
         self.assertLess(len(told), 300)
         learner.apply(snapshot.decode(told).ok_value, 1.0)
         self.assertEqual(known.table, learner.table)
         gone = RoutesPublished(_routes(3, 200), 12)
         known.apply(Update((gone,), 12), 1.0)
-        told = snapshot.decode(snapshot.encode(known, 11)).ok_value
+        told = snapshot.decode(snapshot.encode(known, Position(0, 11))).ok_value
         learner.apply(told, 1.0)
         self.assertEqual(200, len(learner.table.routes))
         self.assertEqual(3, learner.table.version)
@@ -141,11 +144,11 @@
         learner = group.steering(group.endpoint(1), routes=_routes(1, 4))
         published = RoutesPublished(_routes(7, 6), 11)
         known.apply(Update((published,), 11), 1.0)
-        told = snapshot.decode(snapshot.encode(known, 10)).ok_value
+        told = snapshot.decode(snapshot.encode(known, Position(0, 10))).ok_value
         self.assertFalse(learner.fits(told))
         learner.apply(told, 1.0)
         self.assertEqual((1, 10), (learner.table.version, learner.revision))
-        whole = snapshot.decode(snapshot.encode(known, 0)).ok_value
+        whole = snapshot.decode(snapshot.encode(known)).ok_value
         self.assertTrue(learner.fits(whole))
         learner.apply(whole, 1.0)
         self.assertEqual(known.table, learner.table)
@@ -157,7 +160,7 @@
         published = RoutesPublished(_routes(2, 5), 11)
         known.apply(Update((published,), 11), 1.0)
         learner.apply(Update((published,), 11), 1.0)
-        told = snapshot.decode(snapshot.encode(known, 10)).ok_value
+        told = snapshot.decode(snapshot.encode(known, Position(0, 10))).ok_value
         self.assertTrue(learner.fits(told))
         learner.apply(told, 1.0)
         self.assertEqual(known.table, learner.table)
@@ -168,7 +171,9 @@
         for revision in range(11, 20 + MOST_CHANGES):
             changed = EndpointAnnounced(group.endpoint(2), revision)
             known.apply(Update((changed,), revision), 1.0)
-        update = snapshot.decode(snapshot.encode(known, 10)).ok_value
+        update = snapshot.decode(
+            snapshot.encode(known, Position(0, 10))
+        ).ok_value
         self.assertTrue(update.whole)
         self.assertEqual(3, len(update.changes))
 
--- a/tests/entry_report_test.py
+++ b/tests/entry_report_test.py
@@ -20,14 +20,17 @@
 from pollenmast.entry import _report as reports
 from pollenmast.entry._pause import PauseWatch
 from pollenmast.entry._report import Kind, Report
-from pollenmast.steering import CheckResult
+from pollenmast.steering import (
+    CheckResult,
+    Position,
+)
 from tests import steering_group as group
 
 REPORT = Report(
     Kind.ASK,
     "vm-2",
     group.ZONE,
-    12,
+    Position(0, 12),
     0.25,
     1,
     {1: 2.5},
@@ -56,7 +59,15 @@
         many = {n << 30: float(n) for n in range(1, 1000)}
         named = {f"10.10.10.{n}": 100_000 for n in range(99)}
         told = Report(
-            Kind.ANSWER, "v", "z", 1, 9e9, 99, many, tuple(many), named
+            Kind.ANSWER,
+            "v",
+            "z",
+            Position(1, 1),
+            9e9,
+            99,
+            many,
+            tuple(many),
+            named,
         )
         data = reports.encode(told)
         self.assertLess(len(data), 2 * 1400)
@@ -82,7 +93,8 @@
         """Well-formed msgpack of the wrong shape raises nothing."""
         try:
             data = msgpack.packb(
-                [3, 1, "vm", "z", 1, 0, 1, value, value, value, "z", 1, b""]
+                [reports.FORMAT, 1, "vm", "z", 1, 1, 0, 1]
+                + [value, value, value, "z", 1, b"", 0, value, value]
             )
         except (OverflowError, ValueError):
             return
@@ -166,15 +178,15 @@
         The VM would go on with an old configuration until its own timeout;
         it asks that peer at once.
         """
-        self._take(1.0, revision=99)
-        self.assertEqual([("127.0.0.2", 99)], self.peers.ahead)
+        self._take(1.0, position=Position(0, 99))
+        self.assertEqual([("127.0.0.2", Position(0, 99))], self.peers.ahead)
 
     @parameterized.expand(
         [("as_far", 10, 0.8), ("behind", 9, 5.0), ("ahead", 11, 5.0)]
     )
     def test_confirmed(self, _, revision, age_s):
         """A peer that knows as much vouches for its age, no other does."""
-        self._take(5.0, revision=revision, age_s=0.8)
+        self._take(5.0, position=Position(0, revision), age_s=0.8)
         self.assertEqual(age_s, round(self.core.age_s(5.0), 3))
 
     @parameterized.expand([("all_named", 40, True), ("cut_off", 200, False)])
--- a/tests/platform_store_test.py
+++ b/tests/platform_store_test.py
@@ -13,6 +13,7 @@
     DirectoryFault,
     EndpointAnnounced,
     EndpointRemoved,
+    Position,
     Presence,
 )
 from standins.store import PAGE_ITEMS, Fault
@@ -115,7 +116,8 @@
     """What is told of changes."""
 
     def _watch(self, after: int):
-        return self.run_main(lambda: self.directory.watch(after, WATCH_S))
+        position = Position(self.store.epoch, after)
+        return self.run_main(lambda: self.directory.watch(position, WATCH_S))
 
     def test_removed(self):
         """A removal names the endpoint."""
--- a/tests/steering_cold_limit_test.py
+++ b/tests/steering_cold_limit_test.py
@@ -12,6 +12,7 @@
     ColdLimit,
     Endpoint,
     Forward,
+    Position,
     Reset,
     RoutesPublished,
     RouteTable,
@@ -261,6 +262,8 @@
         known, learner = self.core(), self.core()
         changed = RoutesPublished(_table(2, STEADY), 11)
         known.apply(Update((changed,), 11), 1.0)
-        told = snapshot.decode(snapshot.encode(known, after)).ok_value
+        told = snapshot.decode(
+            snapshot.encode(known, Position(0, after))
+        ).ok_value
         learner.apply(told, 1.0)
         self.assertEqual({"registry": STEADY}, learner.table.warmups)
--- a/tests/steering_drains_test.py
+++ b/tests/steering_drains_test.py
@@ -12,6 +12,7 @@
     CheckResult,
     EndpointAnnounced,
     Forward,
+    Position,
     Reset,
     Update,
     ZoneDrained,
@@ -198,7 +199,9 @@
         """Peers tell drains with everything and with the latest changes."""
         known, learner = group.steering(NEAR, FAR), group.steering(NEAR, FAR)
         _drain(known)
-        told = snapshot.decode(snapshot.encode(known, after)).ok_value
+        told = snapshot.decode(
+            snapshot.encode(known, Position(0, after))
+        ).ok_value
         learner.apply(told, 2.0)
         self.assertEqual({group.ZONE: 11}, learner.catalog.drains.zones)
 
@@ -208,7 +211,7 @@
         for core in (known, learner):
             _drain(core)
         _restore(known)
-        told = snapshot.decode(snapshot.encode(known, 11)).ok_value
+        told = snapshot.decode(snapshot.encode(known, Position(0, 11))).ok_value
         learner.apply(told, 2.0)
         self.assertEqual({}, learner.catalog.drains.zones)
 
--- a/tests/steering_group.py
+++ b/tests/steering_group.py
@@ -45,11 +45,13 @@
     return RouteTable(version, {(VIP, PORT): route}, paths, 15.0)
 
 
-def listing(*endpoints: Endpoint, revision: int = 10, routes=None) -> Update:
+def listing(
+    *endpoints: Endpoint, revision: int = 10, routes=None, epoch: int = 0
+) -> Update:
     """Returns a whole list of endpoints and a configuration."""
     changes = [EndpointAnnounced(each, revision) for each in endpoints]
     published = RoutesPublished(routes or table(), revision)
-    return Update((published, *changes), revision, whole=True)
+    return Update((published, *changes), revision, whole=True, epoch=epoch)
 
 
 def flow(number: int = 1) -> FlowKey:
@@ -95,10 +97,14 @@
 
 
 def steering(
-    *endpoints: Endpoint, now: float = 0.0, zone=ZONE, routes=None
+    *endpoints: Endpoint,
+    now: float = 0.0,
+    zone=ZONE,
+    routes=None,
+    epoch: int = 0,
 ) -> Steering:
     """Returns the beliefs of a VM that has read a list."""
     core = Steering(zone, Counters(), random.Random(1))
-    core.apply(listing(*endpoints, routes=routes), now)
+    core.apply(listing(*endpoints, routes=routes, epoch=epoch), now)
     core.on_confirmed(now)
     return core
--- a/tests/steering_outliers_test.py
+++ b/tests/steering_outliers_test.py
@@ -9,7 +9,11 @@
 
 from pollenmast.counters import Counters
 from pollenmast.entry._report import Kind, Report, decode, encode
-from pollenmast.steering import Forward, Steering
+from pollenmast.steering import (
+    Forward,
+    Position,
+    Steering,
+)
 from pollenmast.steering._lengths import (
     LEAST_ANSWERS,
     MOST_ROUTES,
@@ -240,7 +244,13 @@
     def test_told(self):
         """Failures and outliers travel with reports."""
         report = Report(
-            Kind.ASK, "a", "z", 5, 0.0, failures={7: 3}, ejected=(9,)
+            Kind.ASK,
+            "a",
+            "z",
+            Position(1, 5),
+            0.0,
+            failures={7: 3},
+            ejected=(9,),
         )
         told = decode(encode(report)).ok_value
         self.assertEqual({7: 3}, told.failures)
@@ -254,12 +264,16 @@
     )
     def test_absurd(self, _, failures, believed):
         """One VM is believed only so much."""
-        report = Report(Kind.ASK, "a", "z", 5, 0.0, failures=failures)
+        report = Report(
+            Kind.ASK, "a", "z", Position(1, 5), 0.0, failures=failures
+        )
         told = decode(encode(report)).ok_value
         self.assertEqual({7: believed}, told.failures)
 
     def test_too_many(self):
         """A report of thousands of failures is none."""
         failures = dict.fromkeys(range(5000), 1)
-        report = Report(Kind.ASK, "a", "z", 5, 0.0, failures=failures)
+        report = Report(
+            Kind.ASK, "a", "z", Position(1, 5), 0.0, failures=failures
+        )
         self.assertTrue(decode(encode(report)).is_err())
--- a/tests/store_group.py
+++ b/tests/store_group.py
@@ -110,7 +110,7 @@
             join: Called at news, if the VM leaves watching to others.
             known: Whether everything has just been read.
         """
-        core = group.steering()
+        core = group.steering(epoch=self.store.epoch)
         follower = Follower(
             self.directory,
             core,
