--- a/tests/entry_report_test.py
+++ b/tests/entry_report_test.py
@@ -30,7 +30,7 @@
     Kind.ASK,
     "vm-2",
     group.ZONE,
-    Position(0, 12),
+    Position(1, 12),
     0.25,
     1,
     {1: 2.5},
@@ -104,9 +104,13 @@
 class _Peers:
     def __init__(self):
         self.ahead = []
+        self.bodies = []
 
-    def behind(self, host, revision):
-        self.ahead.append((host, revision))
+    def behind(self, host, position):
+        self.ahead.append((host, position))
+
+    def told(self, body, host):
+        self.bodies.append(body)
 
 
 class GossipTest(TestCase):
@@ -115,7 +119,9 @@
     def setUp(self):
         """Makes the gossip of one VM."""
         super().setUp()
-        self.core = group.steering(group.endpoint(1), group.endpoint(2))
+        self.core = group.steering(
+            group.endpoint(1), group.endpoint(2), epoch=1
+        )
         self.peers = _Peers()
         self.counters = Counters()
         self.gossip = self._gossip()
@@ -178,17 +184,33 @@
         The VM would go on with an old configuration until its own timeout;
         it asks that peer at once.
         """
-        self._take(1.0, position=Position(0, 99))
-        self.assertEqual([("127.0.0.2", Position(0, 99))], self.peers.ahead)
+        self._take(1.0, position=Position(1, 99))
+        self.assertEqual([("127.0.0.2", Position(1, 99))], self.peers.ahead)
 
     @parameterized.expand(
-        [("as_far", 10, 0.8), ("behind", 9, 5.0), ("ahead", 11, 5.0)]
+        [
+            ("as_far", Position(1, 10), 0.8),
+            ("behind", Position(1, 9), 5.0),
+            ("ahead", Position(1, 11), 5.0),
+            ("before_a_restore", Position(0, 10), 5.0),
+            ("after_a_restore", Position(2, 10), 5.0),
+        ]
     )
-    def test_confirmed(self, _, revision, age_s):
+    def test_confirmed(self, _, position, age_s):
         """A peer that knows as much vouches for its age, no other does."""
-        self._take(5.0, position=Position(0, revision), age_s=0.8)
+        self._take(5.0, position=position, age_s=0.8)
         self.assertEqual(age_s, round(self.core.age_s(5.0), 3))
 
+    def test_changes_of_another_epoch(self):
+        """Changes that follow the same revision of a restored store.
+
+        Taken in, they would pass for all that the VM lacks.
+        """
+        position = Position(2, 12)
+        self._take(1.0, position=position, after=10, changes=b"changes")
+        self.assertEqual([], self.peers.bodies)
+        self.assertEqual([("127.0.0.2", position)], self.peers.ahead)
+
     @parameterized.expand([("all_named", 40, True), ("cut_off", 200, False)])
     def test_more_endpoints_than_named(self, _, others, leaves):
         """A fleet has more endpoints than a report names, all but two busy.
--- a/tests/entry_restored_store_test.py
+++ b/tests/entry_restored_store_test.py
@@ -162,7 +162,7 @@
     @parameterized.expand(CHANGES)
     def test_cut_off(self, _, change, holds):
         """A VM that the store does not answer hears of it from peers."""
-        self.fleet.cut_off = {"10.1.0.4", "10.2.0.1"}
+        self.fleet.cut_off.update({"10.1.0.4", "10.2.0.1"})
         self._in_force(lambda: change(self), holds)
 
     def test_joins(self):
--- a/tests/platform_store_test.py
+++ b/tests/platform_store_test.py
@@ -257,11 +257,10 @@
             self.store.put("op/config", {**CONFIGURATION, "version": 9})
             told = group.listing(epoch=9, revision=3)
             core.apply(told, anyio.current_time())
-            age_s = core.age_s(anyio.current_time())
             await anyio.sleep(1.0)
             self.assertEqual(Position(9, 3), core.position)
             self.assertEqual(7, core.table.version)
-            self.assertGreaterEqual(core.age_s(anyio.current_time()), age_s)
+            self.assertGreaterEqual(core.age_s(anyio.current_time()), 1.0)
             self.assertIsNotNone(follower.lost_at)
 
         self.follow(script)
