A flow's story tells how its VM followed the directory

In the incident a request's story named the endpoint that it reached and nothing of why the VM took it for one to use: the lines of the directory's loss, return and restore belong to no endpoint. They are told for the VMs of the flow, ten seconds before and after, as those of drained zones are. The command line alone changes.

--- a/src/pollenmast/cli/_story.py
+++ b/src/pollenmast/cli/_story.py
@@ -16,10 +16,12 @@
     + ("program", "vm")
 )
 
-_ZONE_EVENTS = frozenset(
+_VIEW_EVENTS = frozenset(
     ("zone_drained", "zone_restored", "zones_unreached", "zones_reached")
+    + ("platform_lost", "platform_back", "history_gone", "directory_restored")
 )
-"""What a VM learned of zones explains where it placed a flow."""
+"""What a VM learned of zones, and how well it followed the directory, explains
+where it placed a flow."""
 
 BEFORE_S = 10.0
 """How long before the subject an endpoint's lines still explain it."""
@@ -72,7 +74,7 @@
         for line in lines
         if (
             line.fields.get("endpoint") in endpoints
-            or line.name in _ZONE_EVENTS
+            or line.name in _VIEW_EVENTS
         )
         and "flow" not in line.fields
         and line.vm in vms
--- a/tests/cli_story_test.py
+++ b/tests/cli_story_test.py
@@ -59,6 +59,28 @@
         self.assertEqual(2, len(told))
         self.assertIn("zone=a", told[0])
 
+    @parameterized.expand(
+        [
+            ("platform_lost", {"fault": "unreachable"}),
+            ("platform_back", {"revision": 25, "epoch": 2}),
+            ("history_gone", {"revision": 27, "epoch": 1}),
+            ("directory_restored", {"known": 27, "revision": 25}),
+        ]
+    )
+    def test_directory(self, name, fields):
+        """A flow goes where nothing is served: the VM had lost its directory.
+
+        On-call would look at the endpoint, which says all there is of it.
+        """
+        log = [
+            _line(101.0, name, **fields),
+            _line(101.1, name, **fields).replace("vm-1", "vm-2"),
+            _line(102.0, "flow_placed", flow=FLOW, endpoint="i-1"),
+        ]
+        told = _story.story(_story.read(log), FLOW)
+        self.assertEqual(2, len(told))
+        self.assertIn(name, told[0])
+
     def test_terminal(self):
         """A client's text in a log line cannot steer the terminal."""
         line = _line(1.0, "request_carried", request="ab", flow="\x1b[2J")
