--- a/src/pollenmast/events/_catalogue.py
+++ b/src/pollenmast/events/_catalogue.py
@@ -281,8 +281,8 @@
 HISTORY_GONE = Event(
     423,
     "history_gone",
-    "The directory has dropped its history; everything is read anew.",
-    "Nothing.",
+    "The directory cannot tell what changed since; everything is read anew.",
+    "With `fault` restored see 429; else nothing.",
 )
 DIRECTORY_RESTORED = Event(
     429,
