Test: the other carriage's platform comes back from an older copy

Agents order manifests by their own version and digest, so nothing had to change: the one in force stays, and a greater version published after the return comes into force.

--- a/tests/agent_manifest_test.py
+++ b/tests/agent_manifest_test.py
@@ -228,6 +228,29 @@
         conflicts = node.counters.value(MANIFESTS, ManifestOutcome.CONFLICT)
         self.assertEqual(1, conflicts)
 
+    def test_platform_restored(self):
+        """The platform comes back from a copy that has an older manifest.
+
+        Callers would be sent to endpoints that have left, or a release
+        published after the return would not come into force.
+        """
+        platform = FakePlatform(text(5))
+        seen = []
+
+        async def script(node, loop):
+            await trio.sleep(2.5)
+            platform.data = None
+            await trio.sleep(1.0)
+            platform.data = text(3)
+            await trio.sleep(_readers.WATCH_S + 1)
+            seen.append(node.acceptance.key.version)
+            platform.data = text(6)
+            await trio.sleep(1.0)
+            seen.append(node.acceptance.key.version)
+
+        self._run(platform, FakeFetcher(), script)
+        self.assertEqual([5, 6], seen)
+
     def test_dead_platform_is_asked_rarely(self):
         """A platform that is down is not asked more often than a few seconds.
 
