What was known before a restore goes first until leases have run out

Three seconds were enough for endpoints that live, which write with each heartbeat. The entry of one that is dead, listed by the copy, lapses only after three heartbeats without one: until then it was listed again for some tenths of a second, by an endpoint that had been taken as gone. It is five seconds now. The tests count from the constant.

--- a/src/pollenmast/steering/_catalog.py
+++ b/src/pollenmast/steering/_catalog.py
@@ -36,10 +36,10 @@
 to it: flows are at most a minute old."""
 
 
-RESTORE_SETTLE_S = 3.0
+RESTORE_SETTLE_S = 5.0
 """How long what was known before the directory was restored goes before what
-its copy lists, in seconds: endpoints write their entries again with their next
-heartbeat."""
+its copy lists, in seconds. By then endpoints that live have written again, and
+the entries of others have lapsed."""
 
 
 class Catalog:
