--- a/src/pollenmast/entry/_gauges.py
+++ b/src/pollenmast/entry/_gauges.py
@@ -47,6 +47,11 @@
             "The version of the configuration in force.",
             table.version if table is not None else math.nan,
         ),
+        Gauge(
+            "drained_zones",
+            "Availability zones to which the VM sends no new flows.",
+            len(steering.catalog.drains.zones),
+        ),
         Gauge(
             "beliefs_age_seconds",
             "Since when the directory has confirmed nothing to the VM.",
--- a/tests/entry_metrics_test.py
+++ b/tests/entry_metrics_test.py
@@ -8,7 +8,7 @@
 from pollenmast import counters as c
 from pollenmast.entry import _gauges as gauges
 from pollenmast.entry import _metrics as metrics
-from pollenmast.steering import Steering
+from pollenmast.steering import Steering, Update, ZoneDrained
 from tests import steering_group as group
 
 
@@ -40,11 +40,16 @@
             ("revision", "pollenmast_directory_revision 10"),
             ("version", "pollenmast_configuration_version 1"),
             ("age", "pollenmast_beliefs_age_seconds 2.5"),
+            ("epoch", "pollenmast_directory_epoch 3"),
+            ("drains", "pollenmast_drained_zones 1"),
         ]
     )
     def test_gauges(self, _, line):
         """What a VM knows, and how surely, can be compared between VMs."""
-        known = gauges.read(group.steering(group.endpoint(1)), 2.5)
+        core = group.steering(group.endpoint(1), epoch=3)
+        drained = ZoneDrained(group.ZONE, 10)
+        core.apply(Update((drained,), 10, epoch=3), 1.0)
+        known = gauges.read(core, 2.5)
         text = metrics.text(c.Counters(), c.Histograms(), known).decode()
         self.assertIn(line, text.splitlines())
 
