--- a/tests/entry_restored_store_test.py
+++ b/tests/entry_restored_store_test.py
@@ -9,6 +9,9 @@
 OUTAGE_S = 2.0
 """How long the store is away before it is back."""
 
+SETTLE_S = 1.5
+"""After the return, until VMs have read the restored store."""
+
 PER_VM_CALLS_S = 3
 """Calls to the store that one VM may make a second, at the most."""
 
@@ -70,8 +73,12 @@
 class RestoredStoreTest(FleetCase):
     """What was written to the restored store is in force everywhere."""
 
-    async def _restore(self) -> None:
-        """Brings the store back without its latest changes."""
+    async def _restore(self, meanwhile=None) -> None:
+        """Brings the store back without its latest changes.
+
+        Args:
+            meanwhile: Writes to the restored store before a VM reaches it.
+        """
         copy = self.store.copy()
         for version in range(8, 8 + LOST):
             self.publish(version)
@@ -79,8 +86,10 @@
         self.store.fault = Fault.DOWN
         await anyio.sleep(OUTAGE_S)
         self.store.restore(copy)
+        if meanwhile is not None:
+            meanwhile()
         self.store.fault = Fault.NONE
-        await anyio.sleep(1.5)
+        await anyio.sleep(SETTLE_S)
 
     def _in_force(self, change, holds) -> None:
         """Makes a change, and tells whether it is in force in time."""
@@ -126,18 +135,13 @@
         """
 
         async def script(tasks) -> None:
-            copy = self.store.copy()
-            for version in range(8, 8 + LOST):
-                self.publish(version)
-            await anyio.sleep(1.5)
-            self.store.fault = Fault.DOWN
-            await anyio.sleep(OUTAGE_S)
-            self.store.restore(copy)
-            change(self)
-            for number in range(2 * LOST):
-                self.announce(10 + number)
-            self.store.fault = Fault.NONE
-            await anyio.sleep(APPLY_S)
+            def write() -> None:
+                change(self)
+                for number in range(2 * LOST):
+                    self.announce(10 + number)
+
+            await self._restore(write)
+            await anyio.sleep(APPLY_S - SETTLE_S)
             self.assertEqual([], self.fleet.lacking(holds))
 
         self.play(script)
