--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -123,7 +123,8 @@
         """All tell a store that has lost what they wrote."""
         for endpoint in self.up:
             leaving = endpoint.draining_at is not None
-            self._announce(endpoint, "draining" if leaving else "ready")
+            state = "draining" if leaving else "ready"
+            self._store.renew(*self._entry(endpoint, state))
 
     def lapse_ended(self) -> None:
         """Entries vanish of which nobody renews the lease."""
@@ -132,11 +133,17 @@
                 self.lapse(endpoint)
 
     def _announce(self, endpoint: Endpoint, state: str) -> None:
+        self._store.put(*self._entry(endpoint, state))
+
+    def _entry(
+        self, endpoint: Endpoint, state: str
+    ) -> tuple[str, dict[str, object]]:
+        """Returns the key and the value that one writes."""
         entry = endpoint.entry(endpoint.service, endpoint.zone, state)
         if endpoint.cold:
             left_s = endpoint.cold[-1][1] - anyio.current_time()
             entry["warmupLeftMs"] = max(0, round(1000 * left_s))
-        self._store.put(f"servers/{endpoint.name}", entry)
+        return f"servers/{endpoint.name}", entry
 
     async def _run(self, endpoint: Endpoint) -> None:
         with endpoint.scope:
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -8,11 +8,11 @@
 
 import anyio
 import anyio.abc
-import attrs
 
 from soak import _promises as promises
 from soak._clients import SERVICES, Callers, Client, Routers
 from soak._endpoints import Endpoint, Endpoints, configuration
+from soak._plan import Plan, Result
 from soak._promises import APPLY_S, Drain, Flip, Seen
 from soak._proxy import Mode, Proxy
 from soak._schedule import (
@@ -50,6 +50,13 @@
 AWAY_S = 0.7
 """How long the store is away before it is back from a copy."""
 
+LOST_VERSIONS = 3
+"""Configurations that the copy lacks. Only the last is written again, so that
+the store's revision stays behind what the VMs know."""
+
+CALM_S = 4.5
+"""After an unplanned disturbance, until rules with a bound hold again."""
+
 LEASE_S = 3.6
 """An entry that nobody writes again vanishes after so long."""
 
@@ -62,35 +69,6 @@
 _STORE_FAULTS = (StoreFault.DOWN, StoreFault.BUSY, StoreFault.SILENT)
 
 
-@attrs.frozen
-class Plan:
-    """A run.
-
-    Attributes:
-        seed: Decides the faults.
-        seconds: For how long callers ask.
-        vms: How many VMs.
-        clients: How many clients for each route.
-        module: The program's module and arguments, without the interpreter.
-    """
-
-    seed: int
-    seconds: float = 22.0
-    vms: int = 6
-    clients: int = 6
-    module: tuple[str, ...] = ("pollenmast.platform",)
-
-
-@attrs.define
-class Result:
-    """What a run has shown: counts, and every broken promise."""
-
-    asked: int
-    answered: int
-    faults: int
-    broken: list[str]
-
-
 class World:
     """Everything around the VMs of one run."""
 
@@ -116,6 +94,7 @@
         self._client = Client(f"{net}.1.7", PACKETS, self._routers)
         self._callers = Callers(self._client, self._rng)
         self._published: dict[str, object] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
         self._flips: list[Flip] = []
         self._drains: list[Drain] = []
         self._warms_up = plan.seed >= FIRST_LATER_SEED
@@ -124,6 +103,7 @@
     async def run(self) -> Result:
         """Plays the run."""
         async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
             try:
                 await self._start(tasks)
                 began = anyio.current_time()
@@ -267,23 +247,31 @@
     async def _restore(self, fault: Fault) -> None:
         """What is written while the fault lasts is lost, and written again."""
         copy = self._store.copy()
+        for _ in range(LOST_VERSIONS):
+            await self._configure(fault)
         await anyio.sleep(fault.for_s)
         self._store.fault = StoreFault.DOWN
         await anyio.sleep(AWAY_S)
         self._store.restore(copy)
         self._store.fault = StoreFault.NONE
         await anyio.sleep(BACK_S * fault.draw)
-        self._store.put("op/config", self._published)
+        self._store.renew("op/config", self._published)
         for drain in self._drains:
             self._write_drain(drain)
         self._endpoints.write_again()
+        self._tasks.start_soon(self._change_later, fault)
+
+    async def _change_later(self, fault: Fault) -> None:
+        """The restored store is written to once its return is no excuse."""
         await anyio.sleep(LEASE_S)
         self._endpoints.lapse_ended()
+        await anyio.sleep(CALM_S - LEASE_S)
+        await self._configure(fault)
 
     def _write_drain(self, drain: Drain) -> None:
         key = f"op/evacuate/{drain.zone}"
         if drain.until == float("inf"):
-            self._store.put(key, {})
+            self._store.renew(key, {})
         else:
             self._store.delete(key)
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -67,11 +67,18 @@
 
     def put(self, key: str, value: object) -> int:
         """Writes a value; what is not bytes is written as JSON."""
-        data = value if isinstance(value, bytes) else json.dumps(value).encode()
-        return self._write(key, data)
+        return self._write(key, _data(value))
+
+    def renew(self, key: str, value: object) -> None:
+        """Writes a value again, which is no change if it is there already."""
+        known = self._items.get(key)
+        if known is None or known.value != _data(value):
+            self.put(key, value)
 
     def delete(self, key: str) -> int:
-        """Removes a key."""
+        """Removes a key; one that is not there is no change."""
+        if key not in self._items:
+            return self._revision
         return self._write(key, None)
 
     def compact(self) -> None:
@@ -166,6 +173,10 @@
             await anyio.sleep(POLL_S)
 
 
+def _data(value: object) -> bytes:
+    return value if isinstance(value, bytes) else json.dumps(value).encode()
+
+
 def _shown(item: _Item) -> dict[str, object]:
     if item.value is None:
         return {"key": item.key, "revision": item.revision, "deleted": True}
