Bear every valid request on the HTTP ports

Cause: HEAD to the readiness port ended the VM's process with exit 1, because h11 allows no body in the answer to HEAD. A search for requests of the same kind found CONNECT (h11 raises after a 200), targets that urlsplit rejects, such as '//[', and a peer that reads no response, which occupied a connection for good.

Change: HEAD is answered without a body, CONNECT with 405; the target is split without urlsplit and an absolute target is reduced to its path; a response that is not taken within 10 s ends the connection.

--- a/src/pollenmast/entry/_site.py
+++ b/src/pollenmast/entry/_site.py
@@ -49,12 +49,11 @@
 
     async def answer(self, request: Request) -> http1.ServerResponse:
         """Returns the response to a request."""
-        url = urllib.parse.urlsplit(request.target)
-        if url.path == self._ready_path:
+        if request.path == self._ready_path:
             return self._readiness()
-        if url.path == peers.SNAPSHOT_PATH:
-            return self._snapshot(url.query)
-        if url.path == METRICS_PATH:
+        if request.path == peers.SNAPSHOT_PATH:
+            return self._snapshot(request.query)
+        if request.path == METRICS_PATH:
             return self._metrics()
         return _NOT_FOUND
 
--- a/src/pollenmast/http1/_server.py
+++ b/src/pollenmast/http1/_server.py
@@ -15,6 +15,11 @@
 IDLE_TIMEOUT_S = 30.0
 """Seconds without a complete request after which a connection is closed."""
 
+SEND_TIMEOUT_S = 10.0
+"""Seconds within which a peer has to take a response. Peers that read nothing
+would otherwise occupy all connections. A snapshot of 600 kB takes one second
+at 5 Mbit/s."""
+
 MAX_REQUEST_BYTES = 16_384
 """Limit of a request's head, and of its body, in bytes. A request with a larger
 one is refused."""
@@ -32,6 +37,23 @@
     method: str
     target: str
 
+    @property
+    def path(self) -> str:
+        """The path of the target, without the query.
+
+        An absolute target, as sent to a proxy, is reduced to its path.
+        """
+        path = self.target.partition("?")[0]
+        if "://" not in path:
+            return path
+        _, slash, rest = path.partition("://")[2].partition("/")
+        return slash + rest
+
+    @property
+    def query(self) -> str:
+        """The query of the target, empty if it has none."""
+        return self.target.partition("?")[2]
+
 
 @attrs.frozen
 class ServerResponse:
@@ -48,6 +70,8 @@
     content_type: str = "text/plain; charset=utf-8"
 
 
+_NO_TUNNEL = ServerResponse(405, b"this is no proxy\n")
+
 Handler = Callable[[Request], Awaitable[ServerResponse]]
 
 
@@ -96,7 +120,10 @@
                 return
             if request is None:
                 return
-            await self._send_answer(await self._handler(request))
+            if request.method == "CONNECT":
+                await self._send_answer(_NO_TUNNEL)
+                return
+            await self._send_answer(await self._handler(request), request)
             done = (h11.DONE, h11.DONE)
             state = (self._protocol.our_state, self._protocol.their_state)
             if state != done:
@@ -134,7 +161,9 @@
         if self._protocol.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             await self._send_answer(ServerResponse(400, b"bad request\n"))
 
-    async def _send_answer(self, response: ServerResponse) -> None:
+    async def _send_answer(
+        self, response: ServerResponse, request: Request | None = None
+    ) -> None:
         head = h11.Response(
             status_code=response.status,
             headers=[
@@ -143,7 +172,11 @@
             ],
         )
         data = self._protocol.send(head)
-        if response.body:
+        head_only = request is not None and request.method == "HEAD"
+        if response.body and not head_only:
             data += self._protocol.send(h11.Data(data=response.body))
         data += self._protocol.send(h11.EndOfMessage())
-        await self._stream.send(data)
+        with anyio.move_on_after(SEND_TIMEOUT_S) as timeout:
+            await self._stream.send(data)
+        if timeout.cancelled_caught:
+            raise anyio.BrokenResourceError
--- a/tests/binary_start_test.py
+++ b/tests/binary_start_test.py
@@ -167,6 +167,15 @@
         self.assertIn('"stopped"', errors)
         self.assertEqual([], list(self.work_directory.iterdir()))
 
+    def test_file_open_for_writing_found(self):
+        """The check of open files finds a file that is open for writing.
+
+        Otherwise it would pass for a program that does write to the disk.
+        """
+        with (self.work_directory / "file").open("w") as file:
+            found = _files_open_for_writing(pathlib.Path("/proc/self"))
+            self.assertIn(os.path.realpath(file.name), found)
+
     def test_native_modules(self):
         """Every native module loads from memory, and entry points are found.
 
@@ -226,9 +235,14 @@
     """Returns the files on disk that a process has open for writing."""
     found = []
     for entry in (folder / "fd").iterdir():
-        target = os.readlink(entry)
-        flags = (folder / "fdinfo" / entry.name).read_text().split("flags:")[1]
-        writes = int(flags.split()[0], 8) & (os.O_WRONLY | os.O_RDWR)
+        try:
+            target = os.readlink(entry)
+            fdinfo = (folder / "fdinfo" / entry.name).read_text()
+        except FileNotFoundError:
+            # The program closed this descriptor after it was listed.
+            continue
+        flags = int(fdinfo.split("flags:")[1].split()[0], 8)
+        writes = flags & (os.O_WRONLY | os.O_RDWR)
         in_memory = target.startswith(("/memfd:", "/dev/null"))
         if writes and target.startswith("/") and not in_memory:
             found.append(target)
--- a/tests/http1_test.py
+++ b/tests/http1_test.py
@@ -199,6 +199,79 @@
         received = self._serve(data, end=False)
         self.assertTrue(received.startswith(b"HTTP/1.1 400"))
 
+    @parameterized.expand(
+        [
+            ("head", b"HEAD /x HTTP/1.1\r\nHost: a\r\n\r\n", b"200"),
+            ("connect", b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", b"405"),
+            ("asterisk", b"OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n", b"200"),
+            (
+                "upgrade",
+                b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\n"
+                b"Upgrade: websocket\r\n\r\n",
+                b"200",
+            ),
+            (
+                "body",
+                b"GET /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab",
+                b"200",
+            ),
+            (
+                "chunked",
+                b"POST /x HTTP/1.1\r\nHost: a\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+                b"200",
+            ),
+            (
+                "continue",
+                b"PUT /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n"
+                b"Expect: 100-continue\r\n\r\na",
+                b"200",
+            ),
+            ("http_1_0", b"GET /x HTTP/1.0\r\n\r\n", b"200"),
+        ]
+    )
+    def test_unusual_request_answered(self, _, request, status):
+        """An unusual but valid request is answered.
+
+        An exception while answering would end the whole program, and any
+        client that reaches the port could cause it.
+        """
+        received = self._serve(request)
+        self.assertEqual(status, received.split(b" ")[1])
+
+    def test_head_answered_without_body(self):
+        """A response to HEAD has the headers of GET and no body."""
+        request = b"%s /x HTTP/1.1\r\nHost: a\r\n\r\n"
+        head = self._serve(request % b"HEAD")
+        got = self._serve(request % b"GET")
+        self.assertEqual(got, head + b"/x")
+
+    def test_client_that_reads_nothing_disconnected(self):
+        """A client that reads no response is disconnected after a timeout.
+
+        Otherwise a few such clients occupy all connections for good, and
+        readiness checks are refused.
+        """
+
+        async def handle(request):
+            return ServerResponse(200, b"x" * 100)
+
+        async def main():
+            client_end, server_end = trio.testing.lockstep_stream_pair()
+            connection = _server._ServerConnection(
+                MemoryStream(server_end), handle
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    client_end.send_all,
+                    b"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+                )
+                with trio.fail_after(100.0):
+                    await connection.run()
+
+        error = self.assertRaises(BaseExceptionGroup, run, main)
+        self.assertIsNotNone(error.subgroup(anyio.BrokenResourceError))
+
     @settings(max_examples=60, derandomize=True, database=None, deadline=None)
     @given(st.binary(max_size=200))
     def test_random_bytes_end_connection(self, data):
