Add the admission package: credits, holds, requests in progress, retries

Cause: no VM knew how many requests it has in progress, held a flow or refused one for lack of capacity; endpoints shed instead.

Change: a package of decisions below steering and decisions, with the interfaces that the parts of docs/design/hard-load.md share. The fair queue, the usage counts, the retry budget and the token bucket move there from decisions, so that both programs use the same ones. Nothing calls the new decisions yet.

Result: tests of decisions and relay that use the moved modules pass; no measurement.

--- a/bench/_load_switches.py
+++ b/bench/_load_switches.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from pollenmast.admission import _retry
 from pollenmast.decisions import (
     _backoff,
     _endpoint,
@@ -18,7 +19,6 @@
     _holding,
     _placement,
     _request_capacity,
-    _retry,
     _service,
     _trust,
 )
--- /dev/null
+++ b/src/pollenmast/admission/_admission.py
@@ -0,0 +1,334 @@
+"""Decides which new flows of a VM are placed, held or refused.
+
+It answers the loads at which endpoints have too little capacity: a load spike,
+a third of the endpoints slow, most of a service unavailable, or the backlog of
+all clients after every VM has lost power. While the VM's requests of a service
+stay below its credits, every flow is admitted as if there were no admission
+control.
+
+What a VM does without knowledge of others is in `LONE_CREDITS`.
+"""
+
+import math
+from collections.abc import Hashable, Mapping
+
+from pollenmast.admission._hold_queue import HoldQueue
+from pollenmast.admission._in_progress import RequestsInProgress
+from pollenmast.admission._model import (
+    AdmissionSettings,
+    Admit,
+    AdmitReason,
+    EndpointView,
+    FlowArrival,
+    Hold,
+    Refuse,
+    RefuseReason,
+    Release,
+    ServiceStatus,
+)
+from pollenmast.admission._retries import Retries
+
+LONE_CREDITS = 4
+"""Requests of a service that a VM may have in progress while it does not know
+the VMs that share the endpoints. The backlog of all clients after a loss of
+power is then forwarded at the rate at which endpoints work it off."""
+
+MIN_CREDITS = 2
+"""Requests of a service that any VM may have in progress. A small service has
+fewer credits than there are VMs."""
+
+BURST_FACTOR = 1.5
+"""Multiple of its credits that a VM may have in progress while credits of its
+own are free. Some requests were placed on other endpoints before the service
+became short of capacity."""
+
+GUEST_SHARE = 0.5
+"""Flows that a VM may place in other zones beyond its credits, as a fraction of
+its credits."""
+
+SCARCITY_HOLD_S = 1.0
+"""How long a service has to be free of holds, with at most half of the credits
+in use, until its flows are placed freely again, in seconds."""
+
+FREE_USE = 0.5
+"""The fraction of the credits that counts as little use."""
+
+MAX_HOLD_FRACTION = 0.25
+"""The fraction of the target latency that a flow may be held. It leaves time
+for the endpoint's queue, and a refused client time for another attempt."""
+
+MAX_HOLD_S = 1.0
+"""Maximum hold in seconds; clients abandon a SYN after 1.4 s."""
+
+CREDITS_MAX_AGE_S = 0.25
+"""How long computed credits are used, in seconds."""
+
+MAX_SERVICES = 512
+"""Maximum number of services with state; beyond it the oldest is forgotten."""
+
+
+class Admission:
+    """Admission control of one VM."""
+
+    def __init__(
+        self, endpoints: EndpointView, settings: AdmissionSettings | None = None
+    ):
+        self._endpoints = endpoints
+        self._settings = settings or AdmissionSettings()
+        self._in_progress = RequestsInProgress()
+        self._services: dict[str, _ServiceAdmission] = {}
+        self._held: dict[Hashable, FlowArrival] = {}
+
+    @property
+    def in_progress(self) -> RequestsInProgress:
+        """This VM's requests in progress."""
+        return self._in_progress
+
+    @property
+    def held(self) -> int:
+        """The number of held flows."""
+        return len(self._held)
+
+    def is_held(self, key: Hashable) -> bool:
+        """Whether a flow is held."""
+        return key in self._held
+
+    def on_arrival(
+        self, arrival: FlowArrival, now: float
+    ) -> Admit | Hold | Refuse:
+        """Decides on a new flow.
+
+        An admitted flow counts only once `in_progress.begin` is called.
+        """
+        if not self._settings.credits:
+            return Admit(None, AdmitReason.FREE)
+        outcome = self._service(arrival.service).on_arrival(arrival, now)
+        if isinstance(outcome, Hold):
+            self._held[arrival.key] = arrival
+        return outcome
+
+    def release(self, now: float) -> list[Release]:
+        """Returns the held flows that are decided now.
+
+        The caller has to place each admitted flow and to call
+        `in_progress.begin` before the next call; it calls this until nothing
+        is returned.
+        """
+        self._in_progress.expire(now)
+        released = []
+        for service in self._services.values():
+            released += service.release(now)
+        for each in released:
+            del self._held[each.arrival.key]
+        return released
+
+    def cancel(self, key: Hashable) -> None:
+        """Removes a held flow whose client has abandoned it."""
+        arrival = self._held.pop(key, None)
+        if arrival is not None:
+            self._services[arrival.service].cancel(arrival)
+
+    def next_release_at(self, now: float) -> float:
+        """Returns when `release` has to be called at the latest.
+
+        It is infinite if no flow is held. A hold may also end earlier, with a
+        request in progress.
+        """
+        expiries = [s.next_expiry() for s in self._services.values()]
+        return min((e for e in expiries if e is not None), default=math.inf)
+
+    def is_overloaded(self, service: str, now: float) -> bool:
+        """Whether a service is short of capacity on this VM."""
+        known = self._services.get(service)
+        return known is not None and known.is_overloaded(now)
+
+    def status(self, now: float) -> list[ServiceStatus]:
+        """Returns the state of each service that had flows here."""
+        return [service.status(now) for service in self._services.values()]
+
+    def _service(self, name: str) -> "_ServiceAdmission":
+        service = self._services.get(name)
+        if service is None:
+            self._evict_idle()
+            service = self._services[name] = _ServiceAdmission(
+                name, self._endpoints, self._settings, self._in_progress
+            )
+        return service
+
+    def _evict_idle(self) -> None:
+        if len(self._services) < MAX_SERVICES:
+            return
+        for name, service in self._services.items():
+            if service.next_expiry() is None:
+                del self._services[name]
+                return
+
+
+class _ServiceAdmission:
+    """Admission control of one service."""
+
+    def __init__(
+        self,
+        name: str,
+        endpoints: EndpointView,
+        settings: AdmissionSettings,
+        in_progress: RequestsInProgress,
+    ):
+        self._name = name
+        self._endpoints = endpoints
+        self._settings = settings
+        self._in_progress = in_progress
+        self._queue = HoldQueue()
+        self._retries = Retries()
+        self._overloaded = False
+        self._busy_at = -math.inf
+        self._computed_at = -math.inf
+        self._credits: Mapping[str, int] | None = None
+        self._guests: dict[Hashable, None] = {}
+
+    def on_arrival(
+        self, arrival: FlowArrival, now: float
+    ) -> Admit | Hold | Refuse:
+        self._update(now)
+        level = 2 * arrival.priority
+        if not self._overloaded:
+            return self._admitted(
+                arrival, level, Admit(None, AdmitReason.FREE), now
+            )
+        retry = self._settings.repeats and self._retries.is_retry(
+            arrival.caller, arrival.route, now
+        )
+        if retry:
+            level += 1
+        else:
+            self._retries.on_first_attempt()
+        if not self._queue.ahead(level):
+            admit = self._find_room(now)
+            if admit is not None:
+                return self._admitted(arrival, level, admit, now)
+        if retry and not self._retries.spend():
+            return self._refused(arrival, RefuseReason.REPEAT_LIMIT, now)
+        return self._hold(arrival, level, now)
+
+    def release(self, now: float) -> list[Release]:
+        """Returns the flows whose hold expired, and one that is admitted."""
+        if not len(self._queue):
+            return []
+        self._update(now)
+        self._busy_at = now
+        released = []
+        for arrival, since in self._queue.pop_expired(now):
+            refuse = self._refused(
+                arrival, RefuseReason.HOLD_EXPIRED, now, now - since
+            )
+            released.append(Release(arrival, refuse))
+        admit = self._find_room(now) if len(self._queue) else None
+        if admit is not None:
+            arrival, since = self._queue.pop(now)
+            admit = Admit(admit.endpoint, admit.reason, now - since)
+            admit = self._admitted(arrival, 2 * arrival.priority, admit, now)
+            released.append(Release(arrival, admit))
+        return released
+
+    def cancel(self, arrival: FlowArrival) -> None:
+        self._queue.remove(arrival.ticket)
+
+    def next_expiry(self) -> float | None:
+        return self._queue.next_expiry()
+
+    def is_overloaded(self, now: float) -> bool:
+        self._update(now)
+        return self._overloaded
+
+    def status(self, now: float) -> ServiceStatus:
+        self._update(now)
+        return ServiceStatus(
+            self._name,
+            self._in_progress.count(self._name),
+            self._limit(),
+            len(self._queue),
+            self._overloaded,
+            self._in_progress.service_time_s(self._name),
+        )
+
+    def _update(self, now: float) -> None:
+        """Computes the credits and whether capacity is short."""
+        if now - self._computed_at >= CREDITS_MAX_AGE_S:
+            self._computed_at = now
+            self._credits = self._endpoints.credits(self._name, now)
+        in_use, limit = self._in_progress.count(self._name), self._limit()
+        if len(self._queue) or in_use > FREE_USE * limit:
+            self._busy_at = now
+        if in_use >= limit:
+            self._overloaded = True
+        elif now - self._busy_at >= SCARCITY_HOLD_S:
+            self._overloaded = False
+
+    def _limit(self) -> int:
+        """Returns how many requests may be in progress before holds begin."""
+        if self._credits is None:
+            return LONE_CREDITS
+        return max(sum(self._credits.values()), MIN_CREDITS)
+
+    def _find_room(self, now: float) -> Admit | None:
+        """Returns how a flow can be placed while capacity is short."""
+        in_use, limit = self._in_progress.count(self._name), self._limit()
+        if self._credits is None:
+            free = in_use < limit
+            return Admit(None, AdmitReason.FREE) if free else None
+        if in_use < BURST_FACTOR * limit:
+            endpoint = self._free_credit(now)
+            if endpoint is not None:
+                return Admit(endpoint, AdmitReason.CREDIT)
+        if in_use < MIN_CREDITS:
+            return Admit(None, AdmitReason.FREE)
+        guests = max(1, int(GUEST_SHARE * limit))
+        if self._settings.guests and in_use < limit + guests:
+            endpoint = self._endpoints.guest(self._name, now)
+            if endpoint is not None:
+                return Admit(endpoint, AdmitReason.GUEST)
+        return None
+
+    def _free_credit(self, now: float) -> str | None:
+        """Returns the usable endpoint with the most free credits."""
+        best, most = None, 0
+        for endpoint, credits in self._credits.items():
+            free = credits - self._in_progress.count_at(endpoint)
+            if free > most and self._endpoints.is_usable(endpoint, now):
+                best, most = endpoint, free
+        return best
+
+    def _hold(
+        self, arrival: FlowArrival, level: int, now: float
+    ) -> Hold | Refuse:
+        """Holds a flow that can be placed in time, else refuses one."""
+        hold_s = min(MAX_HOLD_FRACTION * arrival.target_latency_s, MAX_HOLD_S)
+        if not self._settings.hold:
+            return self._refused(arrival, RefuseReason.NO_ROOM, now)
+        wait_s = (
+            (self._queue.ahead(level) + 1)
+            * self._in_progress.service_time_s(self._name)
+            / self._limit()
+        )
+        if wait_s > hold_s:
+            return self._refused(arrival, RefuseReason.NO_ROOM, now)
+        self._busy_at = now
+        self._queue.push(arrival, level, now + hold_s, now)
+        return Hold(now + hold_s)
+
+    def _admitted(
+        self, arrival: FlowArrival, level: int, admit: Admit, now: float
+    ) -> Admit:
+        self._queue.on_admitted(arrival, level, now)
+        return admit
+
+    def _refused(
+        self,
+        arrival: FlowArrival,
+        reason: RefuseReason,
+        now: float,
+        held_s: float = 0.0,
+    ) -> Refuse:
+        self._busy_at = now
+        self._retries.on_refused(arrival.caller, arrival.route, now)
+        return Refuse(reason, held_s)
--- a/src/pollenmast/decisions/_fairness.py
+++ b/src/pollenmast/admission/_fairness.py
@@ -15,12 +15,11 @@
 these sizes, so a caller with many addresses of its own counts once.
 """
 
-import ipaddress
+from typing import Protocol
 
 import attrs
 
-from pollenmast.decisions._outcomes import FlowRequest
-from pollenmast.decisions._usage import RecentUsage
+from pollenmast.admission._usage import RecentUsage
 
 USAGE_TOLERANCE = 4.0
 """Difference in recently served flows that is ignored.
@@ -43,6 +42,10 @@
     """Returns the caller's network, by which flows are queued fairly."""
     if ":" not in caller:
         return caller.rpartition(".")[0]
+    # Loading this module takes 2 ms, which a VM that starts spends better on
+    # forwarding; most callers have IPv4 addresses.
+    import ipaddress
+
     address = ipaddress.IPv6Address(caller.partition("%")[0])
     if address.ipv4_mapped is not None:
         # All mapped addresses share one /64: all IPv4 callers would be one.
@@ -50,11 +53,23 @@
     return address.packed[:8].hex()
 
 
+class QueueableFlow(Protocol):
+    """A flow that can be held.
+
+    Attributes:
+        ticket: Identifies the flow while it is held.
+        caller: The caller's IP address, without the port.
+    """
+
+    ticket: int
+    caller: str
+
+
 @attrs.define(eq=False)
 class HeldFlow:
     """A held flow and the time at which its hold expires."""
 
-    request: FlowRequest
+    request: QueueableFlow
     until: float
     network: str = attrs.field(init=False)
 
@@ -164,6 +179,10 @@
         self._remove(dropped)
         return dropped
 
+    def next_expiry(self) -> float:
+        """Returns when the next hold expires; the queue must not be empty."""
+        return min(flow.until for flow in self._flows.values())
+
     def expired(self, now: float) -> list[HeldFlow]:
         """Removes and returns the flows whose hold has expired."""
         over = [flow for flow in self._flows.values() if flow.until <= now]
--- /dev/null
+++ b/src/pollenmast/admission/_hold_queue.py
@@ -0,0 +1,83 @@
+"""Held flows of one service: by priority, then fairly by account.
+
+It answers a load of more flows than the service has capacity for, of which the
+urgent ones must not wait behind the others.
+"""
+
+from pollenmast.admission._fairness import FairQueue, HeldFlow
+from pollenmast.admission._model import FlowArrival
+
+
+class HoldQueue:
+    """Fair queues of held flows, one for each priority."""
+
+    def __init__(self):
+        self._queues: dict[int, FairQueue] = {}
+        self._arrivals: dict[int, tuple[FlowArrival, int, float]] = {}
+
+    def __len__(self) -> int:
+        return len(self._arrivals)
+
+    def ahead(self, level: int) -> int:
+        """Returns how many held flows are of the same level or a lower one."""
+        return sum(
+            len(queue)
+            for other, queue in self._queues.items()
+            if other <= level
+        )
+
+    def push(
+        self, arrival: FlowArrival, level: int, until: float, now: float
+    ) -> None:
+        """Holds a flow.
+
+        Args:
+            arrival: The flow.
+            level: Its level; lower ones go first.
+            until: When its hold expires.
+            now: The runtime's clock in seconds.
+        """
+        queue = self._queues.setdefault(level, FairQueue())
+        queue.push(HeldFlow(arrival, until))
+        self._arrivals[arrival.ticket] = arrival, level, now
+
+    def pop(self, now: float) -> tuple[FlowArrival, float] | None:
+        """Removes the next flow; returns it and when it was pushed."""
+        for level in sorted(self._queues):
+            held = self._queues[level].pop(now)
+            if held is not None:
+                return self._take(held)
+        return None
+
+    def pop_expired(self, now: float) -> list[tuple[FlowArrival, float]]:
+        """Removes the flows whose hold has expired."""
+        expired = []
+        for queue in self._queues.values():
+            expired += [self._take(held) for held in queue.expired(now)]
+        return expired
+
+    def remove(self, ticket: int) -> None:
+        """Removes a flow whose client has given up."""
+        entry = self._arrivals.pop(ticket, None)
+        if entry is not None:
+            self._queues[entry[1]].remove(ticket)
+
+    def next_expiry(self) -> float | None:
+        """Returns when the next hold expires, None if nothing is held."""
+        return min(
+            (
+                queue.next_expiry()
+                for queue in self._queues.values()
+                if len(queue)
+            ),
+            default=None,
+        )
+
+    def on_admitted(self, arrival: FlowArrival, level: int, now: float) -> None:
+        """Counts a flow that was admitted, for its account's share."""
+        queue = self._queues.setdefault(level, FairQueue())
+        queue.on_placed(arrival.caller, now)
+
+    def _take(self, held: HeldFlow) -> tuple[FlowArrival, float]:
+        arrival, _, since = self._arrivals.pop(held.request.ticket)
+        return arrival, since
--- /dev/null
+++ b/src/pollenmast/admission/_in_progress.py
@@ -0,0 +1,128 @@
+"""Requests in progress: those of one VM that have not been answered yet.
+
+A VM sees a request begin, and its client's acknowledgement shows that it has
+ended. At most one request counts for each flow.
+"""
+
+from collections.abc import Hashable
+
+import attrs
+
+DEFAULT_SERVICE_TIME_S = 0.05
+"""Time from a request to its answer that is assumed before the first answer."""
+
+MIN_SERVICE_TIME_S = 0.001
+MAX_SERVICE_TIME_S = 10.0
+
+SERVICE_TIME_WEIGHT = 0.05
+"""Weight of one answer in the average time, which covers about twenty answers.
+A single slow or forged one changes it little."""
+
+TIMEOUT_FACTOR = 8.0
+"""Multiple of the usual time after which a request no longer counts. When the
+set of VMs in rotation changes, the end of a request passes through another VM.
+An endpoint that is four times slower than usual is still within it."""
+
+MIN_TIMEOUT_S = 0.3
+MAX_TIMEOUT_S = 2.0
+
+MAX_REQUESTS = 20_000
+"""Maximum number of requests in progress that are remembered; beyond it the
+oldest is forgotten."""
+
+
+@attrs.frozen
+class _Request:
+    service: str
+    endpoint: str
+    began_at: float
+
+
+class RequestsInProgress:
+    """The requests in progress, by service and endpoint."""
+
+    def __init__(self):
+        self._requests: dict[Hashable, _Request] = {}
+        self._by_service: dict[str, int] = {}
+        self._by_endpoint: dict[str, int] = {}
+        self._time_s: dict[str, float] = {}
+
+    def count(self, service: str) -> int:
+        """Returns the number of a service's requests in progress."""
+        return self._by_service.get(service, 0)
+
+    def count_at(self, endpoint: str) -> int:
+        """Returns the number of an endpoint's requests in progress."""
+        return self._by_endpoint.get(endpoint, 0)
+
+    def service_time_s(self, service: str) -> float:
+        """Returns the usual time from a request to its answer in seconds."""
+        return self._time_s.get(service, DEFAULT_SERVICE_TIME_S)
+
+    def begin(
+        self, key: Hashable, service: str, endpoint: str, now: float
+    ) -> None:
+        """Records the start of a request, unless the flow has one already.
+
+        A request that is sent to another endpoint is moved there.
+        """
+        known = self._requests.get(key)
+        if known is not None:
+            if known.endpoint == endpoint:
+                return
+            self._forget(key)
+        if len(self._requests) >= MAX_REQUESTS:
+            self._forget(next(iter(self._requests)))
+        self._requests[key] = _Request(service, endpoint, now)
+        _add(self._by_service, service, 1)
+        _add(self._by_endpoint, endpoint, 1)
+
+    def end(self, key: Hashable, now: float, learn: bool = False) -> None:
+        """Records the end of a flow's request; does nothing if it has none.
+
+        Args:
+            key: The flow.
+            now: The runtime's clock in seconds.
+            learn: Whether the time that it took says how long requests take.
+        """
+        request = self._forget(key)
+        if request is None or not learn:
+            return
+        took_s = min(
+            max(now - request.began_at, MIN_SERVICE_TIME_S), MAX_SERVICE_TIME_S
+        )
+        usual_s = self.service_time_s(request.service)
+        self._time_s[request.service] = usual_s + SERVICE_TIME_WEIGHT * (
+            took_s - usual_s
+        )
+
+    def expire(self, now: float) -> None:
+        """Forgets the requests whose end has not been seen for long."""
+        stale = []
+        for key, request in self._requests.items():
+            if now - request.began_at < MIN_TIMEOUT_S:
+                break
+            if now - request.began_at >= self.timeout_s(request.service):
+                stale.append(key)
+        for key in stale:
+            self._forget(key)
+
+    def timeout_s(self, service: str) -> float:
+        """Returns after how many seconds a request no longer counts."""
+        usual_s = TIMEOUT_FACTOR * self.service_time_s(service)
+        return min(max(usual_s, MIN_TIMEOUT_S), MAX_TIMEOUT_S)
+
+    def _forget(self, key: Hashable) -> _Request | None:
+        request = self._requests.pop(key, None)
+        if request is not None:
+            _add(self._by_service, request.service, -1)
+            _add(self._by_endpoint, request.endpoint, -1)
+        return request
+
+
+def _add(counts: dict[str, int], name: str, change: int) -> None:
+    count = counts.get(name, 0) + change
+    if count:
+        counts[name] = count
+    else:
+        counts.pop(name, None)
--- a/src/pollenmast/decisions/_service.py
+++ b/src/pollenmast/decisions/_service.py
@@ -3,13 +3,13 @@
 import random
 import statistics
 
+from pollenmast.admission import FairQueue, HeldFlow, RetryBudget
 from pollenmast.counters import RefusalReason
 from pollenmast.decisions import _holding as holding
 from pollenmast.decisions._backoff import Backoff
 from pollenmast.decisions._capacity import Capacity, SessionCapacity
 from pollenmast.decisions._endpoint import EndpointRecord
 from pollenmast.decisions._evidence import RECOVERY_INITIAL_SHARE
-from pollenmast.decisions._fairness import FairQueue, HeldFlow
 from pollenmast.decisions._fleet_part import CapacityShare
 from pollenmast.decisions._outcomes import (
     FlowRequest,
@@ -26,7 +26,6 @@
 )
 from pollenmast.decisions._rendezvous import Rendezvous
 from pollenmast.decisions._request_capacity import RequestCapacity
-from pollenmast.decisions._retry import RetryBudget
 from pollenmast.decisions._trust import ReportTrust
 from pollenmast.fleet import EndpointLoad, EndpointReport
 from pollenmast.manifest import Endpoint, Service, ServiceKind
--- a/src/pollenmast/relay/_outbox.py
+++ b/src/pollenmast/relay/_outbox.py
@@ -10,9 +10,9 @@
 
 import attrs
 
+from pollenmast.admission import TokenBucket
 from pollenmast.counters import CONTROL_BYTES, REPLICAS_SENT, Counters
 from pollenmast.decisions._replication import BURST_S
-from pollenmast.decisions._token_bucket import TokenBucket
 from pollenmast.peers._envelope import HEADER_BYTES, MAC_BYTES
 from pollenmast.peers._records import (
     MAX_RECORDS_PER_MESSAGE,
--- a/src/pollenmast/relay/_routing.py
+++ b/src/pollenmast/relay/_routing.py
@@ -11,10 +11,10 @@
 import attrs
 
 from pollenmast import counters as c
+from pollenmast.admission import TokenBucket
 from pollenmast.callers import LONG_HEADER
 from pollenmast.decisions._fleet import Fleet
 from pollenmast.decisions._ownership import Member
-from pollenmast.decisions._token_bucket import TokenBucket
 from pollenmast.peers._envelope import OpenedEnvelope
 from pollenmast.peers._kinds import MessageType
 from pollenmast.peers._records import (
--- a/src/pollenmast/relay/_upkeep.py
+++ b/src/pollenmast/relay/_upkeep.py
@@ -5,6 +5,7 @@
 """
 
 from pollenmast import counters as c
+from pollenmast.admission import TokenBucket
 from pollenmast.decisions import Dispatcher
 from pollenmast.decisions._fleet import Fleet
 from pollenmast.decisions._replication import is_due
@@ -15,7 +16,6 @@
     SILENT_S,
     is_silent,
 )
-from pollenmast.decisions._token_bucket import TokenBucket
 from pollenmast.relay._custody import RecordExchange
 from pollenmast.relay._flows import TICKS_PER_S, Flow, FlowState
 from pollenmast.relay._table import FlowTable
--- a/tests/decisions_evidence_test.py
+++ b/tests/decisions_evidence_test.py
@@ -3,7 +3,7 @@
 from parameterized import parameterized
 from testtools import TestCase
 
-from pollenmast.decisions import _retry as retry
+from pollenmast.admission import _retry as retry
 from pollenmast.decisions import _slow_start as slow_start
 from pollenmast.decisions._evidence import (
     BASE_EJECTION_S,
--- a/tests/decisions_fairness_test.py
+++ b/tests/decisions_fairness_test.py
@@ -1,12 +1,12 @@
-"""Tests of decisions._fairness, _usage and _holding."""
+"""Tests of admission._fairness, admission._usage and decisions._holding."""
 
 from parameterized import parameterized
 from testtools import TestCase
 
+from pollenmast.admission._fairness import FairQueue, HeldFlow, network_of
+from pollenmast.admission._usage import MAX_NETWORKS, RecentUsage
 from pollenmast.decisions import _holding as holding
-from pollenmast.decisions._fairness import FairQueue, HeldFlow, network_of
 from pollenmast.decisions._outcomes import FlowRequest
-from pollenmast.decisions._usage import MAX_NETWORKS, RecentUsage
 from pollenmast.manifest import Limits
 
 
