Count admissions and name the reasons of refused flows

Cause: admission control refuses, holds and admits flows, and no counter tells these outcomes apart. Change: counter admissions by free, credit, guest and after_hold; resets gain no_room, hold_expired and repeat_limit; drops gain held.

--- a/src/pollenmast/counters/__init__.py
+++ b/src/pollenmast/counters/__init__.py
@@ -1,6 +1,7 @@
 """Counters, many of them by reason, and latency histograms."""
 
 from pollenmast.counters._catalogue import (
+    ADMISSIONS,
     CATALOGUE,
     CHECKS,
     CONTROL_BYTES,
@@ -23,6 +24,7 @@
     RETRIES,
     SEGMENTS,
     TRANSFERS,
+    AdmissionReason,
     CheckReason,
     CounterDefinition,
     DropReason,
@@ -49,6 +51,7 @@
 )
 
 __all__ = [
+    "ADMISSIONS",
     "CATALOGUE",
     "CHECKS",
     "CONTROL_BYTES",
@@ -71,6 +74,7 @@
     "RETRIES",
     "SEGMENTS",
     "TRANSFERS",
+    "AdmissionReason",
     "CheckReason",
     "CounterDefinition",
     "Counters",
--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -41,6 +41,9 @@
     BACKLOG = "backlog"
     """A SYN that was buffered during a pause; its client no longer waits."""
 
+    HELD = "held"
+    """A retransmission of a SYN that is held for lack of capacity."""
+
 
 class ResetReason(str, enum.Enum):
     """Why a flow was reset towards its client."""
@@ -59,6 +62,32 @@
     WARMING_UP = "warming_up"
     """Every remaining endpoint is warming up and at its limit of flows."""
 
+    NO_ROOM = "no_room"
+    """The service is short of capacity, and the flows ahead would take longer
+    than this one may be held."""
+
+    HOLD_EXPIRED = "hold_expired"
+    """No capacity became free while the flow was held."""
+
+    REPEAT_LIMIT = "repeat_limit"
+    """A retry of a refused attempt, beyond the retry budget."""
+
+
+class AdmissionReason(str, enum.Enum):
+    """How admission control admitted a new flow."""
+
+    FREE = "free"
+    """The service is not short of capacity on this VM."""
+
+    CREDIT = "credit"
+    """The VM had a free credit for the endpoint."""
+
+    GUEST = "guest"
+    """The flow went to another zone, which has spare capacity."""
+
+    AFTER_HOLD = "after_hold"
+    """The flow was held first."""
+
 
 class PlacementReason(str, enum.Enum):
     """Why a new flow was sent to its endpoint."""
@@ -266,6 +295,12 @@
     "Flows placed by the packets' token.",
     _values(PlacementReason),
 )
+ADMISSIONS = CounterDefinition(
+    "admissions",
+    "{flow}",
+    "New flows admitted by admission control.",
+    _values(AdmissionReason),
+)
 SEGMENTS = CounterDefinition(
     "segments", "{packet}", "Packets sent to the endpoint they name."
 )
@@ -321,4 +356,5 @@
     RESETS,
     PLACEMENTS,
     SEGMENTS,
+    ADMISSIONS,
 )
