Hold, refuse and place new flows by admission control

Cause: steering placed every SYN at once, by counts of requests; the decisions of the admission package had no caller.

Change: a SYN of a route with priority and target latency asks admission control; it is placed as before, placed on an endpoint that this VM has a credit for, held, or reset. Requests in progress are counted from the SYN to the acknowledgement of the answer. Held SYNs are decided when a request ends or a hold expires. Gossip names the VMs that share a zone's endpoints.

--- a/src/pollenmast/admission/_credits.py
+++ b/src/pollenmast/admission/_credits.py
@@ -36,14 +36,13 @@
     position, count = ring.index(own), len(ring)
     order = sorted(slots, key=_rank)
     allocated: dict[str, int] = {}
-    index = 0
-    for level in range(max(slots.values(), default=0) * OCCUPANCY_PER_SLOT):
-        for endpoint in order:
-            if level >= slots[endpoint] * OCCUPANCY_PER_SLOT:
-                continue
-            if index % count == position:
-                allocated[endpoint] = allocated.get(endpoint, 0) + 1
-            index += 1
+    index = level = 0
+    while order:
+        order = [e for e in order if slots[e] * OCCUPANCY_PER_SLOT > level]
+        for endpoint in order[(position - index) % count :: count]:
+            allocated[endpoint] = allocated.get(endpoint, 0) + 1
+        index += len(order)
+        level += 1
     return allocated
 
 
--- a/src/pollenmast/admission/_in_progress.py
+++ b/src/pollenmast/admission/_in_progress.py
@@ -96,6 +96,10 @@
             took_s - usual_s
         )
 
+    def cancel(self, key: Hashable) -> None:
+        """Removes a flow's request that ended without an answer, if any."""
+        self._forget(key)
+
     def expire(self, now: float) -> None:
         """Forgets the requests whose end has not been seen for long."""
         stale = []
--- a/src/pollenmast/entry/_carrier.py
+++ b/src/pollenmast/entry/_carrier.py
@@ -18,7 +18,15 @@
     SEGMENT_DROPPED,
     EventLog,
 )
-from pollenmast.steering import Drop, Forward, Reset, Segment, Steering
+from pollenmast.steering import (
+    Drop,
+    Forward,
+    Held,
+    Outcome,
+    Reset,
+    Segment,
+    Steering,
+)
 
 MAX_BATCH = 64
 """Limit on the datagrams read in a row before other tasks run, about 3 ms."""
@@ -80,12 +88,24 @@
                 datagram = self._sock.recv(_MAX_DATAGRAM_BYTES)
             except BlockingIOError:
                 self._drop_queued_syns = False
-                return
+                break
             except OSError:
                 # The error concerns a datagram sent earlier, to an address
                 # without a listener, and says nothing of this socket.
                 continue
             self._on_datagram(datagram, now)
+        if self._steering.admission.held:
+            self._release_held(now)
+
+    def next_release_at(self, now: float) -> float:
+        """Returns when `forward_queued` has to be called at the latest.
+
+        It is infinite unless SYNs are held.
+
+        Args:
+            now: Time of the event loop's clock in seconds.
+        """
+        return self._steering.admission.next_release_at(now)
 
     def send_resets(self, resets: list[Reset], now: float) -> None:
         """Sends resets to the clients of flows that have ended."""
@@ -105,17 +125,36 @@
             self._counters.add(c.DROPS, DropReason.BACKLOG)
             return
         outcome = self._steering.on_segment(segment, now)
+        self._carry_out(segment, outcome, now)
+
+    def _release_held(self, now: float) -> None:
+        """Forwards or refuses the held SYNs that are decided now."""
+        for released in self._steering.release_held(now):
+            self._carry_out(
+                released.segment, released.outcome, now, released.held_s
+            )
+
+    def _carry_out(
+        self,
+        segment: Segment,
+        outcome: Outcome,
+        now: float,
+        held_s: float = 0.0,
+    ) -> None:
         if isinstance(outcome, Forward):
             endpoint = outcome.endpoint
             data = self._packets.encode_for_endpoint(segment, endpoint)
             self._send(data, (endpoint.host, endpoint.port))
-            self._log_forward(segment, outcome, now)
+            self._log_forward(segment, outcome, now, held_s)
         elif isinstance(outcome, Reset):
-            self._send_reset(outcome, self._packets.request_id(segment), now)
-        else:
+            request = self._packets.request_id(segment)
+            self._send_reset(outcome, request, now, held_s)
+        elif not isinstance(outcome, Held):
             self._log_drop(segment, outcome, now)
 
-    def _send_reset(self, reset: Reset, request: str, now: float) -> None:
+    def _send_reset(
+        self, reset: Reset, request: str, now: float, held_s: float = 0.0
+    ) -> None:
         data, address = self._packets.encode_reset(reset)
         self._send(data, address)
         self._log.write(
@@ -124,6 +163,7 @@
             reason=reset.reason,
             endpoint=reset.endpoint,
             request=request,
+            held_ms=_milliseconds(held_s),
             **self._state_fields(now),
         )
 
@@ -136,7 +176,7 @@
             self._counters.add(c.DROPS, DropReason.SEND_FAILED)
 
     def _log_forward(
-        self, segment: Segment, outcome: Forward, now: float
+        self, segment: Segment, outcome: Forward, now: float, held_s: float
     ) -> None:
         if outcome.placed is not None:
             self._log.write(
@@ -145,6 +185,7 @@
                 endpoint=outcome.endpoint.name,
                 reason=outcome.placed,
                 copies=segment.syn_copies,
+                held_ms=_milliseconds(held_s),
                 **self._state_fields(now),
             )
         elif segment.length:
--- a/src/pollenmast/entry/_gossip.py
+++ b/src/pollenmast/entry/_gossip.py
@@ -159,6 +159,28 @@
         alone = not self._heard_any_peer and self._round >= SOLE_VM_ROUNDS
         return (self._host, []) if alone else None
 
+    def credit_peers_at(self, now: float) -> tuple[str, list[str]] | None:
+        """Returns the VMs that share the credits of this zone's endpoints.
+
+        Unlike `sharers_at` this does not wait until the list of members is
+        stable: credits of VMs whose lists differ may add up to somewhat more
+        than an endpoint's, which its queue can take.
+
+        Args:
+            now: Time of the event loop's clock in seconds.
+
+        Returns:
+            The address of this VM and those of the others of its zone; None if
+            they are not known.
+        """
+        load, peers = self._steering.load, self._members.zone_peers
+        known = max(load.total_vm_count(now), load.vms(now))
+        if peers and known > 1:
+            complete = len(peers) + 1 >= known
+            return (self._host, peers) if complete else None
+        alone = not self._heard_any_peer and self._round >= SOLE_VM_ROUNDS
+        return (self._host, []) if alone else None
+
     def schedule_broadcast(self) -> None:
         """Schedules a broadcast of changes to the other VMs."""
         self._changes_pending.set()
--- a/src/pollenmast/entry/_packets.py
+++ b/src/pollenmast/entry/_packets.py
@@ -1,5 +1,7 @@
 """Forwards clients' datagrams from the event loop."""
 
+import math
+
 import anyio
 
 from pollenmast.entry._carrier import Forwarder
@@ -30,11 +32,22 @@
         """Forwards datagrams until cancelled."""
         await self._wait_until_ready()
         while True:
-            await anyio.wait_readable(self._forwarder.sock)
+            await self._wait()
             self._pauses.check()
             self._forwarder.forward_queued(anyio.current_time())
             await anyio.lowlevel.checkpoint()
 
+    async def _wait(self) -> None:
+        """Waits for datagrams, or until a held SYN has to be decided."""
+        sock = self._forwarder.sock
+        now = anyio.current_time()
+        release_at = self._forwarder.next_release_at(now)
+        if math.isinf(release_at):
+            await anyio.wait_readable(sock)
+            return
+        with anyio.move_on_after(max(0.0, release_at - now)):
+            await anyio.wait_readable(sock)
+
     async def _wait_until_ready(self) -> None:
         """Leaves packets queued in the socket until they can be forwarded.
 
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -132,6 +132,9 @@
         self._steering.check_policy.set_is_reader(self._gossip.is_reader)
         self._steering.outliers.set_on_ejected(self._on_ejected)
         self._steering.cold_limit.set_sharers(self._gossip.allowance_peers)
+        self._steering.admission_control.set_sharers(
+            self._gossip.credit_peers_at
+        )
 
     async def run(self) -> int:
         """Runs until it is stopped; returns the exit code."""
--- a/src/pollenmast/steering/__init__.py
+++ b/src/pollenmast/steering/__init__.py
@@ -29,7 +29,14 @@
     Warmup,
     WeightedService,
 )
-from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
+from pollenmast.steering._outcomes import (
+    Drop,
+    Forward,
+    Held,
+    Outcome,
+    Released,
+    Reset,
+)
 from pollenmast.steering._outliers import Failures, Outliers
 from pollenmast.steering._position import Position
 from pollenmast.steering._reach import Reach
@@ -54,6 +61,7 @@
     "FlowKey",
     "Forward",
     "Health",
+    "Held",
     "EndpointLoads",
     "Members",
     "Outcome",
@@ -63,6 +71,7 @@
     "Rates",
     "Reach",
     "Record",
+    "Released",
     "Reset",
     "Route",
     "RouteTable",
--- /dev/null
+++ b/src/pollenmast/steering/_admission_control.py
@@ -0,0 +1,143 @@
+"""Connects admission control to the endpoints and flows that a VM knows."""
+
+import itertools
+from collections.abc import Callable, Mapping
+
+import attrs
+
+from pollenmast.admission import (
+    Admission,
+    AdmissionSettings,
+    Admit,
+    EndpointView,
+    FlowArrival,
+    Hold,
+    Refuse,
+    allocate,
+)
+from pollenmast.steering._catalog import Catalog
+from pollenmast.steering._model import FlowKey, Route, Segment
+from pollenmast.steering._placement import EndpointSelector
+
+MAX_COUNTED_SLOTS = 512
+"""Slots of an endpoint beyond which further ones grant no credits. An entry
+with a huge number of slots must not occupy every VM with computing credits."""
+
+
+class _Endpoints(EndpointView):
+    """The endpoints of the catalog and the VMs that share them."""
+
+    def __init__(self, zone: str, catalog: Catalog, selector: EndpointSelector):
+        self._zone = zone
+        self._catalog = catalog
+        self._selector = selector
+        self.sharers: Callable[[float], tuple[str, list[str]] | None] = _unknown
+
+    def credits(self, service: str, now: float) -> Mapping[str, int] | None:
+        sharers = self.sharers(now)
+        if sharers is None:
+            return None
+        slots = {
+            record.endpoint.name: min(record.endpoint.slots, MAX_COUNTED_SLOTS)
+            for record in self._catalog.serving(service)
+            if record.endpoint.zone == self._zone
+            and not self._catalog.is_drained(record)
+        }
+        if not slots:
+            return None
+        own, others = sharers
+        return allocate(slots, others, own)
+
+    def is_usable(self, endpoint: str, now: float) -> bool:
+        record = self._catalog.get(endpoint)
+        return record is not None and self._selector.accepts(record, now)
+
+    def guest(self, service: str, now: float) -> str | None:
+        record = self._selector.less_loaded_zone(service, now)
+        return record.endpoint.name if record is not None else None
+
+
+@attrs.frozen
+class HeldSegment:
+    """A SYN that is held.
+
+    Attributes:
+        segment: The SYN.
+        route: The route that it was admitted by.
+        service: The service that it asks for.
+    """
+
+    segment: Segment
+    route: Route
+    service: str
+
+
+class AdmissionControl:
+    """Admission control of the flows of one VM."""
+
+    def __init__(
+        self,
+        zone: str,
+        catalog: Catalog,
+        selector: EndpointSelector,
+        settings: AdmissionSettings | None,
+    ):
+        self._endpoints = _Endpoints(zone, catalog, selector)
+        self._admission = Admission(self._endpoints, settings)
+        self._held: dict[FlowKey, HeldSegment] = {}
+        self._tickets = itertools.count()
+
+    @property
+    def admission(self) -> Admission:
+        """The decisions."""
+        return self._admission
+
+    def set_sharers(
+        self, sharers: Callable[[float], tuple[str, list[str]] | None]
+    ) -> None:
+        """Sets the VMs that share the endpoints of this VM's zone.
+
+        Args:
+            sharers: Returns this VM and the others of its zone at a time in
+                seconds, None while they are not known.
+        """
+        self._endpoints.sharers = sharers
+
+    def is_held(self, key: FlowKey) -> bool:
+        """Whether the SYN of a flow is held."""
+        return key in self._held
+
+    def decide(
+        self, segment: Segment, route: Route, service: str, now: float
+    ) -> Admit | Hold | Refuse | None:
+        """Decides on a SYN.
+
+        Returns:
+            The decision; None if the route is outside admission control.
+        """
+        if route.priority is None or route.target_latency_s is None:
+            return None
+        arrival = FlowArrival(
+            key=segment.flow,
+            ticket=next(self._tickets),
+            service=service,
+            caller=segment.flow.client_host,
+            priority=route.priority,
+            target_latency_s=route.target_latency_s,
+            route=(route.host, route.port),
+        )
+        outcome = self._admission.on_arrival(arrival, now)
+        if isinstance(outcome, Hold):
+            self._held[segment.flow] = HeldSegment(segment, route, service)
+        return outcome
+
+    def release(self, now: float) -> list[tuple[HeldSegment, Admit | Refuse]]:
+        """Returns the held SYNs that are decided now."""
+        return [
+            (self._held.pop(each.arrival.key), each.outcome)
+            for each in self._admission.release(now)
+        ]
+
+
+def _unknown(now: float) -> tuple[str, list[str]] | None:
+    return None
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -12,12 +12,20 @@
 import attrs
 
 from pollenmast import counters as c
+from pollenmast.admission import (
+    Admission,
+    AdmissionSettings,
+    Admit,
+    Hold,
+    Refuse,
+)
 from pollenmast.counters import (
     Counters,
     DropReason,
     Histograms,
     ResetReason,
 )
+from pollenmast.steering._admission_control import AdmissionControl
 from pollenmast.steering._catalog import Catalog
 from pollenmast.steering._changes import (
     Update,
@@ -31,7 +39,14 @@
 from pollenmast.steering._journal import ChangeLog
 from pollenmast.steering._load import EndpointLoads
 from pollenmast.steering._model import FlowKey, Route, RouteTable, Segment
-from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
+from pollenmast.steering._outcomes import (
+    Drop,
+    Forward,
+    Held,
+    Outcome,
+    Released,
+    Reset,
+)
 from pollenmast.steering._outliers import Outliers
 from pollenmast.steering._placement import (
     EndpointSelector,
@@ -83,6 +98,7 @@
         rng: random.Random,
         histograms: Histograms | None = None,
         allowance: ColdAllowance | None = None,
+        admission: AdmissionSettings | None = None,
     ):
         self._counters = counters
         self._catalog = Catalog()
@@ -91,16 +107,20 @@
         self._load = EndpointLoads(zone)
         self._cold_limit = ColdLimit(zone, allowance)
         self._outliers = Outliers(self._catalog)
+        self._reach = Reach(zone, self._catalog)
+        self._selector = EndpointSelector(
+            zone, self._catalog, self._load, rng, self._cold_limit
+        )
+        self._control = AdmissionControl(
+            zone, self._catalog, self._selector, admission
+        )
         self._observer = TrafficObserver(
             self._flows,
             self._check_policy,
             self._load,
             self._outliers,
             histograms or Histograms(),
-        )
-        self._reach = Reach(zone, self._catalog)
-        self._selector = EndpointSelector(
-            zone, self._catalog, self._load, rng, self._cold_limit
+            self._control.admission.in_progress,
         )
         self._journal = ChangeLog()
         self._routes = ActiveRoutes()
@@ -143,6 +163,16 @@
         """Whether this VM can reach the zones that its clients depend on."""
         return self._reach
 
+    @property
+    def admission(self) -> Admission:
+        """Decides which new flows are placed, held or refused."""
+        return self._control.admission
+
+    @property
+    def admission_control(self) -> AdmissionControl:
+        """Connects admission control to the endpoints."""
+        return self._control
+
     @property
     def journal(self) -> ChangeLog:
         """The most recent changes."""
@@ -253,13 +283,35 @@
     def on_segment(self, segment: Segment, now: float) -> Outcome:
         """Decides what to do with a client's segment, and counts it."""
         outcome = self._decide(segment, now)
+        self._count(outcome)
+        return outcome
+
+    def release_held(self, now: float) -> list[Released]:
+        """Returns the held SYNs that are admitted or refused now."""
+        released = []
+        while decided := self._control.release(now):
+            for held, decision in decided:
+                if isinstance(decision, Admit):
+                    outcome = self._place_flow(
+                        held.segment, held.route, (), decision, now
+                    )
+                else:
+                    outcome = self._refuse_admission(held.segment, decision)
+                self._count(outcome)
+                released.append(
+                    Released(held.segment, outcome, decision.held_s)
+                )
+        return released
+
+    def _count(self, outcome: Outcome) -> None:
         if isinstance(outcome, Forward):
             self._counters.add(c.SEGMENTS)
         elif isinstance(outcome, Drop):
             self._counters.add(c.DROPS, outcome.reason)
-        else:
+        elif isinstance(outcome, Reset):
             self._counters.add(c.RESETS, outcome.reason)
-        return outcome
+        else:
+            self._counters.add(c.FLOWS_HELD)
 
     def on_check(
         self, record: Record, result: CheckResult, now: float
@@ -332,6 +384,8 @@
             if self.table is None or not current:
                 return Drop(DropReason.NO_ROUTE_YET)
             return self._reset(segment, ResetReason.NO_ROUTE)
+        if self._control.is_held(segment.flow):
+            return Drop(DropReason.HELD)
         flow = self._flows.get(segment.flow)
         tried = flow.tried if flow is not None and not flow.opened else ()
         if tried and now - flow.syn_sent_at < MIN_RETRANSMIT_S:
@@ -339,7 +393,37 @@
         for name in tried[-1:]:
             self._on_syn_repeated(name, now)
         self._catalog.watchlist.evaluate(now)
-        placed = self._place(route, segment.flow, tried, now)
+        decision = None
+        if not tried:
+            decision = self._admit(segment, route, now)
+        if isinstance(decision, Hold):
+            return Held()
+        if isinstance(decision, Refuse):
+            return self._refuse_admission(segment, decision)
+        return self._place_flow(segment, route, tried, decision, now)
+
+    def _admit(
+        self, segment: Segment, route: Route, now: float
+    ) -> Admit | Hold | Refuse | None:
+        """Asks admission control for the route's first service in use."""
+        for service in route.services(segment.flow.digest):
+            if self._catalog.serving(service):
+                return self._control.decide(segment, route, service, now)
+        return None
+
+    def _place_flow(
+        self,
+        segment: Segment,
+        route: Route,
+        tried: tuple[str, ...],
+        admit: Admit | None,
+        now: float,
+    ) -> Outcome:
+        placed = None
+        if admit is not None and admit.endpoint is not None:
+            placed = self._selector.place_on(admit.endpoint, now)
+        if placed is None:
+            placed = self._place(route, segment.flow, tried, now)
         if placed is None or isinstance(placed, PlacementFailure):
             return self._refuse(segment, placed, now)
         endpoint = placed.record.endpoint
@@ -353,9 +437,17 @@
         # flows that arrive together would all pick the same endpoint as the
         # least loaded.
         self._load.on_request(endpoint.number, now)
+        self._control.admission.in_progress.begin(
+            segment.flow, endpoint.service, endpoint.name, now
+        )
         self._counters.add(c.PLACEMENTS, placed.reason)
+        if admit is not None:
+            self._counters.add(c.ADMISSIONS, _admission_label(admit))
         return Forward(endpoint, placed.reason)
 
+    def _refuse_admission(self, segment: Segment, refuse: Refuse) -> Reset:
+        return self._reset(segment, ResetReason(refuse.reason.value))
+
     def _place(
         self, route: Route, flow: FlowKey, tried: tuple[str, ...], now: float
     ) -> Placement | PlacementFailure | None:
@@ -422,3 +514,7 @@
     ) -> Reset:
         sequence = 0 if segment.syn else segment.acknowledged
         return Reset(segment.flow, sequence, reason, endpoint)
+
+
+def _admission_label(admit: Admit) -> str:
+    return "after_hold" if admit.held_s > 0.0 else admit.reason.value
--- a/src/pollenmast/steering/_outcomes.py
+++ b/src/pollenmast/steering/_outcomes.py
@@ -3,7 +3,7 @@
 import attrs
 
 from pollenmast.counters import DropReason, PlacementReason, ResetReason
-from pollenmast.steering._model import Endpoint, FlowKey
+from pollenmast.steering._model import Endpoint, FlowKey, Segment
 
 
 @attrs.frozen
@@ -19,6 +19,26 @@
     placed: PlacementReason | None = None
 
 
+@attrs.frozen
+class Held:
+    """The segment, a SYN, is held until its flow is admitted or refused."""
+
+
+@attrs.frozen
+class Released:
+    """A held SYN whose flow has been admitted or refused.
+
+    Attributes:
+        segment: The SYN.
+        outcome: What happens to it.
+        held_s: How long it was held, in seconds.
+    """
+
+    segment: Segment
+    outcome: "Outcome"
+    held_s: float
+
+
 @attrs.frozen
 class Reset:
     """The client is sent a reset that ends its flow.
@@ -47,4 +67,4 @@
     reason: DropReason
 
 
-Outcome = Forward | Reset | Drop
+Outcome = Forward | Reset | Drop | Held
--- a/src/pollenmast/steering/_placement.py
+++ b/src/pollenmast/steering/_placement.py
@@ -133,6 +133,51 @@
             return Placement(chosen, PlacementReason.OWN_ZONE)
         return Placement(chosen, PlacementReason.OTHER_ZONE)
 
+    def place_on(self, endpoint: str, now: float) -> Placement | None:
+        """Returns the placement on a given endpoint, None if not usable."""
+        record = self._catalog.get(endpoint)
+        if record is None or not self.accepts(record, now):
+            return None
+        own_zone = record.endpoint.zone == self._zone
+        reason = (
+            PlacementReason.OWN_ZONE if own_zone else PlacementReason.OTHER_ZONE
+        )
+        return Placement(record, reason)
+
+    def accepts(self, record: Record, now: float) -> bool:
+        """Whether a new flow may be placed on an endpoint without doubt."""
+        return (
+            _usable(record)
+            and not record.endpoint.draining
+            and record.health.accepts_new_flows(now)
+            and not self._catalog.is_drained(record)
+            and self._catalog.owns_token(record)
+            and self._admits(record, now)
+        )
+
+    def less_loaded_zone(self, service: str, now: float) -> Record | None:
+        """Returns an endpoint of another zone with clearly less load.
+
+        Returns:
+            The endpoint. None if no other zone has one, or if the own zone has
+            endpoints and the loads of the zones are not known.
+        """
+        accepting = [
+            r for r in self._catalog.serving(service) if self.accepts(r, now)
+        ]
+        near = [r for r in accepting if r.endpoint.zone == self._zone]
+        far = [r for r in accepting if r.endpoint.zone != self._zone]
+        if not far:
+            return None
+        if not near:
+            return self._draw(far, now)
+        if not self._load.is_settled(now):
+            return None
+        other = self._draw(far, now)
+        limit = self._cross_zone_limit(other, now)
+        own = self._draw(near, now)
+        return other if self._total_load(own, now) > limit else None
+
     def on_opened(self, record: Record, now: float) -> None:
         """Counts a flow that was opened to an endpoint."""
         if record.is_cold(now):
@@ -153,11 +198,15 @@
         if not self._load.is_settled(now):
             return own
         other = self._draw(far, now)
-        limit = (
+        limit = self._cross_zone_limit(other, now)
+        return other if self._total_load(own, now) > limit else own
+
+    def _cross_zone_limit(self, other: Record, now: float) -> float:
+        """Returns the load of the own zone above which `other` is used."""
+        return (
             CROSS_ZONE_LOAD_FACTOR * self._total_load(other, now)
             + CROSS_ZONE_LOAD_MARGIN
         )
-        return other if self._total_load(own, now) > limit else own
 
     def _last_resort(self, records: list[Record], now: float) -> Placement:
         """Selects an endpoint although the health of every one is in doubt.
--- a/src/pollenmast/steering/_traffic_observer.py
+++ b/src/pollenmast/steering/_traffic_observer.py
@@ -5,6 +5,7 @@
 """
 
 from pollenmast import counters as c
+from pollenmast.admission import RequestsInProgress
 from pollenmast.counters import Histograms
 from pollenmast.steering._check_policy import CheckPolicy
 from pollenmast.steering._flows import FlowTable, update_flow
@@ -30,12 +31,14 @@
         load: EndpointLoads,
         outliers: Outliers,
         histograms: Histograms,
+        in_progress: RequestsInProgress,
     ):
         self._flows = flows
         self._check_policy = check_policy
         self._load = load
         self._outliers = outliers
         self._histograms = histograms
+        self._in_progress = in_progress
         self._pending = PendingRequests()
         self._lengths = AnswerLengths()
         self._usual_answer_s = 0.0
@@ -50,15 +53,21 @@
         progress = update_flow(flow, segment, now)
         if progress.answer_time_s is not None:
             self._observe_time(progress.answer_time_s)
-            self._observe_length(
+            short = self._observe_length(
                 segment.flow, record, progress.answer_bytes, now
             )
+            # A rejection takes less time than the request would have.
+            self._in_progress.end(segment.flow, now, learn=not short)
         # A request also acknowledges the previous answer: handle that first.
         if progress.advanced:
             record.health.on_progress(now)
             self._pending.end(segment.flow)
         if progress.request:
-            self._load.on_request(record.endpoint.number, now)
+            endpoint = record.endpoint
+            self._load.on_request(endpoint.number, now)
+            self._in_progress.begin(
+                segment.flow, endpoint.service, endpoint.name, now
+            )
             record.health.on_request(now, self._usual_answer_s)
             self._pending.begin(segment.flow, record.endpoint.number, now)
         if progress.repeated:
@@ -70,6 +79,7 @@
         """Removes a flow that has ended."""
         self._flows.forget(flow)
         self._pending.end(flow)
+        self._in_progress.cancel(flow)
 
     def collect_late(self, now: float) -> None:
         """Records the requests that have become late since the last call."""
@@ -84,7 +94,10 @@
 
     def _observe_length(
         self, flow: FlowKey, record: Record, length: int, now: float
-    ) -> None:
+    ) -> bool:
+        """Records an answer's length; returns whether it is unusually short."""
         route = record.endpoint.service, flow.service_host, flow.service_port
-        if self._lengths.observe(route, length):
+        short = self._lengths.observe(route, length)
+        if short:
             self._outliers.on_failed(record.endpoint.number, now)
+        return short
