Add attributes to routes and limits of connections to route tables

Cause: priority, target latency and timeout of routes and the limit of connections of services were not represented; admission needs them.

Change: Route, RouteTable and RoutesDelta have optional fields for them. The validity rules are in one place, as the values come from the directory and from other VMs.

--- a/src/pollenmast/steering/__init__.py
+++ b/src/pollenmast/steering/__init__.py
@@ -1,5 +1,11 @@
 """Steers packets to the endpoint whose token they carry, without any I/O."""
 
+from pollenmast.steering._attributes import (
+    valid_max_conns,
+    valid_priority,
+    valid_time_ms,
+    valid_time_s,
+)
 from pollenmast.steering._catalog import Catalog
 from pollenmast.steering._changes import (
     START_POSITION,
@@ -75,4 +81,8 @@
     "Warmup",
     "ZoneDrained",
     "ZoneRestored",
+    "valid_max_conns",
+    "valid_priority",
+    "valid_time_ms",
+    "valid_time_s",
 ]
--- a/src/pollenmast/steering/_changes.py
+++ b/src/pollenmast/steering/_changes.py
@@ -89,6 +89,7 @@
             the flow table.
         warmups: The warm-up settings of each service that has any.
         revision: The directory's revision at that write.
+        max_conns: The limit of connections of each service that states one.
     """
 
     base: int
@@ -99,6 +100,7 @@
     idle_timeout_s: float
     warmups: dict[str, Warmup]
     revision: int
+    max_conns: dict[str, int] = attrs.field(factory=dict)
 
     @classmethod
     def between(
@@ -120,6 +122,7 @@
             new.idle_timeout_s,
             new.warmups,
             revision,
+            new.max_conns,
         )
 
     def apply(self, old: RouteTable) -> RouteTable:
@@ -135,6 +138,7 @@
             self.health_paths,
             self.idle_timeout_s,
             self.warmups,
+            self.max_conns,
         )
 
 
@@ -184,7 +188,7 @@
         complete: Whether this is a complete listing, so that anything not in it
             no longer exists.
         refused: Descriptions of the entries and configurations that could not
-            be parsed.
+            be parsed, and of the values ignored in a configuration.
         unclear_zones: Zones whose drain entry could not be parsed; their
             known state stays in force.
         all_drains: Whether every drained zone is listed, so that all others
--- a/src/pollenmast/steering/_model.py
+++ b/src/pollenmast/steering/_model.py
@@ -121,6 +121,11 @@
         splits: The services with their weights; those without a share are
             left out.
         idempotent: Whether its requests may be executed twice.
+        priority: 0 is the most urgent; None if not stated.
+        target_latency_s: The time within which a request should be answered,
+            in seconds; None if not stated.
+        timeout_s: The time after which a client gives a request up, in
+            seconds; None if not stated.
     """
 
     name: str
@@ -128,6 +133,9 @@
     port: int
     splits: tuple[WeightedService, ...]
     idempotent: bool
+    priority: int | None = None
+    target_latency_s: float | None = None
+    timeout_s: float | None = None
 
     def services(self, digest: int) -> list[str]:
         """Returns the services in the order in which a flow tries them.
@@ -174,6 +182,7 @@
         idle_timeout_s: Flows idle for longer than this may be dropped from
             the flow table.
         warmups: The warm-up settings of each service that has any.
+        max_conns: The limit of connections of each service that states one.
     """
 
     version: int
@@ -181,3 +190,4 @@
     health_paths: dict[str, str]
     idle_timeout_s: float
     warmups: dict[str, Warmup] = attrs.field(factory=dict)
+    max_conns: dict[str, int] = attrs.field(factory=dict)
