Parse attributes of routes and limits of connections of services

Cause: priority, targetLatencyMs, timeoutMs and maxConns of the configuration were ignored.

Change: they are parsed. An invalid value counts as not stated and the configuration is used. Each field with invalid values is reported as one entry_refused event with the number of values and the first name: this needs no new counter, and an operator sees which entry is wrong.

--- a/src/pollenmast/events/_catalogue.py
+++ b/src/pollenmast/events/_catalogue.py
@@ -292,7 +292,8 @@
 ENTRY_REFUSED = Event(
     422,
     "entry_refused",
-    "An entry or configuration could not be parsed; the rest stays in force.",
+    "An entry or configuration, or a value in it, could not be parsed; the rest"
+    " is in force.",
     "Find out who wrote the entry.",
 )
 HISTORY_GONE = Event(
--- a/src/pollenmast/platform/_entries.py
+++ b/src/pollenmast/platform/_entries.py
@@ -2,9 +2,10 @@
 
 import json
 import zlib
-from collections.abc import Iterator
-from typing import Any
+from collections.abc import Callable, Iterator
+from typing import Any, TypeVar
 
+import attrs
 from result import Err, Ok, Result
 
 from pollenmast.steering import (
@@ -13,6 +14,9 @@
     RouteTable,
     Warmup,
     WeightedService,
+    valid_max_conns,
+    valid_priority,
+    valid_time_ms,
 )
 
 OPERATOR_PREFIX = "op/"
@@ -38,6 +42,8 @@
 
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
+_T = TypeVar("_T")
+
 
 class _FieldError(ValueError):
     """A field is missing or its value is invalid."""
@@ -92,8 +98,57 @@
         return Err(f"drain of {zone!r}: {_describe_error(error)}"[:120])
 
 
+@attrs.frozen
+class Configuration:
+    """The operator's configuration and the values ignored in it.
+
+    Attributes:
+        table: The configuration.
+        ignored: A description of the invalid optional values of each field.
+    """
+
+    table: RouteTable
+    ignored: tuple[str, ...]
+
+
+class _OptionalFields:
+    """Reads optional fields and records their invalid values."""
+
+    def __init__(self):
+        self._ignored: dict[str, list[str]] = {}
+
+    def read(
+        self, entry: dict[str, Any], field: str, validate: Callable[[Any], _T]
+    ) -> _T | None:
+        """Returns the valid value, None if it is absent or invalid."""
+        if field not in entry:
+            return None
+        value = validate(entry[field])
+        if value is None:
+            name = _str_field(entry, "name")
+            self._ignored.setdefault(field, []).append(name)
+        return value
+
+    def describe_ignored(self) -> tuple[str, ...]:
+        """Returns one line for each field with invalid values."""
+        return tuple(
+            f"configuration: {field} not allowed and ignored, {len(names)} "
+            f"times, first in {names[0]!r}"[:120]
+            for field, names in self._ignored.items()
+        )
+
+
 def parse_configuration(value: bytes) -> Result[RouteTable, str]:
     """Parses the operator's configuration, or returns an error message."""
+    return parse_with_ignored(value).map(lambda parsed: parsed.table)
+
+
+def parse_with_ignored(value: bytes) -> Result[Configuration, str]:
+    """Parses the operator's configuration and lists the ignored values.
+
+    An invalid optional value does not make the configuration invalid.
+    """
+    optional = _OptionalFields()
     try:
         root = _require_object(json.loads(value))
         entries = list(_object_list_field(root, "services"))
@@ -103,19 +158,19 @@
         }
         routes = {}
         for each in _object_list_field(root, "routeTable"):
-            route = _parse_route(each, services)
+            route = _parse_route(each, services, optional)
             routes[route.host, route.port] = route
         limits = _require_object(root.get("limits"))
-        return Ok(
-            RouteTable(
-                version=_int_field(root, "version", 0, 1 << 62),
-                routes=routes,
-                health_paths=services,
-                idle_timeout_s=_int_field(limits, "idleTimeoutMs", 1, 1 << 40)
-                / 1000.0,
-                warmups=_parse_warmups(entries),
-            )
+        table = RouteTable(
+            version=_int_field(root, "version", 0, 1 << 62),
+            routes=routes,
+            health_paths=services,
+            idle_timeout_s=_int_field(limits, "idleTimeoutMs", 1, 1 << 40)
+            / 1000.0,
+            warmups=_parse_warmups(entries),
+            max_conns=_parse_max_conns(entries, optional),
         )
+        return Ok(Configuration(table, optional.describe_ignored()))
     except (ValueError, RecursionError) as error:
         return Err(f"configuration: {_describe_error(error)}"[:120])
 
@@ -126,7 +181,9 @@
     return f"{type(error).__name__} {error}"
 
 
-def _parse_route(entry: dict[str, Any], services: dict[str, str]) -> Route:
+def _parse_route(
+    entry: dict[str, Any], services: dict[str, str], optional: _OptionalFields
+) -> Route:
     # `hostname` holds an IP address and `prefix` a port between slashes.
     host = _parse_host(_str_field(entry, "hostname"))
     port = _parse_port(_str_field(entry, "prefix").strip("/"))
@@ -149,9 +206,25 @@
         port=port,
         splits=tuple(split for split in splits if split.weight > 0),
         idempotent=_str_field(entry, "routeType") in _IDEMPOTENT_ROUTE_TYPES,
+        priority=optional.read(entry, "priority", valid_priority),
+        target_latency_s=optional.read(entry, "targetLatencyMs", valid_time_ms),
+        timeout_s=optional.read(entry, "timeoutMs", valid_time_ms),
     )
 
 
+def _parse_max_conns(
+    services: list[dict[str, Any]], optional: _OptionalFields
+) -> dict[str, int]:
+    """Returns the limit of connections of each service that states one."""
+    limits = {
+        _str_field(each, "name"): optional.read(
+            each, "maxConns", valid_max_conns
+        )
+        for each in services
+    }
+    return {name: limit for name, limit in limits.items() if limit is not None}
+
+
 def _parse_warmups(services: list[dict[str, Any]]) -> dict[str, Warmup]:
     """Returns the warm-up of each service that specifies a rate for it.
 
--- a/src/pollenmast/platform/_items.py
+++ b/src/pollenmast/platform/_items.py
@@ -10,9 +10,9 @@
     CONFIGURATION_KEY,
     DRAIN_PREFIX,
     ENDPOINT_PREFIX,
-    parse_configuration,
     parse_drain,
     parse_endpoint,
+    parse_with_ignored,
 )
 from pollenmast.steering import (
     Change,
@@ -44,11 +44,13 @@
 
     Returns:
         The update. An endpoint whose entry is invalid counts as removed, and a
-        zone whose drain is invalid is listed as unclear.
+        zone whose drain is invalid is listed as unclear. Ignored values of a
+        configuration are listed as refused; the configuration is used.
     """
-    changes, refused, unclear = [], [], []
+    changes, unclear = [], []
+    refused: list[str] = []
     for item in items:
-        parsed = _parse_item(item)
+        parsed = _parse_item(item, refused)
         if isinstance(parsed, Ok):
             if parsed.ok_value is not None:
                 changes.append(parsed.ok_value)
@@ -79,8 +81,13 @@
     return key if known else None
 
 
-def _parse_item(item: Any) -> Result[Change | None, str]:
-    """Returns an item's change, or None if its key is not used here."""
+def _parse_item(item: Any, refused: list[str]) -> Result[Change | None, str]:
+    """Returns an item's change, or None if its key is not used here.
+
+    Args:
+        item: The item.
+        refused: Gets the values that are ignored in a valid configuration.
+    """
     key = _item_key(item)
     if key is None:
         return Err("item without key or revision")
@@ -93,7 +100,7 @@
         value = base64.b64decode(item.get("value"), validate=True)
     except (TypeError, ValueError, binascii.Error):
         return Err(f"{key}: value is not base64"[:120])
-    return _parse_write(key, value, revision)
+    return _parse_write(key, value, revision, refused)
 
 
 def _is_relevant(key: str) -> bool:
@@ -109,15 +116,20 @@
     return None
 
 
-def _parse_write(key: str, value: bytes, revision: int) -> Result[Change, str]:
+def _parse_write(
+    key: str, value: bytes, revision: int, refused: list[str]
+) -> Result[Change, str]:
     if key.startswith(ENDPOINT_PREFIX):
         endpoint = parse_endpoint(key.removeprefix(ENDPOINT_PREFIX), value)
         return endpoint.map(lambda known: EndpointAnnounced(known, revision))
     if key.startswith(DRAIN_PREFIX):
         zone = parse_drain(key.removeprefix(DRAIN_PREFIX), value)
         return zone.map(lambda known: ZoneDrained(known, revision))
-    table = parse_configuration(value)
-    return table.map(lambda known: RoutesPublished(known, revision))
+    parsed = parse_with_ignored(value)
+    if isinstance(parsed, Err):
+        return parsed
+    refused.extend(parsed.ok_value.ignored)
+    return Ok(RoutesPublished(parsed.ok_value.table, revision))
 
 
 def _removal_of_unreadable(item: Any) -> EndpointRemoved | None:
--- a/tests/platform_entries_test.py
+++ b/tests/platform_entries_test.py
@@ -8,9 +8,13 @@
 from result import Err, Ok
 from testtools import TestCase
 
-from pollenmast.platform._entries import parse_configuration, parse_endpoint
+from pollenmast.platform._entries import (
+    parse_configuration,
+    parse_endpoint,
+    parse_with_ignored,
+)
 from pollenmast.platform._settings import parse_settings
-from pollenmast.steering import ColdAllowance, Warmup
+from pollenmast.steering import ColdAllowance, Route, Warmup
 
 NAME = "i-7f3a91c2"
 ENTRY = {
@@ -71,6 +75,28 @@
 )
 
 
+_NONE_STATED = (None, None, None)
+_INVALID = (
+    -1,
+    -0.5,
+    10**400,
+    1e300,
+    float("nan"),
+    float("inf"),
+    True,
+    False,
+    "1",
+    None,
+    [],
+    {},
+)
+"""Values that no attribute of a route or service may have."""
+
+
+def _attributes(route: Route) -> tuple:
+    return route.priority, route.target_latency_s, route.timeout_s
+
+
 def _entry(**fields) -> bytes:
     return json.dumps({**ENTRY, **fields}).encode()
 
@@ -188,6 +214,97 @@
         """A configuration with an impossible warm-up rate is rejected."""
         self.assertIsInstance(self._parse_with_warmup(warmupPerS=rate), Err)
 
+    def _parse_with_attributes(self, route=None, service=None):
+        first, *routes = CONFIGURATION["routeTable"]
+        service_a, *services = CONFIGURATION["services"]
+        entry = {
+            **CONFIGURATION,
+            "routeTable": [{**first, **(route or {})}, *routes],
+            "services": [{**service_a, **(service or {})}, *services],
+        }
+        parsed = parse_with_ignored(json.dumps(entry).encode()).ok_value
+        table = parsed.table
+        # The other route and service must not get the values of the first.
+        other = table.routes["198.18.0.1", 8080]
+        self.assertEqual(_NONE_STATED, _attributes(other))
+        self.assertNotIn("b", table.max_conns)
+        return table, parsed.ignored
+
+    @parameterized.expand(
+        [
+            ("none", {}, _NONE_STATED),
+            ("priority_zero", {"priority": 0}, (0, None, None)),
+            ("priority_last", {"priority": 100}, (100, None, None)),
+            ("target", {"targetLatencyMs": 327}, (None, 0.327, None)),
+            ("fraction", {"targetLatencyMs": 0.5}, (None, 0.0005, None)),
+            ("timeout", {"timeoutMs": 3_600_000}, (None, None, 3600.0)),
+            (
+                "all",
+                {"priority": 1, "targetLatencyMs": 1344, "timeoutMs": 10_900},
+                (1, 1.344, 10.9),
+            ),
+        ]
+    )
+    def test_route_attributes(self, _, fields, expected):
+        """Stated attributes are read with the right unit.
+
+        A priority of 0 is the most urgent and must not count as not stated.
+        """
+        table, ignored = self._parse_with_attributes(route=fields)
+        route = table.routes["198.18.0.1", 8443]
+        self.assertEqual(expected, _attributes(route))
+        self.assertEqual((), ignored)
+
+    @parameterized.expand([(1,), (1 << 30,)])
+    def test_max_conns(self, limit):
+        """The limit of a service is read."""
+        table, ignored = self._parse_with_attributes(
+            service={"maxConns": limit}
+        )
+        self.assertEqual({"a": limit}, table.max_conns)
+        self.assertEqual((), ignored)
+
+    @parameterized.expand(
+        [
+            (field, value)
+            for field, values in {
+                "priority": (101, 0.5, 1.0),
+                "targetLatencyMs": (0, 0.0, 3_600_000.5, 5e-324),
+                "timeoutMs": (0, 0.0, 3_600_001),
+                "maxConns": (0, 1.0, (1 << 30) + 1),
+            }.items()
+            for value in (*values, *_INVALID)
+        ]
+    )
+    def test_invalid_attribute(self, field, value):
+        """An invalid attribute is reported; the configuration is used.
+
+        Rejecting the configuration would keep its routes from the clients.
+        """
+        where = "service" if field == "maxConns" else "route"
+        table, (line,) = self._parse_with_attributes(**{where: {field: value}})
+        route = table.routes["198.18.0.1", 8443]
+        self.assertEqual(_NONE_STATED, _attributes(route))
+        self.assertEqual({}, table.max_conns)
+        self.assertIn(field, line)
+
+    def test_many_invalid_attributes(self):
+        """Invalid attributes of many routes are one short line for a field.
+
+        A line for each would fill the log at every change.
+        """
+        bad = {"priority": -1, "timeoutMs": None, "name": "r" * 4000}
+        routes = [
+            {**CONFIGURATION["routeTable"][0], **bad, "prefix": f"/{port}/"}
+            for port in range(1, 1001)
+        ]
+        value = json.dumps({**CONFIGURATION, "routeTable": routes}).encode()
+        ignored = parse_with_ignored(value).ok_value.ignored
+        self.assertEqual(2, len(ignored))
+        for line, field in zip(ignored, ("priority", "timeoutMs"), strict=True):
+            self.assertIn(f"{field} not allowed and ignored, 1000 times", line)
+            self.assertLessEqual(len(line), 120)
+
     @given(st.dictionaries(st.sampled_from(list(CONFIGURATION)), _JSON))
     @settings(max_examples=200, deadline=None, derandomize=True)
     def test_any_fields(self, fields):
--- a/tests/platform_store_test.py
+++ b/tests/platform_store_test.py
@@ -91,6 +91,18 @@
         self.assertEqual([NAME], [c.endpoint.name for c in announced])
         self.assertEqual(1, len(update.refused))
 
+    def test_ignored_value(self):
+        """An invalid optional value is reported; the configuration is used.
+
+        Unreported, an operator would not learn why a route has no priority.
+        """
+        route = {**CONFIGURATION["routeTable"][0], "priority": -1}
+        self.store.put("op/config", {**CONFIGURATION, "routeTable": [route]})
+        update = self._read().ok_value
+        self.assertEqual(2, len(update.changes))
+        (line,) = update.refused
+        self.assertIn("priority", line)
+
     def test_unrelated_keys(self):
         """Unrelated keys are ignored."""
         self.store.put("else/where", b"x")
