Send route attributes and limits of connections between VMs

Cause: the previous build rejects routes with more than five fields, so the attributes would have made it lose whole updates in a rolling replacement.

Change: the attributes travel in the map of health paths under the key "", which is removed on receipt. Routes with equal attributes share an item and are named by address: an index into the routes of the message is shorter, but the previous build sends the map of the last change on with its whole table, where the index means another route. Times are sent in seconds, since a conversion to milliseconds and back is not always exact. Malformed attributes count as not stated.

--- a/src/pollenmast/entry/_snapshot.py
+++ b/src/pollenmast/entry/_snapshot.py
@@ -14,6 +14,8 @@
 import msgpack
 from result import Err, Ok, Result
 
+from pollenmast.entry import _route_attributes as route_attributes
+from pollenmast.entry._route_attributes import Attributes
 from pollenmast.steering import (
     START_POSITION,
     Change,
@@ -127,25 +129,43 @@
     if isinstance(change, EndpointRemoved):
         return _REMOVED, change.revision, change.name
     if isinstance(change, RoutesDelta):
-        *fields, _, revision = attrs.astuple(change)
-        fields.append(_pack_warmups(change.warmups))
-        return _ROUTES_CHANGED, revision, fields
+        return _ROUTES_CHANGED, change.revision, _pack_routes_changed(change)
     if isinstance(change, ZoneDrained):
         return _DRAINED, change.revision, change.zone
     if isinstance(change, ZoneRestored):
         return _RESTORED, change.revision, change.zone
     table = change.table
-    routes = [attrs.astuple(route) for route in table.routes.values()]
+    routes = table.routes.values()
     fields = (
         table.version,
-        routes,
-        table.health_paths,
+        [_pack_route(route) for route in routes],
+        route_attributes.pack(table.health_paths, routes, table.max_conns),
         table.idle_timeout_s,
         _pack_warmups(table.warmups),
     )
     return _ROUTES, change.revision, fields
 
 
+def _pack_routes_changed(change: RoutesDelta) -> tuple[Any, ...]:
+    return (
+        change.base,
+        change.version,
+        [_pack_route(route) for route in change.routes],
+        change.removed,
+        route_attributes.pack(
+            change.health_paths, change.routes, change.max_conns
+        ),
+        change.idle_timeout_s,
+        _pack_warmups(change.warmups),
+    )
+
+
+def _pack_route(route: Route) -> tuple[Any, ...]:
+    """Returns the five fields of a route that the previous build decodes."""
+    splits = [attrs.astuple(split) for split in route.splits]
+    return route.name, route.host, route.port, splits, route.idempotent
+
+
 def _unpack(kind: int, revision: int, value: Any) -> Change:
     if not isinstance(revision, int):
         raise ValueError("revision is not an integer")
@@ -169,7 +189,7 @@
     version: int,
     routes: list[Any],
     removed: list[Any],
-    health_paths: dict[str, str],
+    health_paths: dict[str, Any],
     idle_timeout_s: float,
     warmups: dict[str, Any],
     revision: int,
@@ -177,36 +197,40 @@
     if not isinstance(base, int) or not isinstance(version, int):
         raise ValueError("version is not an integer")
     removed_addresses = tuple((str(host), int(port)) for host, port in removed)
-    changed = tuple(_unpack_route(*each) for each in routes)
+    paths, attributes = route_attributes.unpack(health_paths)
+    changed = tuple(_unpack_route(attributes, *each) for each in routes)
     return RoutesDelta(
         base,
         version,
         changed,
         removed_addresses,
-        dict(health_paths),
+        paths,
         float(idle_timeout_s),
         _unpack_warmups(warmups),
         revision,
+        attributes.max_conns,
     )
 
 
 def _unpack_table(
     version: int,
     routes: list[Any],
-    health_paths: dict[str, str],
+    health_paths: dict[str, Any],
     idle_timeout_s: float,
     warmups: dict[str, Any],
 ) -> RouteTable:
+    paths, attributes = route_attributes.unpack(health_paths)
     by_address = {}
     for each in routes:
-        route = _unpack_route(*each)
+        route = _unpack_route(attributes, *each)
         by_address[route.host, route.port] = route
     return RouteTable(
         version,
         by_address,
-        health_paths,
+        paths,
         idle_timeout_s,
         _unpack_warmups(warmups),
+        attributes.max_conns,
     )
 
 
@@ -222,8 +246,12 @@
 
 
 def _unpack_route(
-    name: str, host: str, port: int, splits: list[Any], idempotent: bool
+    attributes: Attributes,
+    name: str,
+    host: str,
+    port: int,
+    splits: list[Any],
+    idempotent: bool,
 ) -> Route:
-    return Route(
-        name, host, port, tuple(WeightedService(*s) for s in splits), idempotent
-    )
+    services = tuple(WeightedService(*split) for split in splits)
+    return attributes.add_to(Route(name, host, port, services, idempotent))
