--- a/src/pollenmast/events/_catalogue.py
+++ b/src/pollenmast/events/_catalogue.py
@@ -227,7 +227,9 @@
     202,
     "flow_reset",
     "A client was told by a reset that its flow has ended; `reason` says why.",
-    "Look at the endpoint, or for `no_route` at the configuration.",
+    "Look at the endpoint, or for `no_route` at the configuration. For"
+    " `no_room`, `hold_expired` and `repeat_limit` the service was short of"
+    " capacity: see event 311; `held_ms` is how long the flow was held.",
 )
 SEGMENT_DROPPED = Event(
     203,
@@ -326,6 +328,20 @@
     "An endpoint fails far more requests than others; it gets no new flows.",
     "Look at the endpoint: its health check may still pass.",
 )
+SCARCITY_BEGAN = Event(
+    311,
+    "scarcity_began",
+    "A service became short of capacity on this VM: its requests `in_progress`"
+    " reached the VM's `credits`; new flows are held or refused.",
+    "Look at the service's endpoints and load; see OPERATIONS.md.",
+)
+SCARCITY_ENDED = Event(
+    312,
+    "scarcity_ended",
+    "A service is no longer short of capacity on this VM, after `lasted_s`"
+    " seconds.",
+    "Nothing.",
+)
 ZONES_UNREACHED = Event(
     427,
     "zones_unreached",
@@ -400,4 +416,6 @@
     ZONES_UNREACHED,
     ZONES_REACHED,
     ENDPOINT_EJECTED,
+    SCARCITY_BEGAN,
+    SCARCITY_ENDED,
 )
