--- a/src/pollenmast/entry/_metrics.py
+++ b/src/pollenmast/entry/_metrics.py
@@ -29,16 +29,33 @@
         *_counters(counters),
         *_histograms(histograms),
     ]
-    return "\n".join([*lines, ""]).encode()
+    # JSON can contain half a surrogate pair, which UTF-8 cannot represent.
+    return "\n".join([*lines, ""]).encode(errors="replace")
 
 
 def _gauges(gauges: Iterable[Gauge]) -> Iterator[str]:
+    # The format allows HELP and TYPE once per name, before all its samples.
+    by_name: dict[str, list[Gauge]] = {}
     for gauge in gauges:
-        name = f"pollenmast_{gauge.name}"
-        value = "NaN" if math.isnan(gauge.value) else f"{gauge.value:.12g}"
-        yield f"# HELP {name} {gauge.description}"
+        by_name.setdefault(gauge.name, []).append(gauge)
+    for samples in by_name.values():
+        name = f"pollenmast_{samples[0].name}"
+        yield f"# HELP {name} {samples[0].description}"
         yield f"# TYPE {name} gauge"
-        yield f"{name} {value}"
+        for gauge in samples:
+            value = "NaN" if math.isnan(gauge.value) else f"{gauge.value:.12g}"
+            yield f"{name}{_labels(gauge.labels)} {value}"
+
+
+def _labels(labels: Iterable[tuple[str, str]]) -> str:
+    pairs = [f'{name}="{_escape(value)}"' for name, value in labels]
+    return f"{{{','.join(pairs)}}}" if pairs else ""
+
+
+def _escape(value: str) -> str:
+    """Escapes a label's value, which may come from the configuration."""
+    text = value.replace("\\", "\\\\").replace('"', '\\"')
+    return text.replace("\n", "\\n")
 
 
 def _counters(counters: Counters) -> Iterator[str]:
