Add POLLENMAST_ADMISSION, which disables parts of admission control

Cause: operators need to switch off a component that does harm, without a new build. Change: the environment variable lists components to disable; an unknown name ends the start with exit code 2. AdmissionSettings gains full, and EntrySettings gains admission. settings check shows the result.

--- a/docs_tool/_settings.py
+++ b/docs_tool/_settings.py
@@ -1,6 +1,7 @@
 """Generates docs/SETTINGS.md from the catalogue of settings keys."""
 
 from docs_tool._markdown import HEAD, code, table
+from pollenmast.entry import ADMISSION_VARIABLE, ALL, COMPONENTS, EXIT_SETTINGS
 from pollenmast.settings import KEY_FILE_VARIABLE, SETTING_KEYS, SettingKey
 
 _INTRODUCTION = f"""\
@@ -57,6 +58,26 @@
 
 """
 
+_ADMISSION = f"""
+The environment variable `{ADMISSION_VARIABLE}` disables components of admission
+control (OPERATIONS.md, "When there is too little room"): names separated by
+commas, blanks around them are ignored; empty or missing disables none. An
+unknown name is refused like any invalid setting: exit code {EXIT_SETTINGS}, and
+the message names the value and the allowed ones. The variable is read at the
+start only; `settings check` shows what it disables in its own environment.
+
+"""
+
+_COMPONENTS = {
+    "credits": "Limits by credits: all flows are placed as without admission"
+    " control, and nothing is held or refused for lack of capacity.",
+    "guests": "Overflow to other zones.",
+    "hold": "Holding flows: what finds no credit is refused at once.",
+    "repeats": "The limit and the later turn of retries.",
+    "full": "Telling a full endpoint from one that is down.",
+    "all": "All of these.",
+}
+
 _FIELDS = (
     ("vm", "the VM's name, in its log lines", "nodeId"),
     ("zone", "its availability zone: endpoints there come first", "zone"),
@@ -85,6 +106,11 @@
         "seconds from the signal to stop until the process is killed",
         "bounds.graceS",
     ),
+    (
+        "admission",
+        "components of admission control that are disabled, see below",
+        ADMISSION_VARIABLE,
+    ),
 )
 
 
@@ -96,7 +122,10 @@
         heads = ("Key", "Meaning", "Allowed", "Default")
         text += f"## [{section}]\n\n{table(heads, rows)}\n"
     fields = [(code(name), words, code(key)) for name, words, key in _FIELDS]
-    return text + _PLATFORM + table(("Setting", "Meaning", "From"), fields)
+    text += _PLATFORM + table(("Setting", "Meaning", "From"), fields)
+    names = (*COMPONENTS, ALL)
+    components = [(code(name), _COMPONENTS[name]) for name in names]
+    return text + _ADMISSION + table(("Name", "Disables"), components)
 
 
 def _row(key: SettingKey) -> tuple[object, ...]:
--- a/src/pollenmast/admission/_model.py
+++ b/src/pollenmast/admission/_model.py
@@ -120,12 +120,14 @@
         guests: Whether flows may overflow to other zones.
         hold: Whether flows are held; without it they are refused at once.
         repeats: Whether retries of refused attempts are limited.
+        full: Whether a full endpoint is told from one that is down.
     """
 
     credits: bool = True
     guests: bool = True
     hold: bool = True
     repeats: bool = True
+    full: bool = True
 
 
 @attrs.frozen
--- a/src/pollenmast/entry/__init__.py
+++ b/src/pollenmast/entry/__init__.py
@@ -3,6 +3,13 @@
 Most of the program is loaded while packets are already forwarded; see `_boot`.
 """
 
+from pollenmast.entry._admission_settings import (
+    ADMISSION_VARIABLE,
+    ALL,
+    COMPONENTS,
+    disabled_components,
+    parse_admission,
+)
 from pollenmast.entry._boot import (
     Boot,
     BootComponents,
@@ -31,6 +38,9 @@
 
 
 __all__ = [
+    "ADMISSION_VARIABLE",
+    "ALL",
+    "COMPONENTS",
     "EXIT_FAILED",
     "EXIT_OK",
     "EXIT_SETTINGS",
@@ -43,5 +53,7 @@
     "PacketFormat",
     "Ports",
     "build_components",
+    "disabled_components",
+    "parse_admission",
     "run",
 ]
--- a/src/pollenmast/entry/_ports.py
+++ b/src/pollenmast/entry/_ports.py
@@ -6,6 +6,7 @@
 import attrs
 from result import Result
 
+from pollenmast.admission import AdmissionSettings
 from pollenmast.counters import DropReason
 from pollenmast.steering import (
     CheckResult,
@@ -44,6 +45,7 @@
         link_mbps: Bandwidth of the VM's link in Mbit/s, 0 if unknown.
         allowance: By how much endpoints that are warming up may be overrun,
             None for no limit.
+        admission: Which components of admission control are in force.
     """
 
     vm: str
@@ -60,6 +62,7 @@
     ready_path: str
     link_mbps: int = 0
     allowance: ColdAllowance | None = None
+    admission: AdmissionSettings = attrs.field(factory=AdmissionSettings)
 
 
 class PacketFormat(abc.ABC):
--- a/src/pollenmast/platform/_adapter.py
+++ b/src/pollenmast/platform/_adapter.py
@@ -1,9 +1,13 @@
 """The platform's formats, as the command-line tools display them."""
 
+import os
+
 import attrs
 from result import Err, Ok, Result
 
+from pollenmast import entry
 from pollenmast.adapters import Adapter, Rows
+from pollenmast.admission import AdmissionSettings
 from pollenmast.platform._entries import parse_configuration
 from pollenmast.platform._packet import PlatformPackets
 from pollenmast.platform._settings import parse_settings
@@ -14,7 +18,8 @@
 
     def settings(self, text: str) -> Result[Rows, str]:
         """Returns the effective values of a settings file, or its error."""
-        parsed = parse_settings(text)
+        admission = os.environ.get(entry.ADMISSION_VARIABLE, "")
+        parsed = parse_settings(text, admission)
         if isinstance(parsed, Err):
             return parsed
         values = attrs.asdict(parsed.ok_value, recurse=False)
@@ -79,6 +84,9 @@
 def _format_value(value: object) -> str:
     if value is None:
         return "none"
+    if isinstance(value, AdmissionSettings):
+        disabled = entry.disabled_components(value)
+        return f"without {disabled}" if disabled else "complete"
     if not isinstance(value, tuple):
         return str(value)
     if value and isinstance(value[0], tuple):
--- a/src/pollenmast/platform/_settings.py
+++ b/src/pollenmast/platform/_settings.py
@@ -4,7 +4,8 @@
 
 from result import Err, Ok, Result
 
-from pollenmast.entry import EntrySettings
+from pollenmast.admission import AdmissionSettings
+from pollenmast.entry import EntrySettings, parse_admission
 from pollenmast.steering import ColdAllowance
 
 READINESS_PATH = "/readiness"
@@ -16,8 +17,16 @@
 """
 
 
-def parse_settings(text: str) -> Result[EntrySettings, str]:
-    """Returns the settings, or an error message if they are invalid."""
+def parse_settings(
+    text: str, admission: str = ""
+) -> Result[EntrySettings, str]:
+    """Returns the settings, or an error message if they are invalid.
+
+    Args:
+        text: The content of the settings file.
+        admission: The value of the environment variable that disables
+            components of admission control; empty if it is not set.
+    """
     fields = dict(_parse_pairs(text))
     try:
         return Ok(
@@ -48,6 +57,7 @@
                 ready_path=READINESS_PATH,
                 link_mbps=_link_mbps(fields),
                 allowance=_cold_allowance(fields),
+                admission=_admission(admission),
             )
         )
     except ValueError as error:
@@ -117,6 +127,13 @@
     return ColdAllowance(*factors.values())
 
 
+def _admission(text: str) -> AdmissionSettings:
+    parsed = parse_admission(text)
+    if isinstance(parsed, Err):
+        raise ValueError(parsed.err_value)
+    return parsed.ok_value
+
+
 def _link_mbps(fields: dict[str, str]) -> int:
     """Returns the bandwidth of the VM's link in whole Mbit/s, 0 if not set."""
     text = fields.get("limits.linkMbps", "0")
--- a/src/pollenmast/platform/_start.py
+++ b/src/pollenmast/platform/_start.py
@@ -1,5 +1,6 @@
 """Starts the program of a VM with the adapter for the platform."""
 
+import os
 import socket
 import sys
 from collections.abc import Callable
@@ -34,7 +35,7 @@
     Returns:
         The exit code.
     """
-    parsed = parse_settings(text)
+    parsed = _parse(text)
     if isinstance(parsed, Err) or sock is None:
         print(f"settings: {parsed.err()}", file=sys.stderr)
         return entry.EXIT_SETTINGS
@@ -52,6 +53,10 @@
     )
 
 
+def _parse(text: str) -> Result[EntrySettings, str]:
+    return parse_settings(text, os.environ.get(entry.ADMISSION_VARIABLE, ""))
+
+
 def _make_ports(
     settings: EntrySettings,
     packets: PlatformPackets,
@@ -64,7 +69,7 @@
 
     def load() -> Result[EntrySettings, str]:
         try:
-            return parse_settings(read_text())
+            return _parse(read_text())
         except OSError as error:
             return Err(str(error))
 
--- a/tests/cli_adapters_test.py
+++ b/tests/cli_adapters_test.py
@@ -1,6 +1,8 @@
 """Tests of `--adapter` and `decode`: formats of the platform."""
 
 import json
+import os
+from unittest import mock
 
 from parameterized import parameterized
 
@@ -62,6 +64,27 @@
         self.assertEqual(ExitCode.OK, code)
         self.assertIn("10.1.0.10:8166, 10.2.0.40:8166", output)
 
+    @parameterized.expand(
+        [
+            ("", ExitCode.OK, "complete"),
+            ("hold, full", ExitCode.OK, "without hold,full"),
+            ("queue", ExitCode.INVALID_INPUT, "'queue' is unknown"),
+        ]
+    )
+    def test_admission(self, value, expected, words):
+        """The check shows which components the environment disables.
+
+        A misspelt name found only at the next start would take a VM out of
+        service.
+        """
+        file = self.write("boot.conf", SETTINGS)
+        with mock.patch.dict(os.environ, {"POLLENMAST_ADMISSION": value}):
+            code, output, errors = self.run_command(
+                "settings", "check", file, "--adapter", "platform"
+            )
+        self.assertEqual(expected, code)
+        self.assertIn(words, output + errors)
+
     @parameterized.expand(
         [
             ("settings", "zone=a\n", "nodeId is missing"),
