Explain refused flows in the timeline of a log

Cause: explain showed the reason of a reset as a bare word, and not when the service had become short of capacity. Change: flow_reset with no_room, hold_expired or repeat_limit is explained with the time that the flow was held; scarcity_began and scarcity_ended of the flow's VM and service are part of the timeline.

--- a/src/pollenmast/cli/_timeline.py
+++ b/src/pollenmast/cli/_timeline.py
@@ -6,6 +6,7 @@
 import attrs
 
 from pollenmast.cli._output import printable
+from pollenmast.counters import ResetReason
 
 _LINKING_FIELDS = ("request", "flow", "endpoint")
 """Fields that connect log lines: a request to its flow, a flow to its
@@ -23,6 +24,18 @@
 """Events about zones and about the VM's reads of the directory: they explain
 where the VM placed a flow."""
 
+_SERVICE_EVENTS = frozenset(("scarcity_began", "scarcity_ended"))
+"""Events about a service's capacity on a VM: they explain why the VM held or
+refused a flow."""
+
+_REFUSALS = {
+    ResetReason.NO_ROOM.value: "the flows ahead would take longer than it may"
+    " be held",
+    ResetReason.HOLD_EXPIRED.value: "no capacity became free in time",
+    ResetReason.REPEAT_LIMIT.value: "a retry beyond the retry budget",
+}
+"""Explanations of the reasons to reset a flow for lack of capacity."""
+
 CONTEXT_BEFORE_S = 10.0
 """Lines about an endpoint, a zone or the directory are included from this many
 seconds before the subject's first line."""
@@ -86,6 +99,7 @@
     ]
     vms = {line.vm for line in by_flow}
     endpoints = {line.fields.get("endpoint") for line in by_flow} - {None, ""}
+    services = {line.fields.get("service") for line in by_flow} - {None, ""}
     first, last = (
         by_flow[0].at - CONTEXT_BEFORE_S,
         by_flow[-1].at + CONTEXT_AFTER_S,
@@ -96,6 +110,7 @@
         if (
             line.fields.get("endpoint") in endpoints
             or line.name in _CONTEXT_EVENTS
+            or _is_about_capacity(line, services)
         )
         and "flow" not in line.fields
         and line.vm in vms
@@ -105,6 +120,19 @@
     return list(_format(selected))
 
 
+def _is_about_capacity(line: _Line, services: set[object]) -> bool:
+    """Whether a line is about the capacity of one of the services.
+
+    Args:
+        line: The line.
+        services: The services that the flow's lines name; empty if they name
+            none, then each service counts.
+    """
+    if line.name not in _SERVICE_EVENTS:
+        return False
+    return not services or line.fields.get("service") in services
+
+
 def _parse(text: str) -> _Line | None:
     start = text.find("{")
     if start < 0:
@@ -130,4 +158,22 @@
             if name not in _HIDDEN_FIELDS and value != ""
         )
         text = f"{line.at - start:+9.3f} s  {line.vm}  {line.name}  {shown}"
-        yield printable(text)
+        yield printable(f"{text}{_explain_refusal(line)}")
+
+
+def _explain_refusal(line: _Line) -> str:
+    """Returns why a flow was refused for lack of capacity, else ""."""
+    reason = line.fields.get("reason")
+    if line.name != "flow_reset" or not isinstance(reason, str):
+        return ""
+    cause = _REFUSALS.get(reason)
+    if cause is None:
+        return ""
+    held_ms = line.fields.get("held_ms")
+    if held_ms is None:
+        held = ""
+    elif held_ms == 0:
+        held = ", not held"
+    else:
+        held = f", held {held_ms} ms"
+    return f"  (refused, short of capacity: {cause}{held})"
--- a/tests/cli_timeline_test.py
+++ b/tests/cli_timeline_test.py
@@ -84,12 +84,82 @@
         self.assertEqual(2, len(texts))
         self.assertIn(name, texts[0])
 
+    @parameterized.expand(
+        [
+            ("no_room", {"held_ms": 0}, "the flows ahead", ", not held)"),
+            ("hold_expired", {"held_ms": 82}, "no capacity", ", held 82 ms)"),
+            ("repeat_limit", {"held_ms": 0}, "a retry", ", not held)"),
+            ("no_room", {}, "the flows ahead", "may be held)"),
+        ]
+    )
+    def test_refused(self, reason, fields, cause, end):
+        """The timeline of a refused flow says why, and how long it was held.
+
+        Without it, an engineer on call would look for a failed endpoint, of
+        which a refused flow has none.
+        """
+        log = [
+            _line(102.0, "flow_reset", flow=FLOW, reason=reason, **fields),
+        ]
+        text = _timeline.timeline(_timeline.read(log), FLOW)[0]
+        self.assertIn(f"(refused, short of capacity: {cause}", text)
+        self.assertTrue(text.endswith(end), text)
+
+    @parameterized.expand(
+        [
+            ("no_endpoint", ("flow_reset", "no_endpoint")),
+            ("no_text", ("flow_reset", ["no_room"])),
+            ("other_event", ("flow_placed", "no_room")),
+        ]
+    )
+    def test_not_refused(self, _, line):
+        """Other lines are not explained as a lack of capacity.
+
+        A reason that is no text, in a line that was cut or forged, does not
+        end the command.
+        """
+        name, reason = line
+        log = [_line(102.0, name, flow=FLOW, reason=reason, held_ms=1)]
+        texts = _timeline.timeline(_timeline.read(log), FLOW)
+        self.assertNotIn("capacity", texts[0])
+
+    @parameterized.expand(
+        [
+            ("service", {"service": "registry"}, 2),
+            ("no_service", {}, 3),
+        ]
+    )
+    def test_capacity_events(self, _, fields, expected):
+        """The timeline shows when the flow's service became short of capacity.
+
+        Events of other services and VMs do not explain a refusal. Where the
+        flow's lines name no service, those of its VM are shown.
+        """
+        log = [
+            _line(101.0, "scarcity_began", service="registry", credits=4),
+            _line(101.1, "scarcity_began", service="archive", credits=4),
+            _line(101.2, "scarcity_began", service="registry").replace(
+                "vm-1", "vm-2"
+            ),
+            _line(102.0, "flow_reset", flow=FLOW, reason="no_room", **fields),
+        ]
+        texts = _timeline.timeline(_timeline.read(log), FLOW)
+        self.assertEqual(expected, len(texts))
+        self.assertIn("scarcity_began  service=registry credits=4", texts[0])
+
     def test_escape_sequences(self):
         """Escape sequences from a client do not reach the terminal."""
         line = _line(1.0, "request_carried", request="ab", flow="\x1b[2J")
         texts = _timeline.timeline(_timeline.read([line]), "ab")
         self.assertNotIn("\x1b", texts[0])
 
+    def test_escape_sequences_in_explanation(self):
+        """Neither do those of a forged hold time, which is shown twice."""
+        fields = {"reason": "hold_expired", "held_ms": "\x1b[2J"}
+        line = _line(1.0, "flow_reset", flow=FLOW, **fields)
+        texts = _timeline.timeline(_timeline.read([line]), FLOW)
+        self.assertNotIn("\x1b", texts[0])
+
     @parameterized.expand([("known", "ab", 0), ("unknown", "zz", 1)])
     def test_command(self, _, subject, code):
         """The command reads a file and fails if no line names the subject."""
