Test that the counters know every outcome of admission control

Cause: the reasons stand in two packages, and a new one could be added to one of them only. Change: a table over AdmitReason and RefuseReason in entry_metrics_test.py.

--- a/tests/entry_metrics_test.py
+++ b/tests/entry_metrics_test.py
@@ -8,7 +8,7 @@
 from testtools import TestCase
 
 from pollenmast import counters as c
-from pollenmast.admission import ServiceStatus
+from pollenmast.admission import AdmitReason, RefuseReason, ServiceStatus
 from pollenmast.entry import _gauges as gauges
 from pollenmast.entry import _metrics as metrics
 from pollenmast.steering import Steering, Update, ZoneDrained
@@ -26,6 +26,20 @@
         self.assertIn('pollenmast_resets_total{reason="no_route"} 1', lines)
         self.assertIn('pollenmast_resets_total{reason="no_endpoint"} 0', lines)
 
+    @parameterized.expand(
+        [
+            *((c.ADMISSIONS, reason) for reason in AdmitReason),
+            *((c.RESETS, reason) for reason in RefuseReason),
+        ]
+    )
+    def test_admission_reasons(self, definition, reason):
+        """Each outcome of admission control has a reason of its counter.
+
+        Counting an outcome that the catalogue lacks would raise an exception
+        for every flow during an overload.
+        """
+        self.assertIn(reason.value, definition.reasons)
+
     def test_histogram(self):
         """Buckets are cumulative; a long wait counts only in the last one."""
         histograms = c.Histograms()
