--- a/src/pollenmast/entry/_overload_log.py
+++ b/src/pollenmast/entry/_overload_log.py
@@ -56,12 +56,11 @@
         for service, status in current.items():
             if not status.overloaded:
                 continue
-            episode = self._episodes.get(service)
-            if episode is None:
+            if service in self._episodes:
+                self._episodes[service].status = status
+            else:
                 self._episodes[service] = _Episode(now, status)
                 self._log.write(SCARCITY_BEGAN, **_fields(status))
-            else:
-                episode.status = status
 
     def _end(
         self, episode: _Episode, status: ServiceStatus, now: float
