Require timeouts over 1.5 s before a loaded endpoint is down

Cause: a connect to an endpoint whose accept queue is full times out like one to a dead endpoint. With five times the load from one zone, three connects timed out within 111 ms and two control endpoints were reached, so the VM marked the endpoint down and reset an established flow. The endpoint executed the request 90 ms later.

Change: `Health.on_check` takes `may_be_full`. If it is true at any failure in a row, timeouts have to span FULL_SPAN_S, with a check every 0.5 s; new flows avoid the endpoint meanwhile. Refused connections and other processes stay conclusive at once.

Existing tests of health, checks, check policy and outliers pass unchanged.

--- a/src/pollenmast/steering/__init__.py
+++ b/src/pollenmast/steering/__init__.py
@@ -19,6 +19,7 @@
 from pollenmast.steering._drains import Drains
 from pollenmast.steering._health import CheckResult, Health
 from pollenmast.steering._load import EndpointLoads, Rates
+from pollenmast.steering._load_signs import LoadSigns
 from pollenmast.steering._members import Members
 from pollenmast.steering._model import (
     Endpoint,
@@ -55,6 +56,7 @@
     "Forward",
     "Health",
     "EndpointLoads",
+    "LoadSigns",
     "Members",
     "Outcome",
     "Outliers",
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -30,6 +30,7 @@
 from pollenmast.steering._health import CheckResult
 from pollenmast.steering._journal import ChangeLog
 from pollenmast.steering._load import EndpointLoads
+from pollenmast.steering._load_signs import LoadSigns
 from pollenmast.steering._model import FlowKey, Route, RouteTable, Segment
 from pollenmast.steering._outcomes import Drop, Forward, Outcome, Reset
 from pollenmast.steering._outliers import Outliers
@@ -91,6 +92,7 @@
         self._load = EndpointLoads(zone)
         self._cold_limit = ColdLimit(zone, allowance)
         self._outliers = Outliers(self._catalog)
+        self._load_signs = LoadSigns(self._catalog)
         self._observer = TrafficObserver(
             self._flows,
             self._check_policy,
@@ -138,6 +140,11 @@
         """Detects endpoints that fail requests while passing health checks."""
         return self._outliers
 
+    @property
+    def load_signs(self) -> LoadSigns:
+        """Decides whether an endpoint that times out may be full."""
+        return self._load_signs
+
     @property
     def reach(self) -> Reach:
         """Whether this VM can reach the zones that its clients depend on."""
@@ -269,7 +276,11 @@
         Returns:
             The resets to send for the endpoint's open flows if it is down.
         """
-        record.health.on_check(result, now)
+        may_be_full = (
+            result is CheckResult.TIMEOUT
+            and self._load_signs.may_be_full(record, now)
+        )
+        record.health.on_check(result, now, may_be_full)
         if record.health.down and self._catalog.is_missing(record):
             record.presence = Presence.GONE
         if not record.health.down:
--- a/src/pollenmast/steering/_health.py
+++ b/src/pollenmast/steering/_health.py
@@ -25,6 +25,7 @@
 from collections.abc import Callable
 
 from pollenmast.counters import CheckReason
+from pollenmast.steering._answer_times import AnswerTimes
 from pollenmast.steering._model import FlowKey
 
 REPEAT_GRACE_S = 0.15
@@ -40,6 +41,16 @@
 link that loses a twentieth of its packets one check in ten fails, and three in
 a row one time in a thousand."""
 
+FULL_SPAN_S = 1.5
+"""Minimum time in seconds from the first to the last failed check of an
+endpoint that may be full before it is down. Connects to a full accept queue
+time out until the endpoint has served some of its queue, which takes about a
+second at a quarter of its usual speed."""
+
+FULL_CHECK_INTERVAL_S = 0.5
+"""Interval in seconds between the checks within this span. Each one takes a
+place in the accept queue of a loaded endpoint, from every VM that checks it."""
+
 RECHECK_MIN_S = 0.5
 """First interval in seconds between checks of an endpoint that is down.
 
@@ -117,6 +128,8 @@
     def __init__(self):
         self._last_alive_at = float("-inf")
         self._failed_checks = 0
+        self._first_failed_at = float("-inf")
+        self._failed_under_load = False
         self._down = False
         self._check_at: float | None = None
         self._check_reason = CheckReason.REPEATED
@@ -125,6 +138,7 @@
         self._last_check_at = float("-inf")
         self._pending_syns: dict[FlowKey, float] = {}
         self._request_at: float | None = None
+        self._answer_times = AnswerTimes()
         self._silence_timeout_s = SILENCE_TIMEOUT_S
         self._reported_down_until = float("-inf")
         self._on_schedule: Callable[[], None] = _nothing
@@ -167,6 +181,11 @@
         """When it last showed that it is alive, in seconds."""
         return self._last_alive_at
 
+    @property
+    def answer_times(self) -> AnswerTimes:
+        """How long the endpoint's answers take, now and usually."""
+        return self._answer_times
+
     def set_on_schedule(self, on_schedule: Callable[[], None]) -> None:
         """Sets the callback for when `next_due_at` may have become earlier."""
         self._on_schedule = on_schedule
@@ -189,6 +208,7 @@
             now: The runtime's clock in seconds.
             usual_s: The usual answer time at present, in seconds.
         """
+        self._answer_times.on_request(now)
         if self._request_at is None:
             self._request_at = now
             self._silence_timeout_s = max(
@@ -239,6 +259,7 @@
         """
         self._last_alive_at = now
         self._request_at = None
+        self._answer_times.on_progress(now)
         self._failed_checks = 0
         if self._down:
             self._down = False
@@ -275,6 +296,7 @@
         self._recheck_interval_s = RECHECK_MIN_S
         self._pending_syns.clear()
         self._request_at = None
+        self._answer_times.forget_request()
 
     def postpone(self, now: float) -> None:
         """Repeats a check later that failed because of this VM itself."""
@@ -306,18 +328,38 @@
         """Whether a check is due now."""
         return self._check_at is not None and now >= self._check_at
 
-    def on_check(self, result: CheckResult, now: float) -> bool:
-        """Records a check's result; returns whether `down` has changed."""
+    def on_check(
+        self, result: CheckResult, now: float, may_be_full: bool = False
+    ) -> bool:
+        """Records a check's result.
+
+        A connect to a full accept queue times out as it does for a dead
+        endpoint. While there are signs of load, timeouts therefore mark the
+        endpoint down only once they span `FULL_SPAN_S`. Progress of a client
+        meanwhile restarts the span.
+
+        Args:
+            result: The result.
+            now: The runtime's clock in seconds.
+            may_be_full: Whether there are signs of load, so that the endpoint
+                may be full rather than dead. It is only used for a timeout.
+
+        Returns:
+            Whether `down` has changed.
+        """
         self._last_check_at = now
         if result in (CheckResult.ANSWERED, CheckResult.UNHEALTHY):
             return self._on_answered(now)
+        if not self._failed_checks:
+            self._first_failed_at = now
+            self._failed_under_load = False
         self._failed_checks += 1
-        if (
-            result not in _CONCLUSIVE_FAILURES
-            and self._failed_checks < FAILURE_THRESHOLD
-        ):
-            self._schedule_check(now, CheckReason.UNANSWERED)
-            return False
+        self._failed_under_load |= may_be_full
+        if result not in _CONCLUSIVE_FAILURES:
+            at = self._confirmation_at(now)
+            if at is not None:
+                self._schedule_check(at, CheckReason.UNANSWERED)
+                return False
         self._schedule_check(now + self._recheck_interval_s, CheckReason.DOWN)
         self._recheck_interval_s = min(
             2.0 * self._recheck_interval_s, RECHECK_MAX_S
@@ -326,6 +368,17 @@
         self._down = True
         return changed
 
+    def _confirmation_at(self, now: float) -> float | None:
+        """Returns when to repeat a timed-out check, None if it is conclusive.
+
+        Load seen at any of the failures counts for all of them, as its signs
+        may end while the endpoint is still full.
+        """
+        span_ends_at = self._first_failed_at + FULL_SPAN_S
+        if self._failed_under_load and now < span_ends_at:
+            return min(now + FULL_CHECK_INTERVAL_S, span_ends_at)
+        return now if self._failed_checks < FAILURE_THRESHOLD else None
+
     def _schedule_check(self, at: float, reason: CheckReason) -> None:
         self._check_at = at
         self._check_reason = reason
