--- a/tests/steering_load_signs_test.py
+++ b/tests/steering_load_signs_test.py
@@ -31,7 +31,11 @@
             ("loaded", [(0.0, True), (0.05, True), (0.1, True)], False),
             ("load_began", [(0.0, False), (0.05, False), (0.1, True)], False),
             ("load_ended", [(0.0, True), (0.5, False), (1.0, False)], False),
-            ("whole_span", [(0.0, True), (0.5, True), (FULL_SPAN_S, True)], 1),
+            (
+                "whole_span",
+                [(0.0, True), (0.5, True), (FULL_SPAN_S, True)],
+                True,
+            ),
             ("few_checks", [(0.0, True), (FULL_SPAN_S, True)], False),
         ]
     )
@@ -45,7 +49,7 @@
         health = Health()
         for after_s, may_be_full in results:
             health.on_check(TIMEOUT, 1.0 + after_s, may_be_full)
-        self.assertEqual(bool(down), health.down)
+        self.assertEqual(down, health.down)
 
     def test_avoided_meanwhile(self):
         """New flows avoid an endpoint until it is decided whether it is down.
