--- a/src/pollenmast/admission/_admission.py
+++ b/src/pollenmast/admission/_admission.py
@@ -137,10 +137,18 @@
         expiries = [s.next_expiry() for s in self._services.values()]
         return min((e for e in expiries if e is not None), default=math.inf)
 
-    def is_overloaded(self, service: str, now: float) -> bool:
-        """Whether a service is short of capacity on this VM."""
+    def is_overloaded(
+        self, service: str, now: float, without: str = ""
+    ) -> bool:
+        """Whether a service is short of capacity on this VM.
+
+        Args:
+            service: The service.
+            now: The runtime's clock in seconds.
+            without: An endpoint whose requests do not count.
+        """
         known = self._services.get(service)
-        return known is not None and known.is_overloaded(now)
+        return known is not None and known.is_overloaded(now, without)
 
     def status(self, now: float) -> list[ServiceStatus]:
         """Returns the state of each service that had flows here."""
@@ -236,9 +244,14 @@
     def next_expiry(self) -> float | None:
         return self._queue.next_expiry()
 
-    def is_overloaded(self, now: float) -> bool:
+    def is_overloaded(self, now: float, without: str) -> bool:
         self._update(now)
-        return self._overloaded
+        others = self._in_progress.count(
+            self._name
+        ) - self._in_progress.count_at(without)
+        return self._overloaded and (
+            len(self._queue) > 0 or others > FREE_USE * self._limit()
+        )
 
     def status(self, now: float) -> ServiceStatus:
         self._update(now)
--- a/src/pollenmast/entry/_boot.py
+++ b/src/pollenmast/entry/_boot.py
@@ -130,7 +130,12 @@
     log = EventLog(PROGRAM, settings.vm, sink=JsonSink(stream))
     rng = random.Random(f"{settings.vm} {os.getpid()}")
     steering = Steering(
-        settings.zone, counters, rng, histograms, settings.allowance
+        settings.zone,
+        counters,
+        rng,
+        histograms,
+        settings.allowance,
+        settings.admission,
     )
     forwarder = Forwarder(sock, packets, steering, counters, log)
     log.write(STARTED, zone=settings.zone, pid=os.getpid())
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -14,6 +14,7 @@
 from pollenmast.entry._checks import HealthChecker
 from pollenmast.entry._follow import Follower
 from pollenmast.entry._gossip import Gossip
+from pollenmast.entry._overload_log import OverloadLog
 from pollenmast.entry._packets import PacketLoop
 from pollenmast.entry._pause import PauseDetector
 from pollenmast.entry._peers import PeerReader
@@ -73,6 +74,7 @@
             components.counters,
             components.histograms,
         )
+        self._overload_log = OverloadLog(components.log)
         self._pauses = PauseDetector()
         self._packets = PacketLoop(
             components.forwarder, components.steering, self._pauses
@@ -232,7 +234,9 @@
     async def _run_maintenance(self) -> None:
         while True:
             await anyio.sleep(MAINTENANCE_INTERVAL_S)
-            self._steering.tick(anyio.current_time())
+            now = anyio.current_time()
+            self._steering.tick(now)
+            self._overload_log.update(self._steering.admission.status(now), now)
             self._follower.adopt_restored_state()
             self._stream.flush()
 
--- a/src/pollenmast/steering/_admission_control.py
+++ b/src/pollenmast/steering/_admission_control.py
@@ -16,7 +16,7 @@
     allocate,
 )
 from pollenmast.steering._catalog import Catalog
-from pollenmast.steering._model import FlowKey, Route, Segment
+from pollenmast.steering._model import Endpoint, FlowKey, Route, Segment
 from pollenmast.steering._placement import EndpointSelector
 
 MAX_COUNTED_SLOTS = 512
@@ -103,6 +103,16 @@
         """
         self._endpoints.sharers = sharers
 
+    def is_short_without(self, endpoint: Endpoint, now: float) -> bool:
+        """Whether an endpoint's service is short of capacity in any case.
+
+        The requests in progress at the endpoint itself are left out: those at
+        an endpoint that has just died stay in progress.
+        """
+        return self._admission.is_overloaded(
+            endpoint.service, now, endpoint.name
+        )
+
     def is_held(self, key: FlowKey) -> bool:
         """Whether the SYN of a flow is held."""
         return key in self._held
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -38,6 +38,7 @@
 from pollenmast.steering._health import CheckResult
 from pollenmast.steering._journal import ChangeLog
 from pollenmast.steering._load import EndpointLoads
+from pollenmast.steering._load_signs import LoadSigns
 from pollenmast.steering._model import FlowKey, Route, RouteTable, Segment
 from pollenmast.steering._outcomes import (
     Drop,
@@ -107,6 +108,7 @@
         self._load = EndpointLoads(zone)
         self._cold_limit = ColdLimit(zone, allowance)
         self._outliers = Outliers(self._catalog)
+        self._load_signs = LoadSigns(self._catalog)
         self._reach = Reach(zone, self._catalog)
         self._selector = EndpointSelector(
             zone, self._catalog, self._load, rng, self._cold_limit
@@ -114,6 +116,8 @@
         self._control = AdmissionControl(
             zone, self._catalog, self._selector, admission
         )
+        self._load_signs.set_is_short(self._control.is_short_without)
+        self._load_signs.set_enabled(admission is None or admission.full)
         self._observer = TrafficObserver(
             self._flows,
             self._check_policy,
@@ -158,6 +162,11 @@
         """Detects endpoints that fail requests while passing health checks."""
         return self._outliers
 
+    @property
+    def load_signs(self) -> LoadSigns:
+        """Decides whether an endpoint that times out may be full."""
+        return self._load_signs
+
     @property
     def reach(self) -> Reach:
         """Whether this VM can reach the zones that its clients depend on."""
@@ -321,7 +330,11 @@
         Returns:
             The resets to send for the endpoint's open flows if it is down.
         """
-        record.health.on_check(result, now)
+        may_be_full = (
+            result is CheckResult.TIMEOUT
+            and self._load_signs.may_be_full(record, now)
+        )
+        record.health.on_check(result, now, may_be_full)
         if record.health.down and self._catalog.is_missing(record):
             record.presence = Presence.GONE
         if not record.health.down:
