--- a/src/pollenmast/admission/_admission.py
+++ b/src/pollenmast/admission/_admission.py
@@ -150,6 +150,11 @@
         known = self._services.get(service)
         return known is not None and known.is_overloaded(now, without)
 
+    def service_status(self, service: str, now: float) -> ServiceStatus | None:
+        """Returns the state of a service, None if it had no flows here."""
+        known = self._services.get(service)
+        return known.status(now) if known is not None else None
+
     def status(self, now: float) -> list[ServiceStatus]:
         """Returns the state of each service that had flows here."""
         return [service.status(now) for service in self._services.values()]
--- a/src/pollenmast/entry/_carrier.py
+++ b/src/pollenmast/entry/_carrier.py
@@ -164,9 +164,23 @@
             endpoint=reset.endpoint,
             request=request,
             held_ms=_milliseconds(held_s),
+            **self._capacity_fields(reset, now),
             **self._state_fields(now),
         )
 
+    def _capacity_fields(self, reset: Reset, now: float) -> dict[str, object]:
+        """Returns the fields that explain a refusal for lack of capacity."""
+        if not reset.service:
+            return {}
+        status = self._steering.admission.service_status(reset.service, now)
+        if status is None:
+            return {}
+        return {
+            "service": reset.service,
+            "in_progress": status.in_progress,
+            "credits": status.credits,
+        }
+
     def _send(self, data: bytes, address: Address) -> None:
         try:
             self._sock.sendto(data, address)
--- a/src/pollenmast/entry/_gauges.py
+++ b/src/pollenmast/entry/_gauges.py
@@ -94,15 +94,10 @@
             "Since when the directory has confirmed nothing to the VM.",
             age_s if math.isfinite(age_s) else math.nan,
         ),
-        *_service_gauges(_statuses(steering, now)),
+        *_service_gauges(steering.admission.status(now)),
     ]
 
 
-def _statuses(steering: Steering, now: float) -> list[ServiceStatus]:
-    admission = getattr(steering, "admission", None)
-    return admission.status(now) if admission is not None else []
-
-
 def _service_gauges(statuses: Iterable[ServiceStatus]) -> list[Gauge]:
     """Returns the gauges of all services, those of one name in a row."""
     ordered = sorted(statuses, key=lambda status: status.service)
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -305,7 +305,9 @@
                         held.segment, held.route, (), decision, now
                     )
                 else:
-                    outcome = self._refuse_admission(held.segment, decision)
+                    outcome = self._refuse_admission(
+                        held.segment, held.service, decision
+                    )
                 self._count(outcome)
                 released.append(
                     Released(held.segment, outcome, decision.held_s)
@@ -406,23 +408,20 @@
         for name in tried[-1:]:
             self._on_syn_repeated(name, now)
         self._catalog.watchlist.evaluate(now)
-        decision = None
-        if not tried:
-            decision = self._admit(segment, route, now)
+        service = self._service_in_use(route, segment.flow)
+        if tried or not service:
+            return self._place_flow(segment, route, tried, None, now)
+        decision = self._control.decide(segment, route, service, now)
         if isinstance(decision, Hold):
             return Held()
         if isinstance(decision, Refuse):
-            return self._refuse_admission(segment, decision)
+            return self._refuse_admission(segment, service, decision)
         return self._place_flow(segment, route, tried, decision, now)
 
-    def _admit(
-        self, segment: Segment, route: Route, now: float
-    ) -> Admit | Hold | Refuse | None:
-        """Asks admission control for the route's first service in use."""
-        for service in route.services(segment.flow.digest):
-            if self._catalog.serving(service):
-                return self._control.decide(segment, route, service, now)
-        return None
+    def _service_in_use(self, route: Route, flow: FlowKey) -> str:
+        """Returns the flow's first service with endpoints, or empty."""
+        services = route.services(flow.digest)
+        return next((s for s in services if self._catalog.serving(s)), "")
 
     def _place_flow(
         self,
@@ -458,8 +457,12 @@
             self._counters.add(c.ADMISSIONS, _admission_label(admit))
         return Forward(endpoint, placed.reason)
 
-    def _refuse_admission(self, segment: Segment, refuse: Refuse) -> Reset:
-        return self._reset(segment, ResetReason(refuse.reason.value))
+    @staticmethod
+    def _refuse_admission(
+        segment: Segment, service: str, refuse: Refuse
+    ) -> Reset:
+        reason = ResetReason(refuse.reason.value)
+        return Reset(segment.flow, 0, reason, service=service)
 
     def _place(
         self, route: Route, flow: FlowKey, tried: tuple[str, ...], now: float
--- a/src/pollenmast/steering/_outcomes.py
+++ b/src/pollenmast/steering/_outcomes.py
@@ -48,12 +48,14 @@
         sequence: A sequence number that the client accepts for the flow.
         reason: The reason, for counters and the log.
         endpoint: The name of the flow's endpoint, or empty.
+        service: The service that has too little capacity, or empty.
     """
 
     flow: FlowKey
     sequence: int
     reason: ResetReason
     endpoint: str = ""
+    service: str = ""
 
 
 @attrs.frozen
