Complete route attributes that a peer of the previous build left out

Cause: a table of the same version was ignored, so a VM that learned its routes from a peer of the previous build kept them without attributes. Change: such a table fills in attributes that are missing and removes none.

--- a/src/pollenmast/steering/_routes.py
+++ b/src/pollenmast/steering/_routes.py
@@ -2,12 +2,16 @@
 
 from collections.abc import Iterable
 
+import attrs
+
 from pollenmast.steering._changes import (
     Change,
     RoutesDelta,
     RoutesPublished,
 )
-from pollenmast.steering._model import RouteTable
+from pollenmast.steering._model import Route, RouteTable
+
+_ATTRIBUTES = ("priority", "target_latency_s", "timeout_s")
 
 
 class ActiveRoutes:
@@ -50,6 +54,8 @@
         old = self._table
         if isinstance(change, RoutesPublished):
             if old is not None and change.table.version <= old.version:
+                if change.table.version == old.version:
+                    self._table = _with_attributes(old, change.table)
                 return None
             self._table = change.table
             if old is None:
@@ -60,3 +66,31 @@
                 return None
             self._table = change.apply(old)
         return change
+
+
+def _with_attributes(old: RouteTable, same: RouteTable) -> RouteTable:
+    """Fills in attributes that the known table lacks.
+
+    A peer of a build that does not know them sends tables without them; the
+    directory's table of the same version has them. Attributes are never
+    removed, as such a peer may send its table later.
+    """
+    routes = {
+        address: _fill(route, same.routes.get(address))
+        for address, route in old.routes.items()
+    }
+    max_conns = {**same.max_conns, **old.max_conns}
+    if routes == old.routes and max_conns == old.max_conns:
+        return old
+    return attrs.evolve(old, routes=routes, max_conns=max_conns)
+
+
+def _fill(route: Route, same: Route | None) -> Route:
+    if same is None:
+        return route
+    missing = {
+        name: getattr(same, name)
+        for name in _ATTRIBUTES
+        if getattr(route, name) is None and getattr(same, name) is not None
+    }
+    return attrs.evolve(route, **missing) if missing else route
