Remember each refused attempt until it is retried or expires

Cause: a refusal was subtracted twice from its account's count, once by its retry and once by its expiry. The expiry of a retried attempt so removed a later one, whose retry counted as a first attempt, was queued before the others' retries and added to the retry budget. Change: each attempt is an entry of its own that is marked when retried.

--- a/src/pollenmast/admission/_retries.py
+++ b/src/pollenmast/admission/_retries.py
@@ -9,6 +9,8 @@
 import collections
 from collections.abc import Hashable
 
+import attrs
+
 from pollenmast.admission._retry import RetryBudget
 
 MEMORY_S = 2.0
@@ -19,14 +21,27 @@
 """Maximum number of remembered attempts; beyond it the oldest is forgotten."""
 
 
+@attrs.define(eq=False)
+class _Refused:
+    """A refused attempt.
+
+    Attributes:
+        key: The account and the route.
+        at: When it was refused.
+        retried: Whether a later attempt counted as its retry.
+    """
+
+    key: Hashable
+    at: float
+    retried: bool = False
+
+
 class Retries:
     """The refused attempts of one service."""
 
     def __init__(self):
-        self._refused: collections.deque[tuple[float, Hashable]] = (
-            collections.deque()
-        )
-        self._counts: collections.Counter[Hashable] = collections.Counter()
+        self._refused: collections.deque[_Refused] = collections.deque()
+        self._open: dict[Hashable, collections.deque[_Refused]] = {}
         self._budget = RetryBudget()
 
     def on_refused(self, caller: str, route: Hashable, now: float) -> None:
@@ -34,8 +49,9 @@
         self._expire(now)
         if len(self._refused) >= MAX_REFUSED:
             self._forget_oldest()
-        self._refused.append((now, (caller, route)))
-        self._counts[caller, route] += 1
+        refused = _Refused((caller, route), now)
+        self._refused.append(refused)
+        self._open.setdefault(refused.key, collections.deque()).append(refused)
 
     def is_retry(self, caller: str, route: Hashable, now: float) -> bool:
         """Whether a new attempt is a retry of a refused one.
@@ -44,10 +60,9 @@
         """
         self._expire(now)
         key = caller, route
-        if self._counts[key] <= 0:
-            del self._counts[key]
+        if key not in self._open:
             return False
-        self._counts[key] -= 1
+        self._take_oldest(key).retried = True
         return True
 
     def on_first_attempt(self) -> None:
@@ -59,11 +74,17 @@
         return self._budget.spend()
 
     def _expire(self, now: float) -> None:
-        while self._refused and now - self._refused[0][0] > MEMORY_S:
+        while self._refused and now - self._refused[0].at > MEMORY_S:
             self._forget_oldest()
 
     def _forget_oldest(self) -> None:
-        _, key = self._refused.popleft()
-        self._counts[key] -= 1
-        if self._counts[key] <= 0:
-            del self._counts[key]
+        refused = self._refused.popleft()
+        if not refused.retried:
+            self._take_oldest(refused.key)
+
+    def _take_oldest(self, key: Hashable) -> _Refused:
+        attempts = self._open[key]
+        oldest = attempts.popleft()
+        if not attempts:
+            del self._open[key]
+        return oldest
