Count only the held flows that go first in the estimated wait

Cause: a flow was refused if all held flows of its priority took longer than its hold, although those of accounts with more served flows go after it. An account that asked ten times its share so filled the queue, and others were refused. A released retry counted at the level of first attempts, and each level counted an account's served flows separately.

--- a/src/pollenmast/admission/_admission.py
+++ b/src/pollenmast/admission/_admission.py
@@ -192,9 +192,7 @@
         self._update(now)
         level = 2 * arrival.priority
         if not self._overloaded:
-            return self._admitted(
-                arrival, level, Admit(None, AdmitReason.FREE), now
-            )
+            return self._admitted(arrival, Admit(None, AdmitReason.FREE), now)
         retry = self._settings.repeats and self._retries.is_retry(
             arrival.caller, arrival.route, now
         )
@@ -202,10 +200,10 @@
             level += 1
         else:
             self._retries.on_first_attempt()
-        if not self._queue.ahead(level):
+        if not self._queue.count(level):
             admit = self._find_room(now)
             if admit is not None:
-                return self._admitted(arrival, level, admit, now)
+                return self._admitted(arrival, admit, now)
         if retry and not self._retries.spend():
             return self._refused(arrival, RefuseReason.REPEAT_LIMIT, now)
         return self._hold(arrival, level, now)
@@ -226,7 +224,7 @@
         if admit is not None:
             arrival, since = self._queue.pop(now)
             admit = Admit(admit.endpoint, admit.reason, now - since)
-            admit = self._admitted(arrival, 2 * arrival.priority, admit, now)
+            admit = self._admitted(arrival, admit, now)
             released.append(Release(arrival, admit))
         return released
 
@@ -306,7 +304,7 @@
         if not self._settings.hold:
             return self._refused(arrival, RefuseReason.NO_ROOM, now)
         wait_s = (
-            (self._queue.ahead(level) + 1)
+            (self._queue.ahead(level, arrival.caller, now) + 1)
             * self._in_progress.service_time_s(self._name)
             / self._limit()
         )
@@ -317,9 +315,9 @@
         return Hold(now + hold_s)
 
     def _admitted(
-        self, arrival: FlowArrival, level: int, admit: Admit, now: float
+        self, arrival: FlowArrival, admit: Admit, now: float
     ) -> Admit:
-        self._queue.on_admitted(arrival, level, now)
+        self._queue.on_admitted(arrival, now)
         return admit
 
     def _refused(
--- a/src/pollenmast/admission/_fairness.py
+++ b/src/pollenmast/admission/_fairness.py
@@ -87,6 +87,16 @@
     def first(self) -> HeldFlow:
         return next(iter(next(iter(self.callers.values())).values()))
 
+    def ahead(self, caller: str) -> int:
+        """Returns how many flows would go before a caller's new one."""
+        turns = len(self.callers.get(caller, ())) + 1
+        others = (
+            min(len(flows), turns)
+            for name, flows in self.callers.items()
+            if name != caller
+        )
+        return turns - 1 + sum(others)
+
     def newest_of_largest_caller(self, caller: str) -> HeldFlow:
         """Returns the newest flow of the caller with the most held flows.
 
@@ -100,12 +110,15 @@
 
 
 class FairQueue:
-    """Fair queue of the held flows of one service."""
+    """Fair queue of the held flows of one service.
 
-    def __init__(self):
+    Queues of several priorities may share one `RecentUsage`.
+    """
+
+    def __init__(self, usage: RecentUsage | None = None):
         self._networks: dict[str, _NetworkQueue] = {}
         self._flows: dict[int, HeldFlow] = {}
-        self._recent_usage = RecentUsage()
+        self._recent_usage = RecentUsage() if usage is None else usage
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -115,6 +128,16 @@
         entry = self._networks.get(network_of(caller))
         return len(entry.callers.get(caller, ())) if entry else 0
 
+    def ahead(self, caller: str, now: float) -> int:
+        """Returns how many held flows would go before a caller's new one."""
+        network = network_of(caller)
+        own = self._rank(network, now)
+        return sum(
+            entry.ahead(caller) if name == network else entry.count
+            for name, entry in self._networks.items()
+            if self._rank(name, now) <= own
+        )
+
     def may_hold(self, caller: str, most: int) -> bool:
         """Whether the caller's network may add a flow, of `most` in total."""
         entry = self._networks.get(network_of(caller))
@@ -138,12 +161,7 @@
         """Removes and returns the next flow, or None if none is held."""
         if not self._networks:
             return None
-        key = min(
-            self._networks,
-            key=lambda name: (
-                self._recent_usage.of(name, now) // USAGE_TOLERANCE
-            ),
-        )
+        key = min(self._networks, key=lambda name: self._rank(name, now))
         entry = self._networks[key]
         flow = entry.first()
         caller = flow.request.caller
@@ -190,6 +208,10 @@
             self._remove(flow)
         return over
 
+    def _rank(self, network: str, now: float) -> float:
+        """Returns the order of a network; lower ones are served first."""
+        return self._recent_usage.of(network, now) // USAGE_TOLERANCE
+
     def _claim(self, network: str, now: float) -> float:
         """Returns a network's held plus recently served flows."""
         return self._networks[network].count + self._recent_usage.of(
