Allocate an endpoint's credits to different VMs

Cause: credits were allocated level by level. Where the number of endpoints is a multiple of the number of VMs, or nearly so, one VM got several or all credits of an endpoint; its loss or a pause of its load left that endpoint idle. Change: the credits of one endpoint are allocated one after another. Result: the new test that compares each VM's part of an endpoint with an equal share failed with 6 VMs and 3, 20 and 100 endpoints and passes now.

--- a/src/pollenmast/admission/_credits.py
+++ b/src/pollenmast/admission/_credits.py
@@ -34,13 +34,10 @@
     """
     ring = sorted({*vms, own}, key=_rank)
     position, count = ring.index(own), len(ring)
-    order = sorted(slots, key=_rank)
     allocated: dict[str, int] = {}
     index = 0
-    for level in range(max(slots.values(), default=0) * OCCUPANCY_PER_SLOT):
-        for endpoint in order:
-            if level >= slots[endpoint] * OCCUPANCY_PER_SLOT:
-                continue
+    for endpoint in sorted(slots, key=_rank):
+        for _ in range(slots[endpoint] * OCCUPANCY_PER_SLOT):
             if index % count == position:
                 allocated[endpoint] = allocated.get(endpoint, 0) + 1
             index += 1
