Limit how often expired requests are searched

Cause: each call of `expire` passes over all requests between the minimum and their own timeout. A flood of SYNs leaves up to 20,000 of them, and each packet then costs a search of all. Change: at most one search in 10 ms, a small part of the minimum timeout.

--- a/src/pollenmast/admission/_in_progress.py
+++ b/src/pollenmast/admission/_in_progress.py
@@ -4,6 +4,7 @@
 ended. At most one request counts for each flow.
 """
 
+import math
 from collections.abc import Hashable
 
 import attrs
@@ -26,6 +27,11 @@
 MIN_TIMEOUT_S = 0.3
 MAX_TIMEOUT_S = 2.0
 
+SCAN_INTERVAL_S = 0.01
+"""Minimum time between two searches for such requests in seconds. Each one
+passes over the requests that are older than `MIN_TIMEOUT_S`, of which a flood
+of SYNs leaves thousands."""
+
 MAX_REQUESTS = 20_000
 """Maximum number of requests in progress that are remembered; beyond it the
 oldest is forgotten."""
@@ -46,6 +52,7 @@
         self._by_service: dict[str, int] = {}
         self._by_endpoint: dict[str, int] = {}
         self._time_s: dict[str, float] = {}
+        self._scan_at = -math.inf
 
     def count(self, service: str) -> int:
         """Returns the number of a service's requests in progress."""
@@ -98,6 +105,9 @@
 
     def expire(self, now: float) -> None:
         """Forgets the requests whose end has not been seen for long."""
+        if now < self._scan_at:
+            return
+        self._scan_at = now + SCAN_INTERVAL_S
         stale = []
         for key, request in self._requests.items():
             if now - request.began_at < MIN_TIMEOUT_S:
