Expire lost requests on arrival, hold a flow once, bound held flows

Cause: only `release` removed requests whose end was not seen, and it need not be called while nothing is held; with holds disabled a VM then refused flows for good. A held flow that arrived again had two entries, and the second release raised a KeyError. The number of held flows was limited by the estimated wait alone, which clients can lower by early acknowledgements. Change: arrivals, `is_overloaded` and `status` expire requests too; a flow that is held returns its hold; `MAX_HELD` flows of a priority are held at most.

--- a/src/pollenmast/admission/_admission.py
+++ b/src/pollenmast/admission/_admission.py
@@ -63,6 +63,10 @@
 CREDITS_MAX_AGE_S = 0.25
 """How long computed credits are used, in seconds."""
 
+MAX_HELD = 4096
+"""Maximum number of held flows of a service and priority. Clients that forge
+early answers lower the estimated wait, which alone would allow any number."""
+
 MAX_SERVICES = 512
 """Maximum number of services with state; beyond it the oldest is forgotten."""
 
@@ -77,7 +81,7 @@
         self._settings = settings or AdmissionSettings()
         self._in_progress = RequestsInProgress()
         self._services: dict[str, _ServiceAdmission] = {}
-        self._held: dict[Hashable, FlowArrival] = {}
+        self._held: dict[Hashable, tuple[FlowArrival, Hold]] = {}
 
     @property
     def in_progress(self) -> RequestsInProgress:
@@ -98,13 +102,17 @@
     ) -> Admit | Hold | Refuse:
         """Decides on a new flow.
 
-        An admitted flow counts only once `in_progress.begin` is called.
+        An admitted flow counts only once `in_progress.begin` is called. A flow
+        that is held already stays held.
         """
         if not self._settings.credits:
             return Admit(None, AdmitReason.FREE)
+        if arrival.key in self._held:
+            return self._held[arrival.key][1]
+        self._in_progress.expire(now)
         outcome = self._service(arrival.service).on_arrival(arrival, now)
         if isinstance(outcome, Hold):
-            self._held[arrival.key] = arrival
+            self._held[arrival.key] = arrival, outcome
         return outcome
 
     def release(self, now: float) -> list[Release]:
@@ -124,8 +132,9 @@
 
     def cancel(self, key: Hashable) -> None:
         """Removes a held flow whose client has abandoned it."""
-        arrival = self._held.pop(key, None)
-        if arrival is not None:
+        held = self._held.pop(key, None)
+        if held is not None:
+            arrival, _ = held
             self._services[arrival.service].cancel(arrival)
 
     def next_release_at(self, now: float) -> float:
@@ -139,11 +148,13 @@
 
     def is_overloaded(self, service: str, now: float) -> bool:
         """Whether a service is short of capacity on this VM."""
+        self._in_progress.expire(now)
         known = self._services.get(service)
         return known is not None and known.is_overloaded(now)
 
     def status(self, now: float) -> list[ServiceStatus]:
         """Returns the state of each service that had flows here."""
+        self._in_progress.expire(now)
         return [service.status(now) for service in self._services.values()]
 
     def _service(self, name: str) -> "_ServiceAdmission":
@@ -308,7 +319,7 @@
             * self._in_progress.service_time_s(self._name)
             / self._limit()
         )
-        if wait_s > hold_s:
+        if wait_s > hold_s or self._queue.count(level) >= MAX_HELD:
             return self._refused(arrival, RefuseReason.NO_ROOM, now)
         self._busy_at = now
         self._queue.push(arrival, level, now + hold_s, now)
