--- a/src/pollenmast/admission/_admission.py
+++ b/src/pollenmast/admission/_admission.py
@@ -28,7 +28,7 @@
 )
 from pollenmast.admission._retries import Retries
 
-LONE_CREDITS = 4
+LONE_CREDITS = 5
 """Requests of a service that a VM may have in progress while it does not know
 the VMs that share the endpoints. The backlog of all clients after a loss of
 power is then forwarded at the rate at which endpoints work it off."""
@@ -63,6 +63,10 @@
 CREDITS_MAX_AGE_S = 0.25
 """How long computed credits are used, in seconds."""
 
+MAX_HELD = 4096
+"""Maximum number of held flows of a service and priority. Clients that forge
+early answers lower the estimated wait, which alone would allow any number."""
+
 MAX_SERVICES = 512
 """Maximum number of services with state; beyond it the oldest is forgotten."""
 
@@ -77,7 +81,7 @@
         self._settings = settings or AdmissionSettings()
         self._in_progress = RequestsInProgress()
         self._services: dict[str, _ServiceAdmission] = {}
-        self._held: dict[Hashable, FlowArrival] = {}
+        self._held: dict[Hashable, tuple[FlowArrival, Hold]] = {}
 
     @property
     def in_progress(self) -> RequestsInProgress:
@@ -98,13 +102,17 @@
     ) -> Admit | Hold | Refuse:
         """Decides on a new flow.
 
-        An admitted flow counts only once `in_progress.begin` is called.
+        An admitted flow counts only once `in_progress.begin` is called. A flow
+        that is held already stays held.
         """
         if not self._settings.credits:
             return Admit(None, AdmitReason.FREE)
+        if arrival.key in self._held:
+            return self._held[arrival.key][1]
+        self._in_progress.expire(now)
         outcome = self._service(arrival.service).on_arrival(arrival, now)
         if isinstance(outcome, Hold):
-            self._held[arrival.key] = arrival
+            self._held[arrival.key] = arrival, outcome
         return outcome
 
     def release(self, now: float) -> list[Release]:
@@ -124,8 +132,9 @@
 
     def cancel(self, key: Hashable) -> None:
         """Removes a held flow whose client has abandoned it."""
-        arrival = self._held.pop(key, None)
-        if arrival is not None:
+        held = self._held.pop(key, None)
+        if held is not None:
+            arrival, _ = held
             self._services[arrival.service].cancel(arrival)
 
     def next_release_at(self, now: float) -> float:
@@ -147,6 +156,7 @@
             now: The runtime's clock in seconds.
             without: An endpoint whose requests do not count.
         """
+        self._in_progress.expire(now)
         known = self._services.get(service)
         return known is not None and known.is_overloaded(now, without)
 
@@ -157,6 +167,7 @@
 
     def status(self, now: float) -> list[ServiceStatus]:
         """Returns the state of each service that had flows here."""
+        self._in_progress.expire(now)
         return [service.status(now) for service in self._services.values()]
 
     def _service(self, name: str) -> "_ServiceAdmission":
@@ -197,7 +208,8 @@
         self._busy_at = -math.inf
         self._computed_at = -math.inf
         self._credits: Mapping[str, int] | None = None
-        self._guests: dict[Hashable, None] = {}
+        self._last_use: dict[str, int] = {}
+        self._uses = 0
 
     def on_arrival(
         self, arrival: FlowArrival, now: float
@@ -205,9 +217,7 @@
         self._update(now)
         level = 2 * arrival.priority
         if not self._overloaded:
-            return self._admitted(
-                arrival, level, Admit(None, AdmitReason.FREE), now
-            )
+            return self._admitted(arrival, self._admit_freely(now), now)
         retry = self._settings.repeats and self._retries.is_retry(
             arrival.caller, arrival.route, now
         )
@@ -215,10 +225,10 @@
             level += 1
         else:
             self._retries.on_first_attempt()
-        if not self._queue.ahead(level):
+        if not self._queue.count(level):
             admit = self._find_room(now)
             if admit is not None:
-                return self._admitted(arrival, level, admit, now)
+                return self._admitted(arrival, admit, now)
         if retry and not self._retries.spend():
             return self._refused(arrival, RefuseReason.REPEAT_LIMIT, now)
         return self._hold(arrival, level, now)
@@ -239,7 +249,7 @@
         if admit is not None:
             arrival, since = self._queue.pop(now)
             admit = Admit(admit.endpoint, admit.reason, now - since)
-            admit = self._admitted(arrival, 2 * arrival.priority, admit, now)
+            admit = self._admitted(arrival, admit, now)
             released.append(Release(arrival, admit))
         return released
 
@@ -251,12 +261,12 @@
 
     def is_overloaded(self, now: float, without: str) -> bool:
         self._update(now)
+        if not self._overloaded or not without or len(self._queue):
+            return self._overloaded
         others = self._in_progress.count(
             self._name
         ) - self._in_progress.count_at(without)
-        return self._overloaded and (
-            len(self._queue) > 0 or others > FREE_USE * self._limit()
-        )
+        return others > FREE_USE * self._limit()
 
     def status(self, now: float) -> ServiceStatus:
         self._update(now)
@@ -274,6 +284,7 @@
         if now - self._computed_at >= CREDITS_MAX_AGE_S:
             self._computed_at = now
             self._credits = self._endpoints.credits(self._name, now)
+            self._forget_unused()
         in_use, limit = self._in_progress.count(self._name), self._limit()
         if len(self._queue) or in_use > FREE_USE * limit:
             self._busy_at = now
@@ -282,12 +293,31 @@
         elif now - self._busy_at >= SCARCITY_HOLD_S:
             self._overloaded = False
 
+    def _forget_unused(self) -> None:
+        """Forgets endpoints for which this VM has no credits any more."""
+        known = self._credits or {}
+        self._last_use = {e: n for e, n in self._last_use.items() if e in known}
+
     def _limit(self) -> int:
         """Returns how many requests may be in progress before holds begin."""
         if self._credits is None:
             return LONE_CREDITS
         return max(sum(self._credits.values()), MIN_CREDITS)
 
+    def _admit_freely(self, now: float) -> Admit:
+        """Returns how a flow is placed while capacity is not short.
+
+        From `FREE_USE` of the credits on, endpoints with a credit go first:
+        slow endpoints then get no more than the requests that they can handle
+        even before the VM is overloaded.
+        """
+        in_use = self._in_progress.count(self._name)
+        if self._credits is not None and in_use > FREE_USE * self._limit():
+            endpoint = self._free_credit(now)
+            if endpoint is not None:
+                return Admit(endpoint, AdmitReason.CREDIT)
+        return Admit(None, AdmitReason.FREE)
+
     def _find_room(self, now: float) -> Admit | None:
         """Returns how a flow can be placed while capacity is short."""
         in_use, limit = self._in_progress.count(self._name), self._limit()
@@ -298,7 +328,7 @@
             endpoint = self._free_credit(now)
             if endpoint is not None:
                 return Admit(endpoint, AdmitReason.CREDIT)
-        if in_use < MIN_CREDITS:
+        if in_use < MIN_CREDITS and not self._credits:
             return Admit(None, AdmitReason.FREE)
         guests = max(1, int(GUEST_SHARE * limit))
         if self._settings.guests and in_use < limit + guests:
@@ -308,12 +338,23 @@
         return None
 
     def _free_credit(self, now: float) -> str | None:
-        """Returns the usable endpoint with the most free credits."""
-        best, most = None, 0
+        """Returns the usable endpoint with the most free credits.
+
+        Slow ones come last. Among several, it is the one that was returned
+        least recently, so that the load is even.
+        """
+        best, most = None, None
         for endpoint, credits in self._credits.items():
             free = credits - self._in_progress.count_at(endpoint)
-            if free > most and self._endpoints.is_usable(endpoint, now):
-                best, most = endpoint, free
+            if free <= 0 or not self._endpoints.is_usable(endpoint, now):
+                continue
+            slow = self._in_progress.is_slow(endpoint, self._name, now)
+            rank = not slow, free, -self._last_use.get(endpoint, 0)
+            if most is None or rank > most:
+                best, most = endpoint, rank
+        if best is not None:
+            self._uses += 1
+            self._last_use[best] = self._uses
         return best
 
     def _hold(
@@ -324,20 +365,20 @@
         if not self._settings.hold:
             return self._refused(arrival, RefuseReason.NO_ROOM, now)
         wait_s = (
-            (self._queue.ahead(level) + 1)
+            (self._queue.ahead(level, arrival.caller, now) + 1)
             * self._in_progress.service_time_s(self._name)
             / self._limit()
         )
-        if wait_s > hold_s:
+        if wait_s > hold_s or self._queue.count(level) >= MAX_HELD:
             return self._refused(arrival, RefuseReason.NO_ROOM, now)
         self._busy_at = now
         self._queue.push(arrival, level, now + hold_s, now)
         return Hold(now + hold_s)
 
     def _admitted(
-        self, arrival: FlowArrival, level: int, admit: Admit, now: float
+        self, arrival: FlowArrival, admit: Admit, now: float
     ) -> Admit:
-        self._queue.on_admitted(arrival, level, now)
+        self._queue.on_admitted(arrival, now)
         return admit
 
     def _refused(
--- a/src/pollenmast/admission/_credits.py
+++ b/src/pollenmast/admission/_credits.py
@@ -34,15 +34,14 @@
     """
     ring = sorted({*vms, own}, key=_rank)
     position, count = ring.index(own), len(ring)
-    order = sorted(slots, key=_rank)
     allocated: dict[str, int] = {}
-    index = level = 0
-    while order:
-        order = [e for e in order if slots[e] * OCCUPANCY_PER_SLOT > level]
-        for endpoint in order[(position - index) % count :: count]:
-            allocated[endpoint] = allocated.get(endpoint, 0) + 1
-        index += len(order)
-        level += 1
+    index = 0
+    for endpoint in sorted(slots, key=_rank):
+        credits = slots[endpoint] * OCCUPANCY_PER_SLOT
+        own_credits = range((position - index) % count, credits, count)
+        if own_credits:
+            allocated[endpoint] = len(own_credits)
+        index += credits
     return allocated
 
 
--- a/src/pollenmast/admission/_in_progress.py
+++ b/src/pollenmast/admission/_in_progress.py
@@ -4,10 +4,13 @@
 ended. At most one request counts for each flow.
 """
 
+import math
 from collections.abc import Hashable
 
 import attrs
 
+from pollenmast.admission._endpoint_times import EndpointTimes
+
 DEFAULT_SERVICE_TIME_S = 0.05
 """Time from a request to its answer that is assumed before the first answer."""
 
@@ -26,6 +29,11 @@
 MIN_TIMEOUT_S = 0.3
 MAX_TIMEOUT_S = 2.0
 
+SCAN_INTERVAL_S = 0.01
+"""Minimum time between two searches for such requests in seconds. Each one
+passes over the requests that are older than `MIN_TIMEOUT_S`, of which a flood
+of SYNs leaves thousands."""
+
 MAX_REQUESTS = 20_000
 """Maximum number of requests in progress that are remembered; beyond it the
 oldest is forgotten."""
@@ -46,6 +54,8 @@
         self._by_service: dict[str, int] = {}
         self._by_endpoint: dict[str, int] = {}
         self._time_s: dict[str, float] = {}
+        self._endpoint_times = EndpointTimes()
+        self._scan_at = -math.inf
 
     def count(self, service: str) -> int:
         """Returns the number of a service's requests in progress."""
@@ -59,6 +69,11 @@
         """Returns the usual time from a request to its answer in seconds."""
         return self._time_s.get(service, DEFAULT_SERVICE_TIME_S)
 
+    def is_slow(self, endpoint: str, service: str, now: float) -> bool:
+        """Whether an endpoint answers far more slowly than its service."""
+        usual_s = self.service_time_s(service)
+        return self._endpoint_times.is_slow(endpoint, usual_s, now)
+
     def begin(
         self, key: Hashable, service: str, endpoint: str, now: float
     ) -> None:
@@ -91,6 +106,7 @@
         took_s = min(
             max(now - request.began_at, MIN_SERVICE_TIME_S), MAX_SERVICE_TIME_S
         )
+        self._endpoint_times.add(request.endpoint, took_s, now)
         usual_s = self.service_time_s(request.service)
         self._time_s[request.service] = usual_s + SERVICE_TIME_WEIGHT * (
             took_s - usual_s
@@ -102,6 +118,9 @@
 
     def expire(self, now: float) -> None:
         """Forgets the requests whose end has not been seen for long."""
+        if now < self._scan_at:
+            return
+        self._scan_at = now + SCAN_INTERVAL_S
         stale = []
         for key, request in self._requests.items():
             if now - request.began_at < MIN_TIMEOUT_S:
