Hold a draining backlog longer; urgent flows overflow before a refusal

Change: until capacity has been short for half a second nothing is refused that can be placed before its client abandons it; a hold is extended while more flows are placed than arrive. An urgent flow that would be refused is placed in another zone, within the limit of guests. The list of members has to be stable for a second before credits are shared by it.

--- a/src/pollenmast/admission/_admission.py
+++ b/src/pollenmast/admission/_admission.py
@@ -26,6 +26,7 @@
     Release,
     ServiceStatus,
 )
+from pollenmast.admission._progress import Progress
 from pollenmast.admission._retries import Retries
 
 LONE_CREDITS = 5
@@ -54,11 +55,20 @@
 """The fraction of the credits that counts as little use."""
 
 MAX_HOLD_FRACTION = 0.25
-"""The fraction of the target latency that a flow may be held. It leaves time
-for the endpoint's queue, and a refused client time for another attempt."""
+"""The fraction of the target latency that a flow is held unless the backlog is
+being worked off. It leaves time for the endpoint's queue, and a refused client
+time for another attempt."""
 
-MAX_HOLD_S = 1.0
-"""Maximum hold in seconds; clients abandon a SYN after 1.4 s."""
+SUSTAINED_S = 0.5
+"""How long capacity has to be short, in seconds, until flows that cannot be
+placed within their hold are refused at once. Before, a backlog of one instant
+cannot be told from a lasting overload."""
+
+LEVELS = 3
+"""Levels of each priority in the order in which they are placed: first
+attempts, retries, and flows whose hold was extended, which are late already."""
+
+_FIRST, _RETRY, _LATE = range(LEVELS)
 
 CREDITS_MAX_AGE_S = 0.25
 """How long computed credits are used, in seconds."""
@@ -210,19 +220,24 @@
         self._credits: Mapping[str, int] | None = None
         self._last_use: dict[str, int] = {}
         self._uses = 0
+        self._lowest_priority = -1
+        self._overloaded_since = -math.inf
+        self._progress = Progress()
 
     def on_arrival(
         self, arrival: FlowArrival, now: float
     ) -> Admit | Hold | Refuse:
         self._update(now)
-        level = 2 * arrival.priority
+        self._lowest_priority = max(self._lowest_priority, arrival.priority)
+        self._progress.on_arrived(arrival.priority, now)
+        level = LEVELS * arrival.priority + _FIRST
         if not self._overloaded:
             return self._admitted(arrival, self._admit_freely(now), now)
         retry = self._settings.repeats and self._retries.is_retry(
             arrival.caller, arrival.route, now
         )
         if retry:
-            level += 1
+            level += _RETRY
         else:
             self._retries.on_first_attempt()
         if not self._queue.count(level):
@@ -239,12 +254,21 @@
             return []
         self._update(now)
         self._busy_at = now
-        released = []
+        released, overflowed = [], False
         for arrival, since in self._queue.pop_expired(now):
-            refuse = self._refused(
+            if overflowed:
+                # It is decided in the next call, once the other one counts.
+                self._queue.push(arrival, _late_level(arrival), now, since)
+                continue
+            if self._extend(arrival, since, now):
+                continue
+            outcome = self._refuse_or_overflow(
                 arrival, RefuseReason.HOLD_EXPIRED, now, now - since
             )
-            released.append(Release(arrival, refuse))
+            released.append(Release(arrival, outcome))
+            overflowed = isinstance(outcome, Admit)
+        if overflowed:
+            return released
         admit = self._find_room(now) if len(self._queue) else None
         if admit is not None:
             arrival, since = self._queue.pop(now)
@@ -256,6 +280,20 @@
     def cancel(self, arrival: FlowArrival) -> None:
         self._queue.remove(arrival.ticket)
 
+    def _extend(self, arrival: FlowArrival, since: float, now: float) -> bool:
+        """Holds a flow longer if the backlog is worked off meanwhile."""
+        limit, hold_s = since + arrival.max_wait_s, _hold_s(arrival)
+        # The first half is left out: it may contain the instant at which the
+        # backlog arrived.
+        draining = self._progress.is_draining(
+            arrival.priority, now - hold_s / 2
+        )
+        if now >= limit or not draining:
+            return False
+        until = min(now + hold_s, limit)
+        self._queue.push(arrival, _late_level(arrival), until, since)
+        return True
+
     def next_expiry(self) -> float | None:
         return self._queue.next_expiry()
 
@@ -289,6 +327,8 @@
         if len(self._queue) or in_use > FREE_USE * limit:
             self._busy_at = now
         if in_use >= limit:
+            if not self._overloaded:
+                self._overloaded_since = now
             self._overloaded = True
         elif now - self._busy_at >= SCARCITY_HOLD_S:
             self._overloaded = False
@@ -330,12 +370,35 @@
                 return Admit(endpoint, AdmitReason.CREDIT)
         if in_use < MIN_CREDITS and not self._credits:
             return Admit(None, AdmitReason.FREE)
+        endpoint = self._guest(now, any_load=False)
+        return Admit(endpoint, AdmitReason.GUEST) if endpoint else None
+
+    def _guest(self, now: float, *, any_load: bool) -> str | None:
+        """Returns an endpoint of another zone, if this VM may use one more."""
+        in_use, limit = self._in_progress.count(self._name), self._limit()
         guests = max(1, int(GUEST_SHARE * limit))
-        if self._settings.guests and in_use < limit + guests:
-            endpoint = self._endpoints.guest(self._name, now)
+        if not self._settings.guests or in_use >= limit + guests:
+            return None
+        return self._endpoints.guest(self._name, now, any_load=any_load)
+
+    def _refuse_or_overflow(
+        self,
+        arrival: FlowArrival,
+        reason: RefuseReason,
+        now: float,
+        held_s: float = 0.0,
+    ) -> Admit | Refuse:
+        """Refuses a flow unless it is urgent and may overflow.
+
+        An urgent flow that its zone cannot place in time goes to another zone
+        even if that is as loaded: less urgent flows wait there in its place.
+        """
+        if arrival.priority < self._lowest_priority:
+            endpoint = self._guest(now, any_load=True)
             if endpoint is not None:
-                return Admit(endpoint, AdmitReason.GUEST)
-        return None
+                admit = Admit(endpoint, AdmitReason.GUEST, held_s)
+                return self._admitted(arrival, admit, now)
+        return self._refused(arrival, reason, now, held_s)
 
     def _free_credit(self, now: float) -> str | None:
         """Returns the usable endpoint with the most free credits.
@@ -359,9 +422,8 @@
 
     def _hold(
         self, arrival: FlowArrival, level: int, now: float
-    ) -> Hold | Refuse:
-        """Holds a flow that can be placed in time, else refuses one."""
-        hold_s = min(MAX_HOLD_FRACTION * arrival.target_latency_s, MAX_HOLD_S)
+    ) -> Admit | Hold | Refuse:
+        """Holds a flow that can be placed in time, else refuses it."""
         if not self._settings.hold:
             return self._refused(arrival, RefuseReason.NO_ROOM, now)
         wait_s = (
@@ -369,8 +431,11 @@
             * self._in_progress.service_time_s(self._name)
             / self._limit()
         )
-        if wait_s > hold_s or self._queue.count(level) >= MAX_HELD:
-            return self._refused(arrival, RefuseReason.NO_ROOM, now)
+        sustained = now - self._overloaded_since >= SUSTAINED_S
+        hold_s = _hold_s(arrival)
+        longest_s = hold_s if sustained else arrival.max_wait_s
+        if wait_s > longest_s or self._queue.count(level) >= MAX_HELD:
+            return self._refuse_or_overflow(arrival, RefuseReason.NO_ROOM, now)
         self._busy_at = now
         self._queue.push(arrival, level, now + hold_s, now)
         return Hold(now + hold_s)
@@ -379,6 +444,7 @@
         self, arrival: FlowArrival, admit: Admit, now: float
     ) -> Admit:
         self._queue.on_admitted(arrival, now)
+        self._progress.on_admitted(arrival.priority, now)
         return admit
 
     def _refused(
@@ -391,3 +457,12 @@
         self._busy_at = now
         self._retries.on_refused(arrival.caller, arrival.route, now)
         return Refuse(reason, held_s)
+
+
+def _hold_s(arrival: FlowArrival) -> float:
+    """Returns how long a flow is held until it is decided again."""
+    return min(MAX_HOLD_FRACTION * arrival.target_latency_s, arrival.max_wait_s)
+
+
+def _late_level(arrival: FlowArrival) -> int:
+    return LEVELS * arrival.priority + _LATE
--- a/src/pollenmast/admission/_model.py
+++ b/src/pollenmast/admission/_model.py
@@ -20,6 +20,7 @@
         target_latency_s: The time within which it should be answered, in
             seconds.
         route: Identifies the route, to recognise retries.
+        max_wait_s: How much longer the client waits for it, in seconds.
     """
 
     key: Hashable
@@ -29,6 +30,7 @@
     priority: int
     target_latency_s: float
     route: Hashable = None
+    max_wait_s: float = 1.3
 
 
 class AdmitReason(str, enum.Enum):
@@ -170,10 +172,17 @@
         """Returns whether a new flow may be placed on an endpoint."""
 
     @abc.abstractmethod
-    def guest(self, service: str, now: float) -> str | None:
+    def guest(
+        self, service: str, now: float, *, any_load: bool = False
+    ) -> str | None:
         """Returns an endpoint of another zone that has clearly less load.
 
+        Args:
+            service: The service.
+            now: The runtime's clock in seconds.
+            any_load: Whether to return one whatever the load of its zone.
+
         Returns:
             The endpoint's name; None if there is none, or the loads of the
-            zones are not known.
+            zones matter and are not known.
         """
--- a/src/pollenmast/entry/_gossip.py
+++ b/src/pollenmast/entry/_gossip.py
@@ -57,6 +57,11 @@
 """Seconds without a new member after which a VM considers its list of members
 complete. While a fleet starts, each report names some more VMs."""
 
+MEMBERS_SETTLE_S = 1.0
+"""Seconds without a new member after which the list of members is used to share
+credits. While a fleet starts, a VM that knows few others would take a large
+part of the credits."""
+
 SOLE_VM_ROUNDS = 10
 """Rounds after which a VM that has never heard from another one assumes that
 it is the only one."""
@@ -162,9 +167,9 @@
     def credit_peers_at(self, now: float) -> tuple[str, list[str]] | None:
         """Returns the VMs that share the credits of this zone's endpoints.
 
-        Unlike `sharers_at` this does not wait until the list of members is
-        stable: credits of VMs whose lists differ may add up to somewhat more
-        than an endpoint's, which its queue can take.
+        Unlike `sharers_at` this waits only briefly until the list of members
+        is stable: credits of VMs whose lists differ may add up to somewhat
+        more than an endpoint's, which its queue can take.
 
         Args:
             now: Time of the event loop's clock in seconds.
@@ -177,7 +182,8 @@
         known = max(load.total_vm_count(now), load.vms(now))
         if peers and known > 1:
             complete = len(peers) + 1 >= known
-            return (self._host, peers) if complete else None
+            stable = now - self._members.joined_at >= MEMBERS_SETTLE_S
+            return (self._host, peers) if complete and stable else None
         alone = not self._heard_any_peer and self._round >= SOLE_VM_ROUNDS
         return (self._host, []) if alone else None
 
--- a/src/pollenmast/steering/_admission_control.py
+++ b/src/pollenmast/steering/_admission_control.py
@@ -19,6 +19,13 @@
 from pollenmast.steering._model import Endpoint, FlowKey, Route, Segment
 from pollenmast.steering._placement import EndpointSelector
 
+SYN_SENT_S = (0.0, 0.2, 0.6)
+"""When a client sends its SYN and the copies of it, in seconds."""
+
+SYN_ABANDONED_S = 1.3
+"""Seconds after which a SYN is not forwarded any more. Its client abandons it
+after 1.4; the endpoint's answer takes some of that time."""
+
 MAX_COUNTED_SLOTS = 512
 """Slots of an endpoint beyond which further ones grant no credits. An entry
 with a huge number of slots must not occupy every VM with computing credits."""
@@ -52,8 +59,10 @@
         record = self._catalog.get(endpoint)
         return record is not None and self._selector.accepts(record, now)
 
-    def guest(self, service: str, now: float) -> str | None:
-        record = self._selector.less_loaded_zone(service, now)
+    def guest(
+        self, service: str, now: float, *, any_load: bool = False
+    ) -> str | None:
+        record = self._selector.overflow(service, now, any_load=any_load)
         return record.endpoint.name if record is not None else None
 
 
@@ -134,6 +143,7 @@
             caller=segment.flow.client_host,
             priority=route.priority,
             target_latency_s=route.target_latency_s,
+            max_wait_s=_max_wait_s(segment.syn_copies),
             route=(route.host, route.port),
         )
         outcome = self._admission.on_arrival(arrival, now)
@@ -149,5 +159,11 @@
         ]
 
 
+def _max_wait_s(syn_copies: int) -> float:
+    """Returns how much longer a client waits after a copy of its SYN."""
+    sent_s = SYN_SENT_S[min(syn_copies, len(SYN_SENT_S) - 1)]
+    return SYN_ABANDONED_S - sent_s
+
+
 def _unknown(now: float) -> tuple[str, list[str]] | None:
     return None
--- a/src/pollenmast/steering/_placement.py
+++ b/src/pollenmast/steering/_placement.py
@@ -155,9 +155,16 @@
             and self._admits(record, now)
         )
 
-    def less_loaded_zone(self, service: str, now: float) -> Record | None:
+    def overflow(
+        self, service: str, now: float, *, any_load: bool
+    ) -> Record | None:
         """Returns an endpoint of another zone with clearly less load.
 
+        Args:
+            service: The service.
+            now: The time of the runtime's clock in seconds.
+            any_load: Whether to return one whatever the load of its zone.
+
         Returns:
             The endpoint. None if no other zone has one, or if the own zone has
             endpoints and the loads of the zones are not known.
@@ -169,7 +176,7 @@
         far = [r for r in accepting if r.endpoint.zone != self._zone]
         if not far:
             return None
-        if not near:
+        if any_load or not near:
             return self._draw(far, now)
         if not self._load.is_settled(now):
             return None
