Limit each VM's open flows to its share of a service's maxConns

Cause: `maxConns` was read from the configuration and used nowhere, so new flows went to endpoints that already held as many connections as they can.

Endpoints at the share get no new flow; a flow for which none is left is refused with reason `connection_limit`. The copy of a SYN is not refused for its own flow, and an endpoint that is down gets no flow because others are full.

Ruled out: no flows to other zones (a zone without endpoints would refuse all clients); a twentieth of the limit for each other zone (one flow for each VM at 2,000 connections and 98 VMs a zone, which changes placement).

Processor time was not measured.

--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -62,6 +62,10 @@
     WARMING_UP = "warming_up"
     """Every remaining endpoint is warming up and at its limit of flows."""
 
+    CONNECTION_LIMIT = "connection_limit"
+    """Every remaining endpoint has this VM's share of the connections that its
+    service allows."""
+
     NO_ROOM = "no_room"
     """The service is short of capacity, and the flows ahead would take longer
     than this one may be held."""
--- a/src/pollenmast/steering/_admission_control.py
+++ b/src/pollenmast/steering/_admission_control.py
@@ -82,6 +82,7 @@
         selector: EndpointSelector,
         settings: AdmissionSettings | None,
     ):
+        self._selector = selector
         self._endpoints = _Endpoints(zone, catalog, selector)
         self._admission = Admission(self._endpoints, settings)
         self._held: dict[FlowKey, HeldSegment] = {}
@@ -102,6 +103,7 @@
                 seconds, None while they are not known.
         """
         self._endpoints.sharers = sharers
+        self._selector.connection_limit.set_sharers(sharers)
 
     def is_short_without(self, endpoint: Endpoint, now: float) -> bool:
         """Whether an endpoint's service is short of capacity in any case.
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -34,6 +34,7 @@
 )
 from pollenmast.steering._check_policy import CheckPolicy
 from pollenmast.steering._cold_limit import ColdAllowance, ColdLimit
+from pollenmast.steering._connection_limit import ConnectionLimit
 from pollenmast.steering._flows import MIN_RETRANSMIT_S, FlowTable
 from pollenmast.steering._health import CheckResult
 from pollenmast.steering._journal import ChangeLog
@@ -111,7 +112,12 @@
         self._load_signs = LoadSigns(self._catalog)
         self._reach = Reach(zone, self._catalog)
         self._selector = EndpointSelector(
-            zone, self._catalog, self._load, rng, self._cold_limit
+            zone,
+            self._catalog,
+            self._load,
+            rng,
+            self._cold_limit,
+            ConnectionLimit(zone, self._flows),
         )
         self._control = AdmissionControl(
             zone, self._catalog, self._selector, admission
@@ -268,6 +274,7 @@
         table = self.table if self.table is not before else None
         if table is not None:
             self._selector.set_warmups(table.warmups)
+            self._selector.connection_limit.set_limits(table.max_conns)
         self._mark_cold(zones, now)
         records = self._catalog.apply(update, now)
         lapsed = [r for r in records if r.presence is Presence.LAPSED]
@@ -488,6 +495,8 @@
             return self._reset(segment, ResetReason.ZONE_DRAINED)
         if reason is PlacementFailure.WARMING_UP:
             return self._reset(segment, ResetReason.WARMING_UP)
+        if reason is PlacementFailure.CONNECTION_LIMIT:
+            return self._reset(segment, ResetReason.CONNECTION_LIMIT)
         current = self.age_s(now) < MAX_VIEW_AGE_S
         settled = now - self._returned_at >= DIRECTORY_SETTLE_S
         if current and settled:
--- a/src/pollenmast/steering/_placement.py
+++ b/src/pollenmast/steering/_placement.py
@@ -31,6 +31,8 @@
 from pollenmast.counters import PlacementReason
 from pollenmast.steering._catalog import Catalog
 from pollenmast.steering._cold_limit import ColdLimit
+from pollenmast.steering._connection_limit import ConnectionLimit
+from pollenmast.steering._flows import FlowTable
 from pollenmast.steering._load import EndpointLoads
 from pollenmast.steering._model import Warmup
 from pollenmast.steering._record import Presence, Record
@@ -70,6 +72,7 @@
     NO_ENDPOINT = "no_endpoint"
     ZONE_DRAINED = "zone_drained"
     WARMING_UP = "warming_up"
+    CONNECTION_LIMIT = "connection_limit"
 
 
 class EndpointSelector:
@@ -82,14 +85,23 @@
         load: EndpointLoads,
         rng: random.Random,
         cold_limit: ColdLimit | None = None,
+        connection_limit: ConnectionLimit | None = None,
     ):
         self._cold_limit = cold_limit or ColdLimit(zone, None)
+        self._connection_limit = connection_limit or ConnectionLimit(
+            zone, FlowTable()
+        )
         self._warmups: dict[str, Warmup] = {}
         self._zone = zone
         self._catalog = catalog
         self._load = load
         self._rng = rng
 
+    @property
+    def connection_limit(self) -> ConnectionLimit:
+        """Limits the open flows that this VM has at each endpoint."""
+        return self._connection_limit
+
     def set_warmups(self, warmups: dict[str, Warmup]) -> None:
         """Sets the warm-up settings of each service."""
         self._warmups = warmups
@@ -119,6 +131,9 @@
         candidates = [r for r in candidates if self._admits(r, now)]
         if not candidates:
             return PlacementFailure.WARMING_UP
+        candidates = self._below_limit(service, candidates, tried, now)
+        if not candidates:
+            return PlacementFailure.CONNECTION_LIMIT
         untried = [r for r in candidates if r.endpoint.name not in tried]
         usable = [r for r in untried if _usable(r)]
         reliable = [
@@ -153,6 +168,7 @@
             and not self._catalog.is_drained(record)
             and self._catalog.owns_token(record)
             and self._admits(record, now)
+            and self._connection_limit.admits(record, now)
         )
 
     def less_loaded_zone(self, service: str, now: float) -> Record | None:
@@ -189,6 +205,34 @@
         warmup = self._warmups.get(record.endpoint.service)
         return self._cold_limit.admits(record, warmup, now)
 
+    def _below_limit(
+        self,
+        service: str,
+        records: list[Record],
+        tried: tuple[str, ...],
+        now: float,
+    ) -> list[Record]:
+        """Returns the endpoints that are below this VM's connection limit.
+
+        A flow that repeats its SYN counts at the endpoint that it tried last;
+        a copy to that endpoint adds no connection.
+
+        Returns:
+            The endpoints; none if all usable ones are at their limit. An
+            endpoint that is down must not get a flow because others are full.
+        """
+        limit = self._connection_limit
+        if not limit.applies(service, now):
+            return records
+        below = [
+            r
+            for r in records
+            if r.endpoint.name in tried[-1:] or limit.admits(r, now)
+        ]
+        if any(map(_usable, below)) or not any(map(_usable, records)):
+            return below
+        return []
+
     def _nearest(self, records: list[Record], now: float) -> Record:
         near = [r for r in records if r.endpoint.zone == self._zone]
         far = [r for r in records if r.endpoint.zone != self._zone]
