Divide connection limits by fewer VMs while these are not known

Cause: a VM that has just started, or one of a small zone, would have had a hundredth of a limit, 18 flows to an endpoint that holds 2,000, and its count of flows includes ended ones for some seconds. Change: the limit is divided by ten while the VMs are not known. Result: steering_connection_limit_test passes; no measurement.

--- a/src/pollenmast/steering/_connection_limit.py
+++ b/src/pollenmast/steering/_connection_limit.py
@@ -35,11 +35,11 @@
 the same way. With three zones the sum is at most 1.5 times the limit when all
 zones are at their shares, and 0.9 times while only one zone is."""
 
-UNKNOWN_SHARERS = 100
+UNKNOWN_SHARERS = 10
 """The number of VMs among which the limit is divided while they are not known:
-after a start or a loss of power, and in zones with more VMs than reports name.
-Today's largest zones have 98. In larger ones the sum may exceed the limit; with
-a larger number a VM could not open 18 flows to an endpoint that holds 2,000."""
+for seconds after a start, and in zones with more VMs than reports name. With
+the number of a large zone, a VM of a small one would refuse flows although its
+endpoints hold few; the sum may exceed the limit meanwhile."""
 
 SHARERS_MAX_AGE_S = 0.25
 """How long the known VMs are used before they are queried again, in seconds.
