Decide held SYNs on stop, suspension and change of route

Cause: a held SYN outlived what it was held under. When its route was removed, its client's copy was reset with no_route and the SYN was placed by the old route afterwards. When the flow had been placed by another VM meanwhile, the release sent its SYN to a second endpoint and rebound the flow there. A VM that stopped dropped what it held without an answer, and one that was suspended placed SYNs of clients that had given up, since its clock had not advanced. A SYN held and placed at the same instant counted as credit, not after_hold.

Change: the route is looked up again at the release; a packet of the flow other than a SYN, and a missing route, cancel the hold; a stop and a suspension refuse all held SYNs with a reset (hold_expired).

--- a/src/pollenmast/admission/_admission.py
+++ b/src/pollenmast/admission/_admission.py
@@ -130,6 +130,14 @@
             del self._held[each.arrival.key]
         return released
 
+    def refuse_all(self, now: float) -> list[Release]:
+        """Refuses all held flows, when this VM cannot place them any more."""
+        released = []
+        for service in self._services.values():
+            released += service.refuse_due(now, until=math.inf)
+        self._held.clear()
+        return released
+
     def cancel(self, key: Hashable) -> None:
         """Removes a held flow whose client has abandoned it."""
         held = self._held.pop(key, None)
@@ -239,12 +247,7 @@
             return []
         self._update(now)
         self._busy_at = now
-        released = []
-        for arrival, since in self._queue.pop_expired(now):
-            refuse = self._refused(
-                arrival, RefuseReason.HOLD_EXPIRED, now, now - since
-            )
-            released.append(Release(arrival, refuse))
+        released = self.refuse_due(now, until=now)
         admit = self._find_room(now) if len(self._queue) else None
         if admit is not None:
             arrival, since = self._queue.pop(now)
@@ -253,6 +256,18 @@
             released.append(Release(arrival, admit))
         return released
 
+    def refuse_due(self, now: float, until: float) -> list[Release]:
+        """Refuses the flows whose hold expires by a time."""
+        return [
+            Release(
+                arrival,
+                self._refused(
+                    arrival, RefuseReason.HOLD_EXPIRED, now, now - since
+                ),
+            )
+            for arrival, since in self._queue.pop_expired(until)
+        ]
+
     def cancel(self, arrival: FlowArrival) -> None:
         self._queue.remove(arrival.ticket)
 
--- a/src/pollenmast/entry/_carrier.py
+++ b/src/pollenmast/entry/_carrier.py
@@ -23,6 +23,7 @@
     Forward,
     Held,
     Outcome,
+    Released,
     Reset,
     Segment,
     Steering,
@@ -107,6 +108,10 @@
         """
         return self._steering.admission.next_release_at(now)
 
+    def refuse_held(self, now: float) -> None:
+        """Resets the held SYNs, whose clients then open their flows anew."""
+        self._carry_out_released(self._steering.refuse_held(now), now)
+
     def send_resets(self, resets: list[Reset], now: float) -> None:
         """Sends resets to the clients of flows that have ended."""
         for reset in resets:
@@ -129,10 +134,11 @@
 
     def _release_held(self, now: float) -> None:
         """Forwards or refuses the held SYNs that are decided now."""
-        for released in self._steering.release_held(now):
-            self._carry_out(
-                released.segment, released.outcome, now, released.held_s
-            )
+        self._carry_out_released(self._steering.release_held(now), now)
+
+    def _carry_out_released(self, released: list[Released], now: float) -> None:
+        for each in released:
+            self._carry_out(each.segment, each.outcome, now, each.held_s)
 
     def _carry_out(
         self,
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -157,6 +157,7 @@
                 tasks.start_soon(self._run_maintenance)
                 await self._handle_signals(received)
                 tasks.cancel_scope.cancel()
+        self._forwarder.refuse_held(anyio.current_time())
         self._forwarder.close()
         self._gossip.close()
         self._log.write(STOPPED, flows=len(self._steering.flows))
@@ -228,6 +229,8 @@
         self._log.write(PAUSED, gap_s=round(gap_s, 3))
         self._steering.on_pause(gap_s)
         self._forwarder.drop_queued_syns()
+        # Its clock may not have advanced, so their holds have not expired.
+        self._forwarder.refuse_held(anyio.current_time())
         self._gossip.discard_queued()
         self._follower.refresh()
 
--- a/src/pollenmast/steering/_admission_control.py
+++ b/src/pollenmast/steering/_admission_control.py
@@ -13,6 +13,7 @@
     FlowArrival,
     Hold,
     Refuse,
+    Release,
     allocate,
 )
 from pollenmast.steering._catalog import Catalog
@@ -63,12 +64,10 @@
 
     Attributes:
         segment: The SYN.
-        route: The route that it was admitted by.
         service: The service that it asks for.
     """
 
     segment: Segment
-    route: Route
     service: str
 
 
@@ -138,14 +137,30 @@
         )
         outcome = self._admission.on_arrival(arrival, now)
         if isinstance(outcome, Hold):
-            self._held[segment.flow] = HeldSegment(segment, route, service)
+            self._held[segment.flow] = HeldSegment(segment, service)
         return outcome
 
     def release(self, now: float) -> list[tuple[HeldSegment, Admit | Refuse]]:
         """Returns the held SYNs that are decided now."""
+        return self._take(self._admission.release(now))
+
+    def refuse_all(
+        self, now: float
+    ) -> list[tuple[HeldSegment, Admit | Refuse]]:
+        """Returns all held SYNs, refused."""
+        return self._take(self._admission.refuse_all(now))
+
+    def cancel(self, key: FlowKey) -> None:
+        """Removes the held SYN of a flow, if any, without a decision."""
+        if self._held.pop(key, None) is not None:
+            self._admission.cancel(key)
+
+    def _take(
+        self, released: list[Release]
+    ) -> list[tuple[HeldSegment, Admit | Refuse]]:
         return [
             (self._held.pop(each.arrival.key), each.outcome)
-            for each in self._admission.release(now)
+            for each in released
         ]
 
 
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -25,7 +25,10 @@
     Histograms,
     ResetReason,
 )
-from pollenmast.steering._admission_control import AdmissionControl
+from pollenmast.steering._admission_control import (
+    AdmissionControl,
+    HeldSegment,
+)
 from pollenmast.steering._catalog import Catalog
 from pollenmast.steering._changes import (
     Update,
@@ -299,21 +302,39 @@
         """Returns the held SYNs that are admitted or refused now."""
         released = []
         while decided := self._control.release(now):
-            for held, decision in decided:
-                if isinstance(decision, Admit):
-                    outcome = self._place_flow(
-                        held.segment, held.route, (), decision, now
-                    )
-                else:
-                    outcome = self._refuse_admission(
-                        held.segment, held.service, decision
-                    )
-                self._count(outcome)
-                released.append(
-                    Released(held.segment, outcome, decision.held_s)
-                )
+            released += [self._released(*each, now) for each in decided]
         return released
 
+    def refuse_held(self, now: float) -> list[Released]:
+        """Refuses all held SYNs.
+
+        A VM that stops, or that was suspended, cannot place them in time.
+        """
+        return [
+            self._released(*each, now) for each in self._control.refuse_all(now)
+        ]
+
+    def _released(
+        self, held: HeldSegment, decision: Admit | Refuse, now: float
+    ) -> Released:
+        if isinstance(decision, Admit):
+            outcome = self._place_held(held.segment, decision, now)
+        else:
+            outcome = self._refuse_admission(
+                held.segment, held.service, decision
+            )
+        self._count(outcome)
+        return Released(held.segment, outcome, decision.held_s)
+
+    def _place_held(
+        self, segment: Segment, admit: Admit, now: float
+    ) -> Outcome:
+        """Places a SYN by the route in force, not the one it arrived under."""
+        route = self._route(segment)
+        if route is None:
+            return self._refuse_unrouted(segment, now)
+        return self._place_flow(segment, route, (), admit, now, "after_hold")
+
     def _count(self, outcome: Outcome) -> None:
         if isinstance(outcome, Forward):
             self._counters.add(c.SEGMENTS)
@@ -370,6 +391,8 @@
     def _decide(self, segment: Segment, now: float) -> Outcome:
         if segment.syn:
             return self._open_flow(segment, now)
+        # The client has given the flow up, or another VM has placed it.
+        self._control.cancel(segment.flow)
         record = self._catalog.by_token(segment.token)
         if record is None:
             return Drop(DropReason.UNKNOWN_TOKEN)
@@ -394,11 +417,9 @@
 
     def _open_flow(self, segment: Segment, now: float) -> Outcome:
         route = self._route(segment)
-        current = self.age_s(now) < MAX_VIEW_AGE_S
         if route is None:
-            if self.table is None or not current:
-                return Drop(DropReason.NO_ROUTE_YET)
-            return self._reset(segment, ResetReason.NO_ROUTE)
+            self._control.cancel(segment.flow)
+            return self._refuse_unrouted(segment, now)
         if self._control.is_held(segment.flow):
             return Drop(DropReason.HELD)
         flow = self._flows.get(segment.flow)
@@ -418,6 +439,12 @@
             return self._refuse_admission(segment, service, decision)
         return self._place_flow(segment, route, tried, decision, now)
 
+    def _refuse_unrouted(self, segment: Segment, now: float) -> Outcome:
+        current = self.age_s(now) < MAX_VIEW_AGE_S
+        if self.table is None or not current:
+            return Drop(DropReason.NO_ROUTE_YET)
+        return self._reset(segment, ResetReason.NO_ROUTE)
+
     def _service_in_use(self, route: Route, flow: FlowKey) -> str:
         """Returns the flow's first service with endpoints, or empty."""
         services = route.services(flow.digest)
@@ -430,6 +457,7 @@
         tried: tuple[str, ...],
         admit: Admit | None,
         now: float,
+        admission: str = "",
     ) -> Outcome:
         placed = None
         if admit is not None and admit.endpoint is not None:
@@ -454,7 +482,7 @@
         )
         self._counters.add(c.PLACEMENTS, placed.reason)
         if admit is not None:
-            self._counters.add(c.ADMISSIONS, _admission_label(admit))
+            self._counters.add(c.ADMISSIONS, admission or admit.reason.value)
         return Forward(endpoint, placed.reason)
 
     @staticmethod
@@ -530,7 +558,3 @@
     ) -> Reset:
         sequence = 0 if segment.syn else segment.acknowledged
         return Reset(segment.flow, sequence, reason, endpoint)
-
-
-def _admission_label(admit: Admit) -> str:
-    return "after_hold" if admit.held_s > 0.0 else admit.reason.value
