Release credits of requests whose flows moved to other VMs

Cause: routers hash by the number of VMs in rotation, so a join or leave moves nearly all flows. The ends of a VM's requests in progress then pass through other VMs. They kept their credits for eight times the usual time (0.4 s at 50 ms), in which the VM held or refused all flows.

Change: three flows opened elsewhere that send data or end here within 0.2 s show such a move. Requests that began before the first of them count for the usual time only. An acknowledgement of an unknown flow is no sign, since clients send one after their FIN. Forged signs only shorten the count to the mean, so credits stay near their total.

Result: a held flow is placed 0.16 s after the move in the new test, which fails without the change.

--- a/src/pollenmast/admission/_in_progress.py
+++ b/src/pollenmast/admission/_in_progress.py
@@ -56,6 +56,7 @@
         self._time_s: dict[str, float] = {}
         self._endpoint_times = EndpointTimes()
         self._scan_at = -math.inf
+        self._moved_at = -math.inf
 
     def count(self, service: str) -> int:
         """Returns the number of a service's requests in progress."""
@@ -123,13 +124,29 @@
         self._scan_at = now + SCAN_INTERVAL_S
         stale = []
         for key, request in self._requests.items():
-            if now - request.began_at < MIN_TIMEOUT_S:
+            age_s = now - request.began_at
+            moved = request.began_at < self._moved_at
+            if age_s < MIN_TIMEOUT_S and not moved:
                 break
-            if now - request.began_at >= self.timeout_s(request.service):
+            timeout = self.service_time_s if moved else self.timeout_s
+            if age_s >= timeout(request.service):
                 stale.append(key)
         for key in stale:
             self._forget(key)
 
+    def on_moved(self, at: float) -> None:
+        """Handles that the flows of this VM have moved to others.
+
+        The ends of their requests will not be seen. Each counts for the usual
+        time: on average the counts stay right, so endpoints get neither more
+        requests than they can queue nor none.
+
+        Args:
+            at: When they moved, in seconds.
+        """
+        self._moved_at = max(self._moved_at, at)
+        self._scan_at = -math.inf
+
     def timeout_s(self, service: str) -> float:
         """Returns after how many seconds a request no longer counts."""
         usual_s = TIMEOUT_FACTOR * self.service_time_s(service)
--- a/src/pollenmast/steering/_traffic_observer.py
+++ b/src/pollenmast/steering/_traffic_observer.py
@@ -14,6 +14,7 @@
 from pollenmast.steering._model import FlowKey, Segment
 from pollenmast.steering._outliers import Outliers
 from pollenmast.steering._record import Record
+from pollenmast.steering._rotation import RotationDetector
 from pollenmast.steering._waiting import PendingRequests
 
 ANSWER_TIME_WEIGHT = 0.05
@@ -40,12 +41,17 @@
         self._histograms = histograms
         self._in_progress = in_progress
         self._pending = PendingRequests()
+        self._rotation = RotationDetector()
         self._lengths = AnswerLengths()
         self._usual_answer_s = 0.0
 
     def on_segment(self, segment: Segment, record: Record, now: float) -> None:
         """Processes a segment of an open flow to an endpoint."""
-        if self._flows.get(segment.flow) is None:
+        known = self._flows.get(segment.flow)
+        moved_at = self._rotation.on_segment(known, segment, now)
+        if moved_at is not None:
+            self._in_progress.on_moved(moved_at)
+        if known is None:
             self._check_policy.on_flow_moved(record, now)
         flow = self._flows.bind(segment.flow, record.endpoint.name, now)
         if not flow.opened and flow.tried:
--- a/tests/steering_admission_test.py
+++ b/tests/steering_admission_test.py
@@ -287,3 +287,44 @@
         self.assertEqual(1, core.admission.in_progress.count_at(ONE.name))
         self._answer(core, _key(1), ONE, 0.1)
         self.assertEqual(0, core.admission.in_progress.count_at(ONE.name))
+
+
+class RotationTest(_Case):
+    """The set of VMs in rotation changes, and nearly all flows move.
+
+    The ends of all requests in progress then pass through other VMs. A VM that
+    waited for them would refuse urgent flows while endpoints are idle.
+    """
+
+    @parameterized.expand(
+        [
+            ("ends", [0.1] * 3, {"fin": True}, 0),
+            ("requests", [0.1] * 3, {"length": 9}, 3),
+            ("two", [0.1] * 2, {"fin": True}, 2),
+            ("spread", [0.04, 0.1, 0.25], {"fin": True}, 2),
+            ("last_acknowledgements", [0.1] * 9, {}, 2),
+        ]
+    )
+    def test_moved_flows(self, _, times, fields, left):
+        """Only several flows of other VMs in a short time show a change."""
+        core, _ = self._full()
+        key = self._hold(core, now=0.03)
+        for number, now in enumerate(times, 20):
+            moved = group.segment(_key(number), ONE.token, **fields)
+            core.on_segment(moved, now)
+        core.admission.in_progress.expire(0.26)
+        self.assertEqual(left, core.admission.in_progress.count("registry"))
+        placed = [each.segment.flow for each in core.release_held(0.26)]
+        self.assertEqual([key] if left == 0 else [], placed)
+
+    def test_own_flows(self):
+        """The ends of a VM's own flows do not show a change."""
+        core = self._vm(*(group.endpoint(n) for n in range(1, 9)))
+        for number in range(8):
+            key = _key(number)
+            placed = core.on_segment(group.syn(key), 0.0)
+            self._answer(core, key, placed.endpoint, 0.1, fin=True)
+            self._answer(core, key, placed.endpoint, 0.1)
+        core.on_segment(group.syn(_key(8)), 0.0)
+        core.release_held(0.1)
+        self.assertEqual(1, core.admission.in_progress.count("registry"))
