Place a request at a time if all endpoints with a credit are down

Cause: a VM has credits at about four endpoints. If all of them were down or doubtful while the service was short of capacity, the VM held and refused every flow with none in progress, and each refusal renewed the shortage, so it never ended.

Change: if none is in progress, a flow is placed as before admission control.

--- a/src/pollenmast/admission/_admission.py
+++ b/src/pollenmast/admission/_admission.py
@@ -258,14 +258,10 @@
 
     def refuse_due(self, now: float, until: float) -> list[Release]:
         """Refuses the flows whose hold expires by a time."""
+        reason = RefuseReason.HOLD_EXPIRED
         return [
-            Release(
-                arrival,
-                self._refused(
-                    arrival, RefuseReason.HOLD_EXPIRED, now, now - since
-                ),
-            )
-            for arrival, since in self._queue.pop_expired(until)
+            Release(each, self._refused(each, reason, now, now - since))
+            for each, since in self._queue.pop_expired(until)
         ]
 
     def cancel(self, arrival: FlowArrival) -> None:
@@ -343,7 +339,10 @@
             endpoint = self._free_credit(now)
             if endpoint is not None:
                 return Admit(endpoint, AdmitReason.CREDIT)
-        if in_use < MIN_CREDITS and not self._credits:
+        # If all endpoints with a credit are down, one request at a time is
+        # placed elsewhere. The VM would otherwise refuse all flows for as long
+        # as new ones arrive.
+        if in_use < (1 if self._credits else MIN_CREDITS):
             return Admit(None, AdmitReason.FREE)
         guests = max(1, int(GUEST_SHARE * limit))
         if self._settings.guests and in_use < limit + guests:
--- a/tests/admission_admission_test.py
+++ b/tests/admission_admission_test.py
@@ -303,6 +303,25 @@
         placed = dict(vm.release(now))
         self.assertIsInstance(placed[held], Admit)
 
+    def test_all_down(self):
+        """A VM whose endpoints with a credit are all down still places flows.
+
+        It would otherwise hold and refuse every flow while none is in progress,
+        and each refusal would extend the shortage: it would never end.
+        """
+        vm = Vm(View({"a": 1, "b": 1}))
+        keys = vm.fill(2)
+        vm.view.down = {"a", "b"}
+        held = vm.fill(2)
+        for key in keys:
+            vm.end(key, 0.05)
+        ((first, outcome),) = vm.release(0.05)
+        self.assertEqual(Admit(None, AdmitReason.FREE, 0.05), outcome)
+        self.assertEqual([], vm.release(0.06))
+        vm.end(first, 0.07)
+        ((second, _),) = vm.release(0.07)
+        self.assertEqual(held, [first, second])
+
 
 class RetryTest(TestCase):
     """Retries wait behind first attempts and are limited."""
