Search other zones for capacity at most every 20 ms

Cause: while a flow was held and no other zone had spare capacity, each packet searched all endpoints of the service.

Change: a search without a result is not repeated for 20 ms.

--- a/src/pollenmast/steering/_admission_control.py
+++ b/src/pollenmast/steering/_admission_control.py
@@ -1,6 +1,7 @@
 """Connects admission control to the endpoints and flows that a VM knows."""
 
 import itertools
+import math
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -24,6 +25,12 @@
 """Slots of an endpoint beyond which further ones grant no credits. An entry
 with a huge number of slots must not occupy every VM with computing credits."""
 
+GUEST_RETRY_S = 0.02
+"""Minimum time between two searches for an endpoint of another zone after one
+without a result, in seconds. A search passes over all endpoints of the service,
+and one for each packet would take most of the processor during a flood of SYNs.
+The loads that it compares are reported every 0.5 s."""
+
 
 class _Endpoints(EndpointView):
     """The endpoints of the catalog and the VMs that share them."""
@@ -33,6 +40,7 @@
         self._catalog = catalog
         self._selector = selector
         self.sharers: Callable[[float], tuple[str, list[str]] | None] = _unknown
+        self._no_guest_until: dict[str, float] = {}
 
     def credits(self, service: str, now: float) -> Mapping[str, int] | None:
         sharers = self.sharers(now)
@@ -54,8 +62,14 @@
         return record is not None and self._selector.accepts(record, now)
 
     def guest(self, service: str, now: float) -> str | None:
+        if now < self._no_guest_until.get(service, -math.inf):
+            return None
+        self._no_guest_until.pop(service, None)
         record = self._selector.less_loaded_zone(service, now)
-        return record.endpoint.name if record is not None else None
+        if record is None:
+            self._no_guest_until[service] = now + GUEST_RETRY_S
+            return None
+        return record.endpoint.name
 
 
 @attrs.frozen
--- a/tests/steering_admission_test.py
+++ b/tests/steering_admission_test.py
@@ -18,6 +18,7 @@
     RouteTable,
     Update,
 )
+from pollenmast.steering._admission_control import GUEST_RETRY_S
 from tests import steering_group as group
 
 URGENT, NORMAL, UNSTATED = 443, 444, 445
@@ -246,6 +247,22 @@
         self.assertEqual([], core.release_held(HOLD_S))
         self.assertEqual(2, self._count(core, c.RESETS, reason))
 
+    def test_guest_search(self):
+        """Releases in quick succession search other zones once.
+
+        The search passes over all endpoints of a service. One for each packet
+        would occupy the processor during a flood of SYNs.
+        """
+        core, _ = self._full()
+        searches = []
+        core._selector.less_loaded_zone = lambda *args: searches.append(args)
+        self._hold(core)
+        for step in range(10):
+            core.release_held(step / 1000)
+        self.assertEqual(1, len(searches))
+        core.release_held(GUEST_RETRY_S)
+        self.assertEqual(2, len(searches))
+
 
 class RequestsInProgressTest(_Case):
     """Which segments end a request in progress.
