Count a SYN alone for 50 ms as a request in progress

Cause: a SYN from a forged address counted as a request for at least 0.3 s, so ten a second used up the credits of a VM and it refused its clients. The packet loop did not wake for the time-out of a request, so a held flow was refused although there was room.

Change: a request whose client has sent nothing after its SYN counts for 50 ms (health checks suspect the endpoint after 40 ms). A later request on the flow counts anew. The packet loop also wakes for time-outs.

--- a/src/pollenmast/admission/_admission.py
+++ b/src/pollenmast/admission/_admission.py
@@ -151,8 +151,11 @@
         It is infinite if no flow is held. A hold may also end earlier, with a
         request in progress.
         """
+        if not self._held:
+            return math.inf
         expiries = [s.next_expiry() for s in self._services.values()]
-        return min((e for e in expiries if e is not None), default=math.inf)
+        expiries.append(self._in_progress.next_expiry())
+        return min(e for e in expiries if e is not None)
 
     def is_overloaded(
         self, service: str, now: float, without: str = ""
--- a/src/pollenmast/admission/_in_progress.py
+++ b/src/pollenmast/admission/_in_progress.py
@@ -4,6 +4,7 @@
 ended. At most one request counts for each flow.
 """
 
+import itertools
 import math
 from collections.abc import Hashable
 
@@ -29,6 +30,11 @@
 MIN_TIMEOUT_S = 0.3
 MAX_TIMEOUT_S = 2.0
 
+OPENING_TIMEOUT_S = 0.05
+"""Time after which a request no longer counts whose client has sent nothing
+after its SYN, in seconds. Clients answer within a round trip; the SYNs of a
+flood from forged addresses, which nobody answers, would use up the credits."""
+
 SCAN_INTERVAL_S = 0.01
 """Minimum time between two searches for such requests in seconds. Each one
 passes over the requests that are older than `MIN_TIMEOUT_S`, of which a flood
@@ -57,6 +63,7 @@
         self._endpoint_times = EndpointTimes()
         self._scan_at = -math.inf
         self._moved_at = -math.inf
+        self._opening: dict[Hashable, float] = {}
 
     def count(self, service: str) -> int:
         """Returns the number of a service's requests in progress."""
@@ -76,11 +83,24 @@
         return self._endpoint_times.is_slow(endpoint, usual_s, now)
 
     def begin(
-        self, key: Hashable, service: str, endpoint: str, now: float
+        self,
+        key: Hashable,
+        service: str,
+        endpoint: str,
+        now: float,
+        opening: bool = False,
     ) -> None:
         """Records the start of a request, unless the flow has one already.
 
         A request that is sent to another endpoint is moved there.
+
+        Args:
+            key: The flow.
+            service: The service.
+            endpoint: The endpoint that the request is sent to.
+            now: The runtime's clock in seconds.
+            opening: Whether only the flow's SYN is sent: the request counts for
+                `OPENING_TIMEOUT_S` unless `on_opened` is called before.
         """
         known = self._requests.get(key)
         if known is not None:
@@ -92,6 +112,12 @@
         self._requests[key] = _Request(service, endpoint, now)
         _add(self._by_service, service, 1)
         _add(self._by_endpoint, endpoint, 1)
+        if opening:
+            self._opening[key] = now
+
+    def on_opened(self, key: Hashable) -> None:
+        """Handles the first packet of a client after its SYN."""
+        self._opening.pop(key, None)
 
     def end(self, key: Hashable, now: float, learn: bool = False) -> None:
         """Records the end of a flow's request; does nothing if it has none.
@@ -122,7 +148,12 @@
         if now < self._scan_at:
             return
         self._scan_at = now + SCAN_INTERVAL_S
-        stale = []
+        stale = list(
+            itertools.takewhile(
+                lambda key: now - self._opening[key] >= OPENING_TIMEOUT_S,
+                self._opening,
+            )
+        )
         for key, request in self._requests.items():
             age_s = now - request.began_at
             moved = request.began_at < self._moved_at
@@ -134,6 +165,21 @@
         for key in stale:
             self._forget(key)
 
+    def next_expiry(self) -> float:
+        """Returns when `expire` will next forget a request, as an estimate.
+
+        It is infinite if none is in progress.
+        """
+        expiries = [
+            request.began_at + self.timeout_s(request.service)
+            for request in itertools.islice(self._requests.values(), 1)
+        ]
+        expiries += [
+            at + OPENING_TIMEOUT_S
+            for at in itertools.islice(self._opening.values(), 1)
+        ]
+        return max(min(expiries, default=math.inf), self._scan_at)
+
     def on_moved(self, at: float) -> None:
         """Handles that the flows of this VM have moved to others.
 
@@ -154,6 +200,7 @@
 
     def _forget(self, key: Hashable) -> _Request | None:
         request = self._requests.pop(key, None)
+        self._opening.pop(key, None)
         if request is not None:
             _add(self._by_service, request.service, -1)
             _add(self._by_endpoint, request.endpoint, -1)
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -478,7 +478,7 @@
         # least loaded.
         self._load.on_request(endpoint.number, now)
         self._control.admission.in_progress.begin(
-            segment.flow, endpoint.service, endpoint.name, now
+            segment.flow, endpoint.service, endpoint.name, now, opening=True
         )
         self._counters.add(c.PLACEMENTS, placed.reason)
         if admit is not None:
--- a/src/pollenmast/steering/_traffic_observer.py
+++ b/src/pollenmast/steering/_traffic_observer.py
@@ -56,6 +56,7 @@
         flow = self._flows.bind(segment.flow, record.endpoint.name, now)
         if not flow.opened and flow.tried:
             self._histograms.observe(c.OPEN_WAIT, now - flow.syn_sent_at)
+        self._in_progress.on_opened(segment.flow)
         progress = update_flow(flow, segment, now)
         if progress.answer_time_s is not None:
             self._observe_time(progress.answer_time_s)
