--- a/src/pollenmast/admission/_admission.py
+++ b/src/pollenmast/admission/_admission.py
@@ -69,6 +69,7 @@
 attempts, retries, and flows whose hold was extended, which are late already."""
 
 _FIRST, _RETRY, _LATE = range(LEVELS)
+_EXPIRED = RefuseReason.HOLD_EXPIRED
 
 CREDITS_MAX_AGE_S = 0.25
 """How long computed credits are used, in seconds."""
@@ -140,6 +141,14 @@
             del self._held[each.arrival.key]
         return released
 
+    def refuse_all(self, now: float) -> list[Release]:
+        """Refuses all held flows, when this VM cannot place them any more."""
+        released = []
+        for service in self._services.values():
+            released += service.refuse_all(now)
+        self._held.clear()
+        return released
+
     def cancel(self, key: Hashable) -> None:
         """Removes a held flow whose client has abandoned it."""
         held = self._held.pop(key, None)
@@ -153,8 +162,11 @@
         It is infinite if no flow is held. A hold may also end earlier, with a
         request in progress.
         """
+        if not self._held:
+            return math.inf
         expiries = [s.next_expiry() for s in self._services.values()]
-        return min((e for e in expiries if e is not None), default=math.inf)
+        expiries.append(self._in_progress.next_expiry())
+        return min(e for e in expiries if e is not None)
 
     def is_overloaded(
         self, service: str, now: float, without: str = ""
@@ -220,7 +232,6 @@
         self._credits: Mapping[str, int] | None = None
         self._last_use: dict[str, int] = {}
         self._uses = 0
-        self._lowest_priority = -1
         self._overloaded_since = -math.inf
         self._progress = Progress()
 
@@ -228,7 +239,6 @@
         self, arrival: FlowArrival, now: float
     ) -> Admit | Hold | Refuse:
         self._update(now)
-        self._lowest_priority = max(self._lowest_priority, arrival.priority)
         self._progress.on_arrived(arrival.priority, now)
         level = LEVELS * arrival.priority + _FIRST
         if not self._overloaded:
@@ -254,21 +264,11 @@
             return []
         self._update(now)
         self._busy_at = now
-        released, overflowed = [], False
-        for arrival, since in self._queue.pop_expired(now):
-            if overflowed:
-                # It is decided in the next call, once the other one counts.
-                self._queue.push(arrival, _late_level(arrival), now, since)
-                continue
-            if self._extend(arrival, since, now):
-                continue
-            outcome = self._refuse_or_overflow(
-                arrival, RefuseReason.HOLD_EXPIRED, now, now - since
-            )
-            released.append(Release(arrival, outcome))
-            overflowed = isinstance(outcome, Admit)
-        if overflowed:
-            return released
+        released = [
+            Release(each, self._refused(each, _EXPIRED, now, now - since))
+            for each, since in self._queue.pop_expired(now)
+            if not self._extend(each, since, now)
+        ]
         admit = self._find_room(now) if len(self._queue) else None
         if admit is not None:
             arrival, since = self._queue.pop(now)
@@ -277,6 +277,13 @@
             released.append(Release(arrival, admit))
         return released
 
+    def refuse_all(self, now: float) -> list[Release]:
+        """Refuses all held flows."""
+        return [
+            Release(each, self._refused(each, _EXPIRED, now, now - since))
+            for each, since in self._queue.pop_expired(math.inf)
+        ]
+
     def cancel(self, arrival: FlowArrival) -> None:
         self._queue.remove(arrival.ticket)
 
@@ -368,37 +375,17 @@
             endpoint = self._free_credit(now)
             if endpoint is not None:
                 return Admit(endpoint, AdmitReason.CREDIT)
-        if in_use < MIN_CREDITS and not self._credits:
+        # If all endpoints with a credit are down, one request at a time is
+        # placed elsewhere. The VM would otherwise refuse all flows for as long
+        # as new ones arrive.
+        if in_use < (1 if self._credits else MIN_CREDITS):
             return Admit(None, AdmitReason.FREE)
-        endpoint = self._guest(now, any_load=False)
-        return Admit(endpoint, AdmitReason.GUEST) if endpoint else None
-
-    def _guest(self, now: float, *, any_load: bool) -> str | None:
-        """Returns an endpoint of another zone, if this VM may use one more."""
-        in_use, limit = self._in_progress.count(self._name), self._limit()
         guests = max(1, int(GUEST_SHARE * limit))
-        if not self._settings.guests or in_use >= limit + guests:
-            return None
-        return self._endpoints.guest(self._name, now, any_load=any_load)
-
-    def _refuse_or_overflow(
-        self,
-        arrival: FlowArrival,
-        reason: RefuseReason,
-        now: float,
-        held_s: float = 0.0,
-    ) -> Admit | Refuse:
-        """Refuses a flow unless it is urgent and may overflow.
-
-        An urgent flow that its zone cannot place in time goes to another zone
-        even if that is as loaded: less urgent flows wait there in its place.
-        """
-        if arrival.priority < self._lowest_priority:
-            endpoint = self._guest(now, any_load=True)
+        if self._settings.guests and in_use < limit + guests:
+            endpoint = self._endpoints.guest(self._name, now)
             if endpoint is not None:
-                admit = Admit(endpoint, AdmitReason.GUEST, held_s)
-                return self._admitted(arrival, admit, now)
-        return self._refused(arrival, reason, now, held_s)
+                return Admit(endpoint, AdmitReason.GUEST)
+        return None
 
     def _free_credit(self, now: float) -> str | None:
         """Returns the usable endpoint with the most free credits.
@@ -422,7 +409,7 @@
 
     def _hold(
         self, arrival: FlowArrival, level: int, now: float
-    ) -> Admit | Hold | Refuse:
+    ) -> Hold | Refuse:
         """Holds a flow that can be placed in time, else refuses it."""
         if not self._settings.hold:
             return self._refused(arrival, RefuseReason.NO_ROOM, now)
@@ -435,7 +422,7 @@
         hold_s = _hold_s(arrival)
         longest_s = hold_s if sustained else arrival.max_wait_s
         if wait_s > longest_s or self._queue.count(level) >= MAX_HELD:
-            return self._refuse_or_overflow(arrival, RefuseReason.NO_ROOM, now)
+            return self._refused(arrival, RefuseReason.NO_ROOM, now)
         self._busy_at = now
         self._queue.push(arrival, level, now + hold_s, now)
         return Hold(now + hold_s)
--- a/src/pollenmast/steering/_admission_control.py
+++ b/src/pollenmast/steering/_admission_control.py
@@ -1,6 +1,7 @@
 """Connects admission control to the endpoints and flows that a VM knows."""
 
 import itertools
+import math
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -13,6 +14,7 @@
     FlowArrival,
     Hold,
     Refuse,
+    Release,
     allocate,
 )
 from pollenmast.steering._catalog import Catalog
@@ -30,6 +32,12 @@
 """Slots of an endpoint beyond which further ones grant no credits. An entry
 with a huge number of slots must not occupy every VM with computing credits."""
 
+GUEST_RETRY_S = 0.02
+"""Minimum time between two searches for an endpoint of another zone after one
+without a result, in seconds. A search passes over all endpoints of the service,
+and one for each packet would take most of the processor during a flood of SYNs.
+The loads that it compares are reported every 0.5 s."""
+
 
 class _Endpoints(EndpointView):
     """The endpoints of the catalog and the VMs that share them."""
@@ -39,6 +47,7 @@
         self._catalog = catalog
         self._selector = selector
         self.sharers: Callable[[float], tuple[str, list[str]] | None] = _unknown
+        self._no_guest_until: dict[str, float] = {}
 
     def credits(self, service: str, now: float) -> Mapping[str, int] | None:
         sharers = self.sharers(now)
@@ -59,11 +68,15 @@
         record = self._catalog.get(endpoint)
         return record is not None and self._selector.accepts(record, now)
 
-    def guest(
-        self, service: str, now: float, *, any_load: bool = False
-    ) -> str | None:
-        record = self._selector.overflow(service, now, any_load=any_load)
-        return record.endpoint.name if record is not None else None
+    def guest(self, service: str, now: float) -> str | None:
+        if now < self._no_guest_until.get(service, -math.inf):
+            return None
+        self._no_guest_until.pop(service, None)
+        record = self._selector.less_loaded_zone(service, now)
+        if record is None:
+            self._no_guest_until[service] = now + GUEST_RETRY_S
+            return None
+        return record.endpoint.name
 
 
 @attrs.frozen
@@ -72,12 +85,10 @@
 
     Attributes:
         segment: The SYN.
-        route: The route that it was admitted by.
         service: The service that it asks for.
     """
 
     segment: Segment
-    route: Route
     service: str
 
 
@@ -150,14 +161,30 @@
         )
         outcome = self._admission.on_arrival(arrival, now)
         if isinstance(outcome, Hold):
-            self._held[segment.flow] = HeldSegment(segment, route, service)
+            self._held[segment.flow] = HeldSegment(segment, service)
         return outcome
 
     def release(self, now: float) -> list[tuple[HeldSegment, Admit | Refuse]]:
         """Returns the held SYNs that are decided now."""
+        return self._take(self._admission.release(now))
+
+    def refuse_all(
+        self, now: float
+    ) -> list[tuple[HeldSegment, Admit | Refuse]]:
+        """Returns all held SYNs, refused."""
+        return self._take(self._admission.refuse_all(now))
+
+    def cancel(self, key: FlowKey) -> None:
+        """Removes the held SYN of a flow, if any, without a decision."""
+        if self._held.pop(key, None) is not None:
+            self._admission.cancel(key)
+
+    def _take(
+        self, released: list[Release]
+    ) -> list[tuple[HeldSegment, Admit | Refuse]]:
         return [
             (self._held.pop(each.arrival.key), each.outcome)
-            for each in self._admission.release(now)
+            for each in released
         ]
 
 
