Soak: play overload and check what is served meanwhile

Cause: the soak's endpoints answered any number of requests at once, so that no run was ever short of capacity and admission control was never in force.

Change: from seed 3001 on endpoints have 2 slots, a queue of 8 and about 30 ms of work a request, and answer others with 503 and X-Not-Executed (as text: the segment header carries no HTTP). Routes state priority and times, and registry-bulk is a less urgent route to registry. Requests of these two routes come on flows of their own and are sent again up to twice if nobody executed them. A spike multiplies the clients of registry-bulk by eight, from one address or all four. Odd seeds draw spikes beside planned changes only, as no bound is checked near unplanned ones. Three invariants: urgent, refusals, shut_out. Rejected requests no longer count as answered.

--- a/soak/_clients.py
+++ b/soak/_clients.py
@@ -13,7 +13,10 @@
 
 SERVICES = ("registry", "barcodes")
 VIP = "198.18.0.1"
-PORTS = {"registry": 443, "barcodes": 8443, "moving": 9443}
+BULK = "registry-bulk"
+"""A less urgent route to the service `registry`, whose own route is urgent."""
+
+PORTS = {"registry": 443, "barcodes": 8443, "moving": 9443, BULK: 10443}
 """The port of each route.
 
 The route `moving` is reassigned from one service to the other during a run.
@@ -25,6 +28,17 @@
 REQUESTS_PER_FLOW = 20
 """The number of requests on a flow before the client opens another one."""
 
+REJECTED = "503 X-Not-Executed"
+"""The response of an endpoint whose queue is full, after the endpoint's name.
+
+The segment header carries no HTTP, so that this stands for status and header.
+"""
+
+MAX_ATTEMPTS = 3
+RETRY_PAUSE_S = 0.05
+"""Attempts for a request that no endpoint has executed, and the mean pause
+between them in seconds."""
+
 _CHECKSUM = struct.Struct(">I")
 
 
@@ -38,6 +52,8 @@
         at: The time at which the request was sent.
         opened_at: The time at which the first packet of its flow was sent.
         answer: The response, or an empty string if none arrived.
+        client: The address of the client.
+        refused_at: When a SYN of it was reset by the load balancer.
     """
 
     name: str
@@ -45,6 +61,18 @@
     at: float
     opened_at: float
     answer: str = ""
+    client: str = ""
+    refused_at: list[float] = attrs.field(factory=list)
+
+    @property
+    def rejected(self) -> bool:
+        """Whether the endpoint was full and did not execute the request."""
+        return self.answer.endswith(f" {REJECTED}")
+
+    @property
+    def served(self) -> bool:
+        """Whether the request was executed and answered."""
+        return bool(self.answer) and not self.rejected
 
 
 @attrs.define
@@ -148,42 +176,126 @@
         return self._inbox[port].pop(0)
 
 
+class _EndingFlow(segments.Flow):
+    """A flow whose client acknowledges each response and ends the flow.
+
+    The load balancer counts requests in progress by these packets.
+    """
+
+    async def ask(self, vms: list[tuple[str, int]], data: bytes) -> bytes:
+        """Sends a request and acknowledges its response."""
+        answer = await super().ask(vms, data)
+        if answer:
+            self._send(segments.ACK, vms, self._acknowledged)
+        return answer
+
+    def end(self) -> None:
+        """Ends the flow."""
+        self._send(segments.FIN | segments.ACK, [], self._acknowledged)
+
+
 class Callers:
-    """Clients that send requests until `stopping` is set."""
+    """Clients that send requests until `stopping` is set.
+
+    Args:
+        clients: The sockets, one for each client address.
+        rng: Determines the pauses.
+        limited: Whether endpoints have slots; flows are then ended in order.
+    """
 
-    def __init__(self, client: Client, rng: random.Random):
+    def __init__(
+        self,
+        clients: list[Client],
+        rng: random.Random,
+        *,
+        limited: bool = False,
+    ):
         self.requests: list[RequestRecord] = []
         self.resets: list[BalancerReset] = []
         self.stopping = False
-        self._client = client
+        self._clients = clients
+        self._flow_type = _EndingFlow if limited else segments.Flow
         self._rng = rng
         self._names = itertools.count()
 
-    async def run(self, route: str) -> None:
-        """Opens one flow after another and sends requests on each."""
+    async def run(self, route: str, number: int = 0) -> None:
+        """Opens one flow after another and sends requests on each.
+
+        Args:
+            route: The route.
+            number: Chooses the client address.
+        """
+        client = self._clients[number % len(self._clients)]
         while not self.stopping:
-            port = self._client.next_port()
-            flow = segments.Flow(self._client, port, (VIP, PORTS[route]))
+            port = client.next_port()
+            flow = self._flow_type(client, port, (VIP, PORTS[route]))
             opened_at = anyio.current_time()
             if await flow.open([]):
-                await self._send_requests(flow, port, route, opened_at)
+                await self._send_requests(client, flow, port, route, opened_at)
+                if isinstance(flow, _EndingFlow) and not flow.reset:
+                    flow.end()
             await anyio.sleep(PAUSE_S * self._rng.random())
 
-    async def _send_requests(self, flow, port, route, opened_at) -> None:
+    async def run_short(
+        self, route: str, number: int, until: float = float("inf")
+    ) -> None:
+        """Sends each request on a flow of its own.
+
+        A request that no endpoint has executed is sent again, as clients do
+        that are refused or rejected.
+
+        Args:
+            route: The route.
+            number: Chooses the client address.
+            until: When to stop, by the runtime's clock.
+        """
+        client = self._clients[number % len(self._clients)]
+        while not self.stopping and anyio.current_time() < until:
+            name = f"{route}/{next(self._names)}"
+            now = anyio.current_time()
+            request = RequestRecord(name, route, now, now, client=client.host)
+            self.requests.append(request)
+            for _ in range(MAX_ATTEMPTS):
+                if not await self._attempt(client, request):
+                    break
+                await anyio.sleep(2.0 * RETRY_PAUSE_S * self._rng.random())
+            await anyio.sleep(PAUSE_S * self._rng.random())
+
+    async def _attempt(self, client: Client, request: RequestRecord) -> bool:
+        """Sends a request once; returns whether it may be sent again."""
+        port = client.next_port()
+        flow = _EndingFlow(client, port, (VIP, PORTS[request.route]))
+        request.opened_at = anyio.current_time()
+        if not await flow.open([]):
+            if port in client.balancer_resets:
+                request.refused_at.append(anyio.current_time())
+            return True
+        request.answer = (await flow.ask([], request.name.encode())).decode()
+        if not flow.reset:
+            flow.end()
+        return request.rejected
+
+    async def _send_requests(
+        self, client, flow, port, route, opened_at
+    ) -> None:
         endpoint = ""
         for _ in range(REQUESTS_PER_FLOW):
             if self.stopping:
                 return
             name = f"{route}/{next(self._names)}"
             now = anyio.current_time()
-            request = RequestRecord(name, route, now, opened_at)
+            request = RequestRecord(
+                name, route, now, opened_at, client=client.host
+            )
             self.requests.append(request)
             answer = await flow.ask([], name.encode())
             request.answer = answer.decode()
             if not answer:
-                if port in self._client.balancer_resets and endpoint:
+                if port in client.balancer_resets and endpoint:
                     at = anyio.current_time()
                     self.resets.append(BalancerReset(at, endpoint))
                 return
+            if request.rejected:
+                return
             endpoint = request.answer.partition(" ")[0]
             await anyio.sleep(PAUSE_S * (0.5 + self._rng.random()))
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -1,10 +1,13 @@
 """Simulated endpoints that start, drain, crash, hang and reuse addresses."""
 
+import random
+
 import anyio
 import anyio.abc
 import attrs
 
-from soak._clients import PORTS, SERVICES, VIP
+from soak._clients import BULK, PORTS, REJECTED, SERVICES, VIP
+from soak._slots import MEAN_WORK_S, SLOTS, Slots
 from standins import segments
 from standins.store import Store
 
@@ -15,6 +18,21 @@
 The limit is in new flows per second.
 """
 
+_ROUTE_ATTRIBUTES = {
+    route: {
+        "priority": priority,
+        "targetLatencyMs": target_ms,
+        "timeoutMs": 8 * target_ms,
+    }
+    for route, priority, target_ms in (
+        ("registry", 0, 400),
+        ("barcodes", 0, 400),
+        ("moving", 1, 600),
+        (BULK, 2, 800),
+    )
+}
+"""The attributes of each route in runs with limited endpoints."""
+
 
 @attrs.define
 class ExecutedRequest:
@@ -38,9 +56,13 @@
         warmups: Start and end of each warm-up period.
         hangs: Whether it ignores all packets.
         scope: Cancelled to end it.
+        started_at: When it started.
+        slots: Its slots, or None if it answers every request immediately.
     """
 
-    def __init__(self, name, host, port, client_port, service, zone):
+    def __init__(
+        self, name, host, port, client_port, service, zone, slots=None
+    ):
         super().__init__(name, host, port, client_port)
         self.service = service
         self.zone = zone
@@ -52,6 +74,18 @@
         self.warmups: list[tuple[float, float]] = []
         self.hangs = False
         self.scope = anyio.CancelScope()
+        self.started_at = anyio.current_time()
+        self.slots: Slots | None = slots
+        self._work = random.Random(name)
+        self._accepted: set[tuple[str, int, int]] = set()
+        self._rejected: set[bytes] = set()
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Serves until cancelled; requests in progress are lost then."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            await super().run()
 
     def _take(self, sock, datagram: bytes) -> None:
         if self.hangs:
@@ -59,11 +93,48 @@
         head = segments.decode(datagram[8:])
         if head.flags & segments.SYN:
             self.opened_at.append(anyio.current_time())
-        super()._take(sock, datagram)
+        token = int.from_bytes(datagram[:8], "big")
+        addressed = token in (0, self._number)
+        if self.slots is None or not addressed or not self._is_new(head):
+            super()._take(sock, datagram)
+            return
+        key = (head.src, head.sport, head.sequence)
+        if key in self._accepted:
+            return
+        now = anyio.current_time()
+        work_s = self._work.expovariate(1.0 / MEAN_WORK_S)
+        end = self.slots.offer(now, work_s)
+        if end is None:
+            self._rejected.add(head.data)
+            super()._take(sock, datagram)
+            return
+        self._accepted.add(key)
+        self._tasks.start_soon(self._finish, sock, datagram, key, end)
+
+    def _is_new(self, head: segments.Head) -> bool:
+        """Whether this is a request on an open flow without an answer yet."""
+        return (
+            bool(head.data)
+            and not head.flags & segments.SYN
+            and (head.src, head.sport) in self._flows
+            and (head.src, head.sport, head.sequence) not in self._answers
+        )
+
+    async def _finish(self, sock, datagram, key, end: float) -> None:
+        await anyio.sleep_until(end)
+        self._accepted.discard(key)
+        if not self.hangs:
+            super()._take(sock, datagram)
 
     def reply(self, request: bytes) -> bytes:
-        """Returns a response made of the endpoint's and the request's names."""
+        """Returns a response made of the endpoint's and the request's names.
+
+        A request that met a full queue is rejected instead.
+        """
         name = request.decode()
+        if request in self._rejected:
+            self._rejected.discard(request)
+            return f"{self.name} {REJECTED}".encode()
         self.requests.append(ExecutedRequest(name, anyio.current_time()))
         return f"{self.name} {name}".encode()
 
@@ -71,7 +142,10 @@
 class Endpoints:
     """All endpoints of a run, ended ones included, and their store entries."""
 
-    def __init__(self, store: Store, net: str, client_port: int):
+    def __init__(
+        self, store: Store, net: str, client_port: int, *, limited: bool = False
+    ):
+        self._limited = limited
         self.all: list[Endpoint] = []
         self._store = store
         self._net = net
@@ -111,7 +185,15 @@
             self._hosts += 1
             host = f"{self._net}.4.{self._hosts}"
         name = f"i-{len(self.all) + 0xA00000001:x}"
-        endpoint = Endpoint(name, host, 8301, self._client_port, service, zone)
+        endpoint = Endpoint(
+            name,
+            host,
+            8301,
+            self._client_port,
+            service,
+            zone,
+            Slots() if self._limited else None,
+        )
         self.all.append(endpoint)
         self._tasks.start_soon(self._run, endpoint)
         self._put_entry(endpoint, "ready")
@@ -171,6 +253,7 @@
     ) -> tuple[str, dict[str, object]]:
         """Returns the key and the value of an endpoint's store entry."""
         entry = endpoint.entry(endpoint.service, endpoint.zone, state)
+        entry["slots"] = SLOTS
         if endpoint.warmups:
             left_s = endpoint.warmups[-1][1] - anyio.current_time()
             entry["warmupLeftMs"] = max(0, round(1000 * left_s))
@@ -182,7 +265,12 @@
 
 
 def configuration(
-    version: int, moving: str, extra_routes: int = 0, *, warms_up: bool = False
+    version: int,
+    moving: str,
+    extra_routes: int = 0,
+    *,
+    warms_up: bool = False,
+    limited: bool = False,
 ) -> dict[str, object]:
     """Returns a configuration as the operator publishes it.
 
@@ -191,9 +279,13 @@
         moving: The service that the route `moving` leads to.
         extra_routes: The number of additional routes, which no client uses.
         warms_up: Whether services declare a warm-up period and its flow rate.
+        limited: Whether endpoints have slots; routes then state their
+            priority and times, and a less urgent route is added.
     """
     warmup = {"warmupS": WARMUP_S, "warmupPerS": WARMUP_PER_S}
     targets = {**{name: name for name in SERVICES}, "moving": moving}
+    if limited:
+        targets[BULK] = SERVICES[0]
     return {
         "version": version,
         "routeTable": [
@@ -203,6 +295,7 @@
                 "prefix": f"/{PORTS[route]}/",
                 "routeType": "non_idempotent",
                 "service": service,
+                **(_ROUTE_ATTRIBUTES[route] if limited else {}),
             }
             for route, service in targets.items()
         ]
--- a/soak/_invariants.py
+++ b/soak/_invariants.py
@@ -1,11 +1,12 @@
 """Invariants of the load balancer, checked against what a run observed."""
 
 import collections
+import itertools
 
 import attrs
 
-from soak._clients import SERVICES, Callers, RequestRecord
-from soak._endpoints import WARMUP_PER_S, Endpoints
+from soak._clients import BULK, REJECTED, SERVICES, Callers, RequestRecord
+from soak._endpoints import WARMUP_PER_S, Endpoint, Endpoints
 from soak._vm import WARMUP_OVERRUN, WARMUP_SLACK, Vm
 
 RECOVERY_S = 4.0
@@ -26,6 +27,25 @@
 MIN_ANSWERED_SHARE = 0.75
 """The share of the last requests of a run that must be answered."""
 
+URGENT = SERVICES[0]
+"""The urgent route to the service that the route `BULK` leads to as well."""
+
+URGENT_WINDOW_S = 2.0
+MIN_URGENT_SHARE = 0.9
+"""The share of the urgent requests of a window that must be served.
+
+The target of the whole system is 0.98; a window has a few dozen requests.
+"""
+
+MIN_REQUESTS = 10
+"""The number of requests from which a share or a gap of them is judged."""
+
+FREE_SLOTS_S = 2.0
+"""How long slots may have been free when a SYN is refused, in seconds."""
+
+SHUT_OUT_S = 10.0
+"""The time within which each client address must be served, in seconds."""
+
 
 @attrs.define
 class RouteChange:
@@ -56,6 +76,7 @@
         disturbances: Start and end of each unplanned disturbance.
         recovery_deadline: The time from which requests must be served again.
         drains: The drains of zones.
+        endpoint_faults: Start and end of each crash and hang of an endpoint.
     """
 
     callers: Callers
@@ -65,6 +86,7 @@
     disturbances: list[tuple[float, float]]
     recovery_deadline: float
     drains: list[Drain]
+    endpoint_faults: list[tuple[float, float]] = attrs.field(factory=list)
 
     def is_undisturbed(self, at: float) -> bool:
         """Returns whether no unplanned disturbance affects a point in time."""
@@ -73,6 +95,21 @@
             for began, over in self.disturbances
         )
 
+    def is_calm(self, since: float, until: float) -> bool:
+        """Returns whether no disturbance or endpoint fault affects a period."""
+        return all(
+            until < began or over + RECOVERY_S < since
+            for began, over in self.disturbances + self.endpoint_faults
+        )
+
+    def sent(self, route: str, since: float, until: float):
+        """Returns the requests sent to a route in a period."""
+        return [
+            asked
+            for asked in self.callers.requests
+            if asked.route == route and since <= asked.at < until
+        ]
+
 
 def find_violations(seen: Observations) -> list[str]:
     """Returns a description of each violation of an invariant."""
@@ -88,6 +125,9 @@
         _resets,
         _exits,
         _recovery,
+        _urgent,
+        _refusals,
+        _shut_out,
     ):
         found += [f"{check.__name__[1:]}: {each}" for each in check(seen)]
     return found
@@ -127,7 +167,7 @@
 
 def _is_valid_answer(asked: RequestRecord, names: set[str]) -> bool:
     endpoint, _, request = asked.answer.partition(" ")
-    return endpoint in names and request == asked.name
+    return endpoint in names and request in (asked.name, REJECTED)
 
 
 def _drain(seen: Observations) -> list[str]:
@@ -226,7 +266,94 @@
 def _recovery(seen: Observations) -> list[str]:
     """Checks that requests are served again after the last fault."""
     last = [a for a in seen.callers.requests if a.at >= seen.recovery_deadline]
-    answered = sum(bool(asked.answer) for asked in last)
+    answered = sum(asked.served for asked in last)
     if last and answered >= MIN_ANSWERED_SHARE * len(last):
         return []
     return [f"{answered} of the last {len(last)} requests were answered"]
+
+
+def _urgent(seen: Observations) -> list[str]:
+    """Checks that urgent requests are served while less urgent ones are."""
+    found = []
+    for since in sorted({float(int(a.at)) for a in seen.callers.requests}):
+        until = since + URGENT_WINDOW_S
+        # Requests of the window are answered or given up in the next one.
+        if not seen.is_calm(since, until + URGENT_WINDOW_S):
+            continue
+        urgent = seen.sent(URGENT, since, until)
+        served = sum(asked.served for asked in urgent)
+        others = sum(asked.served for asked in seen.sent(BULK, since, until))
+        if min(
+            len(urgent), others
+        ) >= MIN_REQUESTS and served < MIN_URGENT_SHARE * len(urgent):
+            found.append(
+                f"{served} of {len(urgent)} urgent requests and {others} less"
+                f" urgent ones were served from {since:.0f} s on"
+            )
+    return found
+
+
+def _refusals(seen: Observations) -> list[str]:
+    """Checks that no SYN is refused while its service has had free slots."""
+    return [
+        f"{asked.name} at {at:.1f} while {URGENT} had free slots"
+        for asked in seen.callers.requests
+        for at in asked.refused_at
+        if asked.route in (URGENT, BULK)
+        and seen.is_calm(at - FREE_SLOTS_S, at)
+        and _had_free_slots(seen, at - FREE_SLOTS_S, at)
+    ]
+
+
+def _had_free_slots(seen: Observations, since: float, until: float) -> bool:
+    """Returns whether at each moment an endpoint of `URGENT` had one."""
+    slots = [
+        endpoint.slots
+        for endpoint in seen.endpoints.all
+        if endpoint.service == URGENT
+        and endpoint.slots is not None
+        and _is_usable(seen, endpoint, since, until)
+    ]
+    moments = [since, *(t for s in slots for t in s.filled_at(since, until))]
+    return bool(slots) and not any(
+        all(each.is_full(at) for each in slots) for at in moments
+    )
+
+
+def _is_usable(
+    seen: Observations, endpoint: Endpoint, since: float, until: float
+) -> bool:
+    """Returns whether new flows could be placed on it during a period."""
+    ends = [t for t in (endpoint.draining_at, endpoint.ended_at) if t]
+    limited = endpoint.warmups + [
+        (drain.since, drain.until + APPLY_S)
+        for drain in seen.drains
+        if drain.zone == endpoint.zone
+    ]
+    return (
+        endpoint.started_at + APPLY_S <= since
+        and all(until < end for end in ends)
+        and all(until < a or b + CLOCK_SLACK_S < since for a, b in limited)
+    )
+
+
+def _shut_out(seen: Observations) -> list[str]:
+    """Checks that no client address is left out while others are served."""
+    found = []
+    for route in (URGENT, BULK):
+        sent = [a for a in seen.callers.requests if a.route == route]
+        for client in sorted({asked.client for asked in sent}):
+            own = [asked for asked in sent if asked.client == client]
+            edges = [own[0].at, *(a.at for a in own if a.served), own[-1].at]
+            for since, until in itertools.pairwise(edges):
+                mine = sum(since < a.at <= until for a in own)
+                others = sum(a.served and since < a.at < until for a in sent)
+                if (
+                    until - since >= SHUT_OUT_S
+                    and min(mine, others) >= MIN_REQUESTS
+                    and seen.is_calm(since, until)
+                ):
+                    found.append(
+                        f"{client} on {route} for {until - since:.1f} s"
+                    )
+    return found
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -39,14 +39,23 @@
     DRAIN_ZONE = "a zone is drained and taken back cold"
     STORM = "configurations of many routes come in quick succession"
     RESTORE = "the store comes back from an older copy"
+    SPIKE = "clients send several times the usual number of requests"
 
 
 FIRST_STORM_SEED = 1001
 FIRST_RESTORE_SEED = 2001
+FIRST_LOAD_SEED = 3001
+MAX_PLANNED_KINDS = 2
+"""The number of kinds beside spikes that an odd seed of the last range draws.
+
+More of them would leave runs without a spike.
+"""
+
 _FIRST_SEED_BY_KIND = {
     Kind.DRAIN_ZONE: FIRST_STORM_SEED,
     Kind.STORM: FIRST_STORM_SEED,
     Kind.RESTORE: FIRST_RESTORE_SEED,
+    Kind.SPIKE: FIRST_LOAD_SEED,
 }
 """The lowest seed that draws each of these kinds.
 
@@ -70,6 +79,13 @@
 Time bounds are not checked while they last and for some seconds after.
 """
 
+ENDPOINT_FAULTS = frozenset({Kind.CRASH, Kind.HANG})
+"""Faults that take an endpoint's capacity away without notice.
+
+Invariants of overload are not checked while they last and for some seconds
+after.
+"""
+
 
 @attrs.frozen
 class Fault:
@@ -106,6 +122,8 @@
     # test their combinations.
     known = kinds_for_seed(seed)
     kinds = rng.sample(known, rng.randint(2, len(known)))
+    if seed >= FIRST_LOAD_SEED:
+        kinds = _kinds_with_spike(seed, kinds)
     faults = []
     at = QUIET_START_S
     for _ in range(count):
@@ -125,6 +143,21 @@
     return faults
 
 
+def _kinds_with_spike(seed: int, kinds: list[Kind]) -> list[Kind]:
+    """Returns the kinds of a run with limited endpoints.
+
+    Odd seeds play spikes alone or beside a few planned changes: time bounds
+    are not checked beside an unplanned disturbance, and one usually overlaps
+    every spike of a run that draws them all.
+    """
+    kinds = [kind for kind in kinds if kind is not Kind.SPIKE]
+    if seed % 2:
+        unchecked = UNPLANNED | ENDPOINT_FAULTS
+        planned = [kind for kind in kinds if kind not in unchecked]
+        kinds = planned[:MAX_PLANNED_KINDS]
+    return [Kind.SPIKE, *kinds]
+
+
 def kinds_for_seed(seed: int) -> list[Kind]:
     """Returns the kinds of faults that a seed can draw."""
     return [kind for kind in Kind if seed >= _FIRST_SEED_BY_KIND.get(kind, 0)]
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -10,12 +10,14 @@
 import anyio.abc
 
 from soak import _invariants as invariants
-from soak._clients import SERVICES, Callers, Client, Routers
+from soak._clients import BULK, SERVICES, Callers, Client, Routers
 from soak._endpoints import Endpoint, Endpoints, configuration
 from soak._invariants import APPLY_S, Drain, Observations, RouteChange
 from soak._plan import Plan, Result
 from soak._proxy import Mode, Proxy
 from soak._schedule import (
+    ENDPOINT_FAULTS,
+    FIRST_LOAD_SEED,
     FIRST_STORM_SEED,
     UNPLANNED,
     Fault,
@@ -78,6 +80,18 @@
 """The number of additional routes in each configuration of a storm, and the
 seconds between two configurations."""
 
+CLIENT_ADDRESSES = 4
+"""The number of client addresses in runs with limited endpoints."""
+
+SPIKE_FACTOR = 8
+"""The multiple of the usual clients of the less urgent route during a spike.
+
+Their requests then exceed the slots of the service.
+"""
+
+SINGLE_ADDRESS_SHARE = 0.5
+"""The share of spikes that come from one client address."""
+
 LOSS_RATES = (0.02, 0.1)
 _CUTS = (Mode.SLOW, Mode.RESET, Mode.SILENT, Mode.ONE_WAY)
 _STORE_FAULTS = (StoreFault.DOWN, StoreFault.BUSY, StoreFault.SILENT)
@@ -90,9 +104,12 @@
         net = f"127.{10 + os.getpid() % 200}"
         self._plan = plan
         self._rng = random.Random(plan.seed)
+        self._limited = plan.seed >= FIRST_LOAD_SEED
         self._store = Store()
         self._store_address = (f"{net}.2.1", STORE_PORT)
-        self._endpoints = Endpoints(self._store, net, DATAGRAM_PORT)
+        self._endpoints = Endpoints(
+            self._store, net, DATAGRAM_PORT, limited=self._limited
+        )
         self._proxies: list[Proxy] = []
         self._vms: list[Vm] = []
         seeds = [f"{net}.3.{n}" for n in range(1, min(plan.vms, 3) + 1)]
@@ -113,14 +130,19 @@
                 )
             )
         self._routers = Routers(self._vms, self._rng)
-        self._client = Client(f"{net}.1.7", DATAGRAM_PORT, self._routers)
-        self._callers = Callers(self._client, self._rng)
+        addresses = CLIENT_ADDRESSES if self._limited else 1
+        self._clients = [
+            Client(f"{net}.1.{7 + n}", DATAGRAM_PORT, self._routers)
+            for n in range(addresses)
+        ]
+        self._callers = Callers(self._clients, self._rng, limited=self._limited)
         self._published: dict[str, object] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
         self._route_changes: list[RouteChange] = []
         self._drains: list[Drain] = []
         self._warms_up = plan.seed >= FIRST_STORM_SEED
         self._disturbances: list[tuple[float, float]] = []
+        self._endpoint_faults: list[tuple[float, float]] = []
 
     async def run(self) -> Result:
         """Executes the run and returns its result."""
@@ -129,9 +151,7 @@
             try:
                 await self._start(tasks)
                 began = anyio.current_time()
-                for route in ("registry", "barcodes", "moving"):
-                    for _ in range(self._plan.clients):
-                        tasks.start_soon(self._callers.run, route)
+                self._start_callers(tasks)
                 faults = schedule(self._plan.seed, self._plan.seconds)
                 for fault in faults:
                     tasks.start_soon(self._apply_fault, fault, began)
@@ -144,7 +164,8 @@
                 for vm in self._vms:
                     vm.kill()
                 self._routers.close()
-                self._client.close()
+                for client in self._clients:
+                    client.close()
                 tasks.cancel_scope.cancel()
         return self._check(began, len(faults))
 
@@ -164,7 +185,24 @@
                 while not await vm.ready():
                     await anyio.sleep(0.05)
         tasks.start_soon(self._routers.run)
-        tasks.start_soon(self._client.run)
+        for client in self._clients:
+            tasks.start_soon(client.run)
+
+    def _start_callers(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts the clients of each route.
+
+        Where endpoints are limited, those of the urgent and the less urgent
+        route open a flow for each request, since admission control decides on
+        new flows.
+        """
+        short = ("registry", BULK) if self._limited else ()
+        long = [r for r in ("registry", "barcodes", "moving") if r not in short]
+        for number in range(self._plan.clients):
+            for route in short:
+                tasks.start_soon(self._callers.run_short, route, number)
+        for route in long:
+            for number in range(self._plan.clients):
+                tasks.start_soon(self._callers.run, route, number)
 
     def _check(self, began: float, faults: int) -> Result:
         observations = Observations(
@@ -175,8 +213,9 @@
             self._disturbances,
             began + self._plan.seconds - RECOVERY_WINDOW_S,
             self._drains,
+            self._endpoint_faults,
         )
-        answered = sum(bool(asked.answer) for asked in self._callers.requests)
+        answered = sum(asked.served for asked in self._callers.requests)
         sent = len(self._callers.requests)
         return Result(
             sent, answered, faults, invariants.find_violations(observations)
@@ -185,7 +224,11 @@
     def _publish(self, service: str, extra_routes: int = 0) -> None:
         version = 3 + 7 * len(self._route_changes)
         published = configuration(
-            version, service, extra_routes, warms_up=self._warms_up
+            version,
+            service,
+            extra_routes,
+            warms_up=self._warms_up,
+            limited=self._limited,
         )
         self._published = published
         self._store.put("op/config", published)
@@ -197,6 +240,8 @@
         disturbance = [start, float("inf")]
         if fault.kind in UNPLANNED:
             self._disturbances.append(disturbance)
+        if fault.kind in ENDPOINT_FAULTS:
+            self._endpoint_faults.append(disturbance)
         await _ACTIONS[fault.kind](self, fault)
         disturbance[1] = anyio.current_time()
 
@@ -379,6 +424,17 @@
         drain.until = anyio.current_time()
         self._store.delete(f"op/evacuate/{zone}")
 
+    async def _spike(self, fault: Fault) -> None:
+        """Adds clients of the less urgent route, of one or of all addresses."""
+        until = anyio.current_time() + fault.for_s
+        one_address = fault.draw < SINGLE_ADDRESS_SHARE
+        for number in range((SPIKE_FACTOR - 1) * self._plan.clients):
+            address = 0 if one_address else number
+            self._tasks.start_soon(
+                self._callers.run_short, BULK, address, until
+            )
+        await anyio.sleep(fault.for_s)
+
     async def _storm(self, fault: Fault) -> None:
         until = anyio.current_time() + fault.for_s
         while anyio.current_time() < until:
@@ -405,6 +461,7 @@
     Kind.DRAIN_ZONE: World._drain_zone,
     Kind.STORM: World._storm,
     Kind.RESTORE: World._restore,
+    Kind.SPIKE: World._spike,
 }
 
 
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -4,6 +4,7 @@
 from testtools import TestCase
 
 from soak._schedule import (
+    FIRST_LOAD_SEED,
     FIRST_RESTORE_SEED,
     FIRST_STORM_SEED,
     QUIET_END_S,
@@ -33,9 +34,14 @@
 
     @parameterized.expand(
         [
-            ("first", 0, {Kind.DRAIN_ZONE, Kind.STORM, Kind.RESTORE}),
-            ("later", FIRST_STORM_SEED, {Kind.RESTORE}),
-            ("restore", FIRST_RESTORE_SEED, set()),
+            (
+                "first",
+                0,
+                {Kind.DRAIN_ZONE, Kind.STORM, Kind.RESTORE, Kind.SPIKE},
+            ),
+            ("later", FIRST_STORM_SEED, {Kind.RESTORE, Kind.SPIKE}),
+            ("restore", FIRST_RESTORE_SEED, {Kind.SPIKE}),
+            ("load", FIRST_LOAD_SEED, set()),
         ]
     )
     def test_draws_every_kind(self, _, first, without):
