--- a/soak/without.py
+++ b/soak/without.py
@@ -3,11 +3,12 @@
 `python -m soak.without NAME` runs a VM; each NAME disables one protection.
 """
 
+import os
 import sys
 
 from result import Ok
 
-from pollenmast.entry import _follow
+from pollenmast.entry import ADMISSION_VARIABLE, _follow
 from pollenmast.platform import __main__ as program
 from pollenmast.platform import _first_read, _probe, _store
 from pollenmast.steering import CheckResult, _catalog
@@ -43,7 +44,13 @@
         module.read_epoch = lambda headers: Ok(1)
 
 
+def _no_admission() -> None:
+    """Places every flow immediately, however many are in progress."""
+    os.environ[ADMISSION_VARIABLE] = "all"
+
+
 PROTECTIONS = {
+    "admission": _no_admission,
     "checks": _doubt_only,
     "draining": _no_draining,
     "epoch": _no_epoch,
