Soak: check the service of the less urgent route

Cause: requests of registry-bulk could be run by barcodes unnoticed, as those of the moving route may.

Change: only registry may run them.

--- a/soak/_invariants.py
+++ b/soak/_invariants.py
@@ -102,7 +102,9 @@
             for began, over in self.disturbances + self.endpoint_faults
         )
 
-    def sent(self, route: str, since: float, until: float):
+    def sent(
+        self, route: str, since: float, until: float
+    ) -> list[RequestRecord]:
         """Returns the requests sent to a route in a period."""
         return [
             asked
@@ -134,6 +136,8 @@
 
 
 def _allowed_services(route: str) -> tuple[str, ...]:
+    if route == BULK:
+        return (URGENT,)
     return (route,) if route in SERVICES else SERVICES
 
 
--- a/tests/soak_overload_test.py
+++ b/tests/soak_overload_test.py
@@ -151,6 +151,18 @@
         self.assertEqual([], invariants._refusals(seen))
 
 
+class RouteTest(TestCase):
+    """Requests of the less urgent route reach its service only."""
+
+    @parameterized.expand([(URGENT, False), ("barcodes", True)])
+    def test_bulk(self, service, broken):
+        """Guards against held flows that are placed on another service."""
+        ran = types.SimpleNamespace(name=f"{BULK}/1", at=100.0)
+        endpoint = _endpoint(service=service, name="i-1", requests=[ran])
+        seen = _observed([], [endpoint])
+        self.assertEqual(broken, bool(invariants._route(seen)))
+
+
 class ShutOutTest(TestCase):
     """No client address is left out for 10 s while others are served."""
 
