Do not eject endpoints of a saturated service

Change: while flows of a service wait or are refused on a VM, its late and short answers do not count as failures.

--- a/src/pollenmast/admission/_admission.py
+++ b/src/pollenmast/admission/_admission.py
@@ -182,6 +182,11 @@
         known = self._services.get(service)
         return known is not None and known.is_overloaded(now, without)
 
+    def is_saturated(self, service: str, now: float) -> bool:
+        """Whether flows of a service had to wait or were refused recently."""
+        known = self._services.get(service)
+        return known is not None and known.is_saturated(now)
+
     def service_status(self, service: str, now: float) -> ServiceStatus | None:
         """Returns the state of a service, None if it had no flows here."""
         known = self._services.get(service)
@@ -227,7 +232,7 @@
         self._queue = HoldQueue()
         self._retries = Retries()
         self._overloaded = False
-        self._busy_at = -math.inf
+        self._busy_at = self._held_at = -math.inf
         self._computed_at = -math.inf
         self._credits: Mapping[str, int] | None = None
         self._last_use: dict[str, int] = {}
@@ -313,6 +318,9 @@
         ) - self._in_progress.count_at(without)
         return others > FREE_USE * self._limit()
 
+    def is_saturated(self, now: float) -> bool:
+        return len(self._queue) > 0 or now - self._held_at < SCARCITY_HOLD_S
+
     def status(self, now: float) -> ServiceStatus:
         self._update(now)
         return ServiceStatus(
@@ -423,7 +431,7 @@
         longest_s = hold_s if sustained else arrival.max_wait_s
         if wait_s > longest_s or self._queue.count(level) >= MAX_HELD:
             return self._refused(arrival, RefuseReason.NO_ROOM, now)
-        self._busy_at = now
+        self._busy_at = self._held_at = now
         self._queue.push(arrival, level, now + hold_s, now)
         return Hold(now + hold_s)
 
@@ -441,7 +449,7 @@
         now: float,
         held_s: float = 0.0,
     ) -> Refuse:
-        self._busy_at = now
+        self._busy_at = self._held_at = now
         self._retries.on_refused(arrival.caller, arrival.route, now)
         return Refuse(reason, held_s)
 
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -125,6 +125,7 @@
         self._control = AdmissionControl(
             zone, self._catalog, self._selector, admission
         )
+        self._outliers.set_is_saturated(self._control.admission.is_saturated)
         self._load_signs.set_is_short(self._control.is_short_without)
         self._load_signs.set_enabled(admission is None or admission.full)
         self._observer = TrafficObserver(
--- a/src/pollenmast/steering/_outliers.py
+++ b/src/pollenmast/steering/_outliers.py
@@ -66,6 +66,7 @@
         self._peer_reports: dict[str, _Report] = {}
         self._ejected_until: dict[int, float] = {}
         self._on_ejected: Callable[[Record, int], None] = _nothing
+        self._is_saturated: Callable[[str, float], bool] = _never
 
     def set_on_ejected(self, on_ejected: Callable[[Record, int], None]) -> None:
         """Sets the callback for an ejection.
@@ -75,8 +76,28 @@
         """
         self._on_ejected = on_ejected
 
+    def set_is_saturated(
+        self, is_saturated: Callable[[str, float], bool]
+    ) -> None:
+        """Sets the source of which services have too little capacity.
+
+        Args:
+            is_saturated: Called with a service and the time in seconds.
+        """
+        self._is_saturated = is_saturated
+
     def on_failed(self, endpoint: int, now: float) -> None:
-        """Counts a failed request that this VM had sent to an endpoint."""
+        """Counts a failed request that this VM had sent to an endpoint.
+
+        While the endpoint's service has too little capacity, requests are late
+        or rejected at endpoints that work. Ejecting these would reduce the
+        capacity further.
+        """
+        record = self._catalog.by_number(endpoint)
+        if record is not None and self._is_saturated(
+            record.endpoint.service, now
+        ):
+            return
         self._meters.setdefault(endpoint, Meter(WINDOW_S)).add(now)
 
     def on_peer_report(self, vm: str, failures: Failures, now: float) -> None:
@@ -173,3 +194,7 @@
 
 def _nothing(record: Record, failed: int) -> None:
     pass
+
+
+def _never(service: str, now: float) -> bool:
+    return False
--- a/tests/steering_outliers_test.py
+++ b/tests/steering_outliers_test.py
@@ -285,3 +285,21 @@
             Kind.ASK, "a", "z", Position(1, 5), 0.0, failures=failures
         )
         self.assertTrue(decode(encode(report)).is_err())
+
+
+class SaturationTest(TestCase):
+    """Endpoints of a saturated service."""
+
+    @parameterized.expand([("saturated", True, 0), ("not", False, 6)])
+    def test_failures_of_a_saturated_service(self, _, saturated, expected):
+        """Late requests of a backlog do not eject endpoints that work.
+
+        After a loss of power two thirds of the endpoints were ejected, and the
+        rest could not handle the usual load.
+        """
+        core = group.steering(group.endpoint(1), group.endpoint(2))
+        core.outliers.set_is_saturated(lambda service, now: saturated)
+        for _ in range(6):
+            core.outliers.on_failed(1, 0.0)
+        failures = core.outliers.own_failures(0.0)
+        self.assertEqual(expected, failures.get(1, 0))
