--- a/tests/admission_admission_test.py
+++ b/tests/admission_admission_test.py
@@ -1,4 +1,4 @@
-"""Tests of admission._admission."""
+"""Tests of admission._admission and admission._service_admission."""
 
 import math
 
@@ -11,8 +11,9 @@
     Hold,
     Refuse,
     RefuseReason,
+    _admission,
 )
-from pollenmast.admission import _admission as module
+from pollenmast.admission import _service_admission as module
 from tests.admission_group import TARGET_S, View, Vm
 
 _HOLD_S = TARGET_S * module.MAX_HOLD_FRACTION
@@ -334,9 +335,9 @@
         vm = Vm(View(None))
         vm.fill(module.LONE_CREDITS)
         _, key = vm.arrive()
-        for n in range(2 * module.MAX_SERVICES):
+        for n in range(2 * _admission.MAX_SERVICES):
             vm.arrive(service=f"service-{n}")
-        self.assertEqual(module.MAX_SERVICES, len(vm.admission.status(0.0)))
+        self.assertEqual(_admission.MAX_SERVICES, len(vm.admission.status(0.0)))
         self.assertTrue(vm.admission.is_held(key))
         vm.admission.cancel(key)
 
