A VM that knows no others holds flows for as long as clients wait

Change: while the other VMs are not known, a hold lasts until the client abandons its SYN; the limit is six requests in progress instead of five.

--- a/src/pollenmast/admission/_service_admission.py
+++ b/src/pollenmast/admission/_service_admission.py
@@ -26,7 +26,7 @@
 from pollenmast.admission._progress import Progress
 from pollenmast.admission._retries import Retries
 
-LONE_CREDITS = 5
+LONE_CREDITS = 6
 """Requests of a service that a VM may have in progress while it does not know
 the VMs that share the endpoints. The backlog of all clients after a loss of
 power is then forwarded at the rate at which endpoints work it off."""
@@ -154,11 +154,15 @@
         self._queue.remove(arrival.ticket)
 
     def _extend(self, arrival: FlowArrival, since: float, now: float) -> bool:
-        """Holds a flow longer if the backlog is worked off meanwhile."""
+        """Holds a flow longer if the backlog is worked off meanwhile.
+
+        A VM that does not know the others has usually just started with all of
+        them: it assumes that its flows are the backlog of the clients.
+        """
         limit, hold_s = since + arrival.max_wait_s, _hold_s(arrival)
         # The first half is left out: it may contain the instant at which the
         # backlog arrived.
-        draining = self._progress.is_draining(
+        draining = self._credits is None or self._progress.is_draining(
             arrival.priority, now - hold_s / 2
         )
         if now >= limit or not draining:
@@ -287,7 +291,10 @@
             * self._in_progress.service_time_s(self._name)
             / self._limit()
         )
-        sustained = now - self._overloaded_since >= SUSTAINED_S
+        sustained = (
+            self._credits is not None
+            and now - self._overloaded_since >= SUSTAINED_S
+        )
         hold_s = _hold_s(arrival)
         longest_s = hold_s if sustained else arrival.max_wait_s
         if wait_s > longest_s or self._queue.count(level) >= MAX_HELD:
