Bound how often an extended hold is decided again

A route with a target of microseconds made the packet loop decide its held SYNs without a pause while the VM knew no others. Found by reading; the new test fails without the bound.

--- a/src/pollenmast/admission/_service_admission.py
+++ b/src/pollenmast/admission/_service_admission.py
@@ -29,7 +29,7 @@
 LONE_CREDITS = 6
 """Requests of a service that a VM may have in progress while it does not know
 the VMs that share the endpoints. The backlog of all clients after a loss of
-power is then forwarded at the rate at which endpoints work it off."""
+power is then forwarded at about the rate at which endpoints work it off."""
 
 MIN_CREDITS = 2
 """Requests of a service that any VM may have in progress. A small service has
@@ -56,6 +56,10 @@
 being worked off. It leaves time for the endpoint's queue, and a refused client
 time for another attempt."""
 
+MIN_EXTENSION_S = 0.02
+"""Minimum time by which a hold is extended, in seconds. A route with a target
+of a millisecond would otherwise occupy the VM with decisions."""
+
 SUSTAINED_S = 0.5
 """How long capacity has to be short, in seconds, until flows that cannot be
 placed within their hold are refused at once. Before, a backlog of one instant
@@ -104,6 +108,7 @@
     def on_arrival(
         self, arrival: FlowArrival, now: float
     ) -> Admit | Hold | Refuse:
+        """Decides on a new flow."""
         self._update(now)
         self._progress.on_arrived(arrival.priority, now)
         level = LEVELS * arrival.priority + _FIRST
@@ -151,6 +156,7 @@
         ]
 
     def cancel(self, arrival: FlowArrival) -> None:
+        """Removes a held flow."""
         self._queue.remove(arrival.ticket)
 
     def _extend(self, arrival: FlowArrival, since: float, now: float) -> bool:
@@ -167,14 +173,16 @@
         )
         if now >= limit or not draining:
             return False
-        until = min(now + hold_s, limit)
+        until = min(now + max(hold_s, MIN_EXTENSION_S), limit)
         self._queue.push(arrival, _late_level(arrival), until, since)
         return True
 
     def next_expiry(self) -> float | None:
+        """Returns when the next hold expires, None if nothing is held."""
         return self._queue.next_expiry()
 
     def is_overloaded(self, now: float, without: str) -> bool:
+        """Whether capacity is short, see `Admission.is_overloaded`."""
         self._update(now)
         if not self._overloaded or not without or len(self._queue):
             return self._overloaded
@@ -184,9 +192,11 @@
         return others > FREE_USE * self._limit()
 
     def is_saturated(self, now: float) -> bool:
+        """Whether flows had to wait or were refused recently."""
         return len(self._queue) > 0 or now - self._held_at < SCARCITY_HOLD_S
 
     def status(self, now: float) -> ServiceStatus:
+        """Returns the state of the service."""
         self._update(now)
         return ServiceStatus(
             self._name,
--- a/tests/admission_admission_test.py
+++ b/tests/admission_admission_test.py
@@ -213,6 +213,17 @@
         vm.release(0.16)
         self.assertEqual(0, vm.admission.held)
 
+    def test_tiny_target_extended_in_steps(self):
+        """A hold is not decided again at once, however short its target is.
+
+        The packet loop waits until the next decision; it would never wait.
+        """
+        vm = Vm(View(None))
+        vm.fill(module.LONE_CREDITS)
+        vm.arrive(target_s=1e-6)
+        vm.release(0.001)
+        self.assertGreater(vm.admission.next_release_at(0.001), 0.02)
+
     def test_no_target(self):
         """A target of zero leaves no time for a hold."""
         outcome, _ = self._full().arrive(target_s=0.0)
