--- a/src/pollenmast/admission/_fairness.py
+++ b/src/pollenmast/admission/_fairness.py
@@ -42,8 +42,8 @@
     """Returns the caller's network, by which flows are queued fairly."""
     if ":" not in caller:
         return caller.rpartition(".")[0]
-    # Loading this module takes 2 ms, which a VM that starts spends better on
-    # forwarding; most callers have IPv4 addresses.
+    # Not loaded at a VM's start, which should forward packets first: most
+    # callers have IPv4 addresses.
     import ipaddress
 
     address = ipaddress.IPv6Address(caller.partition("%")[0])
