--- a/review/lab.py
+++ b/review/lab.py
@@ -158,13 +158,118 @@
         return self._inbox[port].pop(0)
 
 
+class Flow(segments.Flow):
+    """A flow of the client."""
+
+    @property
+    def port(self) -> int:
+        """The client's port."""
+        return self._port
+
+    def send_syn(self, vms: list[tuple[str, int]]) -> None:
+        """Sends one SYN and waits for nothing."""
+        self._send(segments.SYN, vms, 0)
+
+
+@attrs.frozen
+class Opening:
+    """A SYN that an endpoint took.
+
+    Attributes:
+        at: When it arrived.
+        port: The client's port.
+        service: The address and port that the client asked for.
+    """
+
+    at: float
+    port: int
+    service: str
+
+
+class StoreProxy:
+    """Forwards one VM's connections to the store; can silence open ones."""
+
+    def __init__(self, address: tuple[str, int], store: tuple[str, int]):
+        self._address = address
+        self._store = store
+        self._connections: list[asyncio.Event] = []
+        self.requested_at = time.monotonic()
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """The address that the VM uses for the store."""
+        return self._address
+
+    @property
+    def idle_s(self) -> float:
+        """Seconds since the VM last sent something to the store."""
+        return time.monotonic() - self.requested_at
+
+    def open_connections(self) -> int:
+        """Returns how many connections are open and not silent."""
+        return sum(not silent.is_set() for silent in self._connections)
+
+    def silence(self) -> int:
+        """Makes the open connections silent for good, without a reset."""
+        count = self.open_connections()
+        for silent in self._connections:
+            silent.set()
+        return count
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        server = await asyncio.start_server(self._serve, *self._address)
+        async with server:
+            await server.serve_forever()
+
+    async def _serve(self, reader, writer) -> None:
+        silent = asyncio.Event()
+        self._connections.append(silent)
+        try:
+            store_reader, store_writer = await asyncio.open_connection(
+                *self._store
+            )
+            await asyncio.gather(
+                self._pump(reader, store_writer, silent, True),
+                self._pump(store_reader, writer, silent, False),
+            )
+        except OSError:
+            pass
+        finally:
+            if silent in self._connections:
+                self._connections.remove(silent)
+            writer.close()
+
+    async def _pump(self, reader, writer, silent, from_vm: bool) -> None:
+        while data := await reader.read(65_536):
+            if from_vm:
+                self.requested_at = time.monotonic()
+            if silent.is_set():
+                continue
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+
 class Endpoint(segments.Endpoint):
     """An endpoint that names itself in its health checks' answers."""
 
+    def __init__(self, name: str, host: str, port: int, client_port: int):
+        super().__init__(name, host, port, client_port)
+        self.opened: list[Opening] = []
+
     async def handle(self, request: http.Request) -> http.Response:
         """Answers a health check."""
         return http.Response(200, b"ok", {"X-Endpoint-Id": self.name})
 
+    def _take(self, sock: socket.socket, datagram: bytes) -> None:
+        head = segments.decode(datagram[8:])
+        mine = int.from_bytes(datagram[:8], "big") in (0, self._number)
+        if mine and head.flags & segments.SYN:
+            service = f"{head.dst}:{head.dport}"
+            self.opened.append(Opening(time.monotonic(), head.sport, service))
+        super()._take(sock, datagram)
+
 
 def settings_text(
     net: str, name: str, host: str, zone: str, zones: list[str], store: tuple
@@ -330,11 +435,11 @@
         tasks.start_soon(endpoint.run)
         return endpoint
 
-    def flow(self, address: str) -> segments.Flow:
+    def flow(self, address: str) -> Flow:
         """Returns a new flow to a route's address and port."""
         host, _, port = address.partition(":")
         self._port += 1
-        return segments.Flow(self.client, self._port, (host, int(port)))
+        return Flow(self.client, self._port, (host, int(port)))
 
     async def wait_ready(self, limit_s: float = 20.0) -> None:
         """Waits until all VMs are ready."""
