--- a/review/lab.py
+++ b/review/lab.py
@@ -257,6 +257,7 @@
     def __init__(self, name: str, host: str, port: int, client_port: int):
         super().__init__(name, host, port, client_port)
         self.opened: list[Opening] = []
+        self.resets = 0
 
     async def handle(self, request: http.Request) -> http.Response:
         """Answers a health check."""
@@ -268,6 +269,9 @@
         if mine and head.flags & segments.SYN:
             service = f"{head.dst}:{head.dport}"
             self.opened.append(Opening(time.monotonic(), head.sport, service))
+        known = head.src, head.sport
+        if mine and not head.flags & segments.SYN and known not in self._flows:
+            self.resets += 1
         super()._take(sock, datagram)
 
 
