--- a/review/lab.py
+++ b/review/lab.py
@@ -276,17 +276,17 @@
 
 
 def settings_text(
-    net: str, name: str, host: str, zone: str, zones: list[str], store: tuple
+    vm: Vm, net: str, region: str, zones: list[str], store: tuple
 ) -> str:
     """Returns a settings file like that of a small deployment."""
     seeds = ",".join(f"{net}.3.{n}:{CONTROL}" for n in (1, 2, 3))
-    listed = "".join(f"zones.{each}=pos\n" for each in zones)
+    listed = "".join(f"zones.{each}={region}\n" for each in zones)
     return (
-        f"nodeId={name}\nrole=entry\nmachineClass=frontend\n"
-        f"serves=frontend,control_plane\nip={host}\nzone={zone}\nregion=pos\n"
-        f"{listed}listenAddrs.datagramAddr={host}:{PACKETS}\n"
-        f"listenAddrs.ready={host}:{READY}\n"
-        f"listenAddrs.control={host}:{CONTROL}\n"
+        f"nodeId={vm.name}\nrole=entry\nmachineClass=frontend\n"
+        f"serves=frontend,control_plane\nip={vm.host}\nzone={vm.zone}\nregion={region}\n"
+        f"{listed}listenAddrs.datagramAddr={vm.host}:{PACKETS}\n"
+        f"listenAddrs.ready={vm.host}:{READY}\n"
+        f"listenAddrs.control={vm.host}:{CONTROL}\n"
         f"internalPorts={GOSSIP},{LAST_PORT}\nseedNodes={seeds}\n"
         "bootstrap=true\nlossCounted=false\nlimits.cpuShare=0.537\n"
         "limits.cores=2\nlimits.memoryMb=300\nlimits.maxFds=4100\n"
@@ -356,14 +356,22 @@
 class Lab:
     """A store, endpoints, VMs and a client."""
 
-    def __init__(self, record: Record, folder: pathlib.Path, zones: list[str]):
+    def __init__(
+        self,
+        record: Record,
+        folder: pathlib.Path,
+        zones: list[str],
+        region: str,
+    ):
         """Makes a deployment; nothing runs yet.
 
         Args:
             record: Where to write what happens.
             folder: A temporary folder.
             zones: The availability zone of each VM.
+            region: The region of all zones.
         """
+        self._region = region
         self.record = record
         self.net = free_net()
         self.store = Store()
@@ -406,9 +414,7 @@
         for vm in self.vms:
             store = stores(vm) if stores is not None else self.store_address
             vm.settings.write_text(
-                settings_text(
-                    self.net, vm.name, vm.host, vm.zone, self._zones, store
-                )
+                settings_text(vm, self.net, self._region, self._zones, store)
             )
 
     def put(self, key: str, value: object, what: str) -> float:
@@ -476,10 +482,12 @@
 
 
 @contextlib.contextmanager
-def temporary_lab(record: Record, zones: list[str]) -> Iterator[Lab]:
+def temporary_lab(
+    record: Record, zones: list[str], region: str = "pos"
+) -> Iterator[Lab]:
     """Makes a deployment in a temporary folder and ends it."""
     with tempfile.TemporaryDirectory(prefix="pollenmast-review-") as folder:
-        lab = Lab(record, pathlib.Path(folder), zones)
+        lab = Lab(record, pathlib.Path(folder), zones, region)
         try:
             yield lab
         finally:
