--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,7 +13,7 @@
 VICTIM = "i-7f3a9102"
 FOREIGN_KEY = "servers/backup-7f3a9102"
 TROUBLE_AT_S, END_S = 14.0, 28.0
-FLOWS = 36
+FLOWS = 60
 PAUSE_S = 0.4
 
 
@@ -82,7 +82,9 @@
         broken = [
             flow
             for flow in self.flows
-            if flow.endpoint and flow.reset_at is not None
+            if flow.endpoint
+            and flow.reset_at is not None
+            and not self._lab.endpoints[flow.endpoint].resets
         ]
         lost = [name for flow in broken for name in flow.lost]
         record.raw(
