--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -237,7 +237,8 @@
         """Sends a signal to the process."""
         if self._process is not None and self._process.poll() is None:
             self._record.line(f"{self.name} gets {signal.Signals(number).name}")
-            self._ordered = number in (signal.SIGKILL, signal.SIGTERM)
+            if number in (signal.SIGKILL, signal.SIGTERM):
+                self._ordered = True
             self._process.send_signal(number)
 
     def alive(self) -> bool:
