--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""An entry in the store from another writer ends the machines' processes."""
+"""An entry of another writer, with a field missing, is used as an endpoint."""
 
 import pathlib
 import random
@@ -25,32 +25,27 @@
     "flowMs": 2000,
     "flowMaxS": 60,
 }
-LENGTH_S = 40.0
+ROUTES = {443: "parts-desk", 8443: "manual-library"}
+LENGTH_S = 25.0
 WRITE_AT_S = 8.0
-WRITE_EVERY_S = 4.0
-ENDS = 3
-ROUTE = 443
 DEADLINE_S = 2.7
 
-# Another writer's text: each half of the last character is encoded by itself
-# (CESU-8, as some runtimes write it). These bytes are not valid UTF-8.
-FOREIGN_SERVICE = "spare parts \ud83d\udd27".encode(errors="surrogatepass")
 
+def foreign_entry(named: lab.Server) -> dict[str, object]:
+    """Returns an entry as PROTOCOL.md lists it, but without `seqNo`.
 
-def foreign_entry(left_ms: int) -> bytes:
-    """Returns the entry of another writer, which can't be read."""
-    return (
-        b'{"service":"%s","address":"127.0.0.1:9","zone":"kar-depot",'
-        b'"version":"v1","slots":2,"state":"ready","warmupLeftMs":%d,"seqNo":1}'
-    ) % (FOREIGN_SERVICE, left_ms)
-
-
-async def write_foreign(world: lab.World) -> None:
-    """Writes the entry, and again as its `warmupLeftMs` falls."""
-    for left_ms in range(20_000, -1, -int(WRITE_EVERY_S * 1000)):
-        world.store.put("servers/i-5ca1ab1e00", foreign_entry(left_ms))
-        world.record.line("another writer's entry: i-5ca1ab1e00")
-        await anyio.sleep(WRITE_EVERY_S)
+    Args:
+        named: The server that has the entry's address by now.
+    """
+    return {
+        "service": "parts-desk",
+        "address": f"{named.host}:{named.port}",
+        "zone": named.zone,
+        "version": "v1",
+        "slots": 2,
+        "state": "ready",
+        "warmupLeftMs": 0,
+    }
 
 
 class Traffic:
@@ -58,63 +53,80 @@
 
     def __init__(self, world: lab.World):
         self.world = world
-        self.sent: dict[str, str] = {}
+        self.service: dict[str, str] = {}
+        self.ended: dict[str, str] = {}
 
-    async def call(self, client: lab.Client) -> None:
+    async def call(self, client: lab.Client, port: int) -> None:
         """Makes one call."""
         name = f"{random.getrandbits(64):016x}"
-        self.sent[name] = "unopened"
+        self.service[name] = ROUTES[port]
+        self.ended[name] = "unopened"
         record = self.world.record
         for _ in range(3):
-            flow = client.flow(ROUTE)
+            flow = client.flow(port)
             if await flow.open():
-                record.line(f"{name} sent by {flow.name}")
-                self.sent[name] = await flow.ask(name, DEADLINE_S)
+                record.line(f"{name} sent by {flow.name} to {ROUTES[port]}")
+                self.ended[name] = await flow.ask(name, DEADLINE_S)
                 flow.close()
                 break
-        record.line(f"{name} ends: {self.sent[name]}")
+        record.line(f"{name} ends: {self.ended[name]}")
 
-    async def run(self, client: lab.Client) -> None:
+    async def run(self, client: lab.Client, port: int) -> None:
         """Makes calls until cancelled."""
         while True:
-            self.world.start_soon(self.call, client)
+            self.world.start_soon(self.call, client, port)
             await anyio.sleep(random.uniform(0.1, 0.3))
 
 
+def run_elsewhere(world: lab.World, traffic: Traffic) -> list[str]:
+    """Returns the requests that another service has run, and records them."""
+    wrong = []
+    for server in world.servers:
+        for at, name in server.ran:
+            service = traffic.service.get(name, "nobody")
+            if service != server.service:
+                wrong.append(name)
+                world.record.line(
+                    f"{name}, sent to {service}, was run at {at:.3f} by "
+                    f"{server.name} of {server.service}"
+                )
+    return wrong
+
+
 async def test(folder: pathlib.Path, record: lab.Record) -> int:
     """Plays the case; returns 1 if the rule was broken, else 0."""
     world = lab.World(folder, record, ZONES, BOUNDS)
-    for zone, name in enumerate(ZONES):
+    for z, zone in enumerate(ZONES):
         for n in range(2):
-            world.server(
-                f"a{zone}{n}0000001",
-                f"4.{1 + 2 * zone + n}",
-                "parts-desk",
-                name,
-            )
+            digits = f"{random.randrange(1 << 39, 1 << 40):010x}"
+            world.server(digits, f"4.{1 + 2 * z + n}", "parts-desk", zone)
+        digits = f"{random.randrange(1 << 39, 1 << 40):010x}"
+        world.server(digits, f"5.{1 + z}", "manual-library", zone)
+    library = [s for s in world.servers if s.service == "manual-library"]
     async with world.running():
         for server in world.servers:
             world.start_server(server)
         await anyio.sleep(0.1)
-        world.configuration(7, {ROUTE: "parts-desk"})
+        world.configuration(7, ROUTES)
         await world.ready()
         traffic = Traffic(world)
         for n, zone in enumerate(ZONES):
-            world.start_soon(traffic.run, world.client(f"3.{n + 1}", zone))
+            client = world.client(f"3.{n + 1}", zone)
+            for port in ROUTES:
+                world.start_soon(traffic.run, client, port)
         await anyio.sleep(WRITE_AT_S - record.now())
         if lab.trouble():
-            world.start_soon(write_foreign, world)
+            entry = foreign_entry(library[0])
+            world.store.put("servers/i-0000000000", entry)
+            record.say(f"another writer's entry, i-0000000000: {entry}")
         await anyio.sleep(LENGTH_S - record.now())
-        ends = {m.name: len(m.own_ends) for m in world.machines}
-        for machine in world.machines:
-            record.line(f"last error of {machine.name}: {machine.last_error()}")
-    answered = sum(each == "200" for each in traffic.sent.values())
-    record.say(f"requests: {len(traffic.sent)} sent, {answered} answered")
-    record.say(f"processes that ended by themselves: {ends}")
-    least = max(2, -(-len(ends) // 10))
-    broken = sum(count >= ENDS for count in ends.values()) >= least
-    record.say("broken: Fault" if broken else "the rule held")
-    return int(broken)
+    wrong = run_elsewhere(world, traffic)
+    counts: dict[str, int] = {}
+    for how in traffic.ended.values():
+        counts[how] = counts.get(how, 0) + 1
+    record.say(f"requests: {counts}; run by another service: {len(wrong)}")
+    record.say("broken: ROUTE" if wrong else "the rule held")
+    return int(bool(wrong))
 
 
 if __name__ == "__main__":
--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -200,6 +200,8 @@
         self.settings = settings
         self.in_rotation = False
         self.own_ends: list[float] = []
+        self.memory_mb, self.link_mbps = 300, 1000.0
+        self.peak_mb = 0.0
         self.held_down = False
         self._config = folder / f"{name}.conf"
         self._config.write_text(settings, encoding="utf-8")
@@ -241,6 +243,34 @@
                 self._ordered = True
             self._process.send_signal(number)
 
+    def resident_mb(self) -> float:
+        """Returns the memory that the process has in use, 0 if it has ended."""
+        if not self.alive():
+            return 0.0
+        try:
+            text = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        for line in text.splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+        return 0.0
+
+    async def limit_memory(self) -> None:
+        """Kills a process that exceeds the machine's memory.
+
+        For the rules that is an end by itself.
+        """
+        while True:
+            await anyio.sleep(0.2)
+            used_mb = self.resident_mb()
+            self.peak_mb = max(self.peak_mb, used_mb)
+            if used_mb > self.memory_mb:
+                self._record.say(
+                    f"{self.name} exceeds {self.memory_mb} MB: {used_mb:.0f}"
+                )
+                self._process.kill()
+
     def alive(self) -> bool:
         """Whether the process runs."""
         return self._process is not None and self._process.poll() is None
@@ -712,8 +742,9 @@
             f"listenAddrs.control={host}:{net.control}\n"
             f"internalPorts={net.internal},{net.internal + 15}\n"
             f"seedNodes={seeds}\nbootstrap=true\nlossCounted=false\n"
-            "limits.cpuShare=0.537\nlimits.cores=2\nlimits.memoryMb=300\n"
-            "limits.maxFds=4100\nlimits.linkMbps=1000.0\nlimits.diskMb=0\n"
+            "limits.cpuShare=0.537\nlimits.cores=2\n"
+            f"limits.memoryMb={machine.memory_mb}\nlimits.maxFds=4100\n"
+            f"limits.linkMbps={machine.link_mbps}\nlimits.diskMb=0\n"
             f"discovery=platform\nentry=announce\n"
             f"heartbeatMs={int(HEARTBEAT_S * 1000)}\n"
             "contracts=base,drain,config,cost,recover,flows,platform\n"
@@ -860,6 +891,7 @@
                     )
                     machine.start()
                     self._tasks.start_soon(machine.supervise, self._down_s)
+                    self._tasks.start_soon(machine.limit_memory)
                     self._tasks.start_soon(self._probe, machine)
                 yield self
             finally:
