platform: fields and the configuration in modules of their own

No change of behaviour: _entries.py held the readers of single fields, endpoints and the configuration.

--- a/src/pollenmast/platform/_adapter.py
+++ b/src/pollenmast/platform/_adapter.py
@@ -8,7 +8,7 @@
 from pollenmast import entry
 from pollenmast.adapters import Adapter, Rows
 from pollenmast.admission import AdmissionSettings
-from pollenmast.platform._entries import parse_configuration
+from pollenmast.platform._configuration import parse_configuration
 from pollenmast.platform._packet import PlatformPackets
 from pollenmast.platform._settings import parse_settings
 
--- /dev/null
+++ b/src/pollenmast/platform/_fields.py
@@ -0,0 +1,116 @@
+"""Reads the fields of the platform's JSON objects."""
+
+from collections.abc import Iterator
+from typing import Any
+
+
+class FieldError(ValueError):
+    """A field is missing or its value is invalid."""
+
+
+def require_object(value: Any) -> dict[str, Any]:
+    """Returns the value if it is an object.
+
+    Raises:
+        FieldError: It is not.
+    """
+    if not isinstance(value, dict):
+        raise FieldError("an object")
+    return value
+
+
+def read_objects(entry: dict[str, Any], field: str) -> Iterator[dict[str, Any]]:
+    """Returns the objects of a list.
+
+    Raises:
+        FieldError: The field holds no list, or one of other values.
+    """
+    value = entry.get(field)
+    if not isinstance(value, list):
+        raise FieldError(field)
+    return map(require_object, value)
+
+
+def read_text(entry: dict[str, Any], field: str) -> str:
+    """Returns a text that is not empty.
+
+    Raises:
+        FieldError: The field holds no such text.
+    """
+    value = entry.get(field)
+    if not isinstance(value, str) or not value:
+        raise FieldError(field)
+    return value
+
+
+def read_integer(
+    entry: dict[str, Any], field: str, minimum: int, maximum: int
+) -> int:
+    """Returns a whole number of a range.
+
+    Raises:
+        FieldError: The field holds no such number.
+    """
+    value = entry.get(field)
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise FieldError(field)
+    if not minimum <= value <= maximum:
+        raise FieldError(field)
+    return value
+
+
+def read_number(entry: dict[str, Any], field: str, maximum: float) -> float:
+    """Returns a number from 0 to a maximum, 0 if the field is absent.
+
+    Raises:
+        FieldError: The field holds something else.
+    """
+    value = entry.get(field, 0)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise FieldError(field)
+    # This comparison is false for NaN too.
+    if not 0 <= value <= maximum:
+        raise FieldError(field)
+    return float(value)
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Parses an IPv4 address and a port separated by a colon.
+
+    Raises:
+        FieldError: The text is something else.
+    """
+    host, _, port = text.partition(":")
+    return parse_host(host), parse_port(port)
+
+
+def parse_host(text: str) -> str:
+    """Parses an IPv4 address and returns it in its usual form.
+
+    Raises:
+        FieldError: The text is no address.
+    """
+    parts = text.split(".")
+    if len(parts) != 4 or not all(
+        part.isascii() and part.isdigit() and int(part) < 256 for part in parts
+    ):
+        raise FieldError("address")
+    return ".".join(str(int(part)) for part in parts)
+
+
+def parse_port(text: str) -> int:
+    """Parses a port number.
+
+    Raises:
+        FieldError: The text is no port number.
+    """
+    if not (text.isascii() and text.isdigit() and 0 < int(text) < 1 << 16):
+        raise FieldError("port")
+    return int(text)
+
+
+def describe_error(error: Exception) -> str:
+    """Returns why a value was refused, for the log."""
+    if isinstance(error, FieldError):
+        return f"{error} is missing or not allowed"
+    return f"{type(error).__name__} {error}"
--- a/src/pollenmast/platform/_items.py
+++ b/src/pollenmast/platform/_items.py
@@ -6,13 +6,13 @@
 
 from result import Err, Ok, Result
 
+from pollenmast.platform._configuration import parse_with_ignored
 from pollenmast.platform._entries import (
     CONFIGURATION_KEY,
     DRAIN_PREFIX,
     ENDPOINT_PREFIX,
     parse_drain,
     parse_endpoint,
-    parse_with_ignored,
 )
 from pollenmast.steering import (
     Change,
--- a/tests/platform_entries_test.py
+++ b/tests/platform_entries_test.py
@@ -8,11 +8,11 @@
 from result import Err, Ok
 from testtools import TestCase
 
-from pollenmast.platform._entries import (
+from pollenmast.platform._configuration import (
     parse_configuration,
-    parse_endpoint,
     parse_with_ignored,
 )
+from pollenmast.platform._entries import parse_endpoint
 from pollenmast.platform._settings import parse_settings
 from pollenmast.steering import ColdAllowance, Route, Warmup
 
