--- a/src/pollenmast/platform/_configuration.py
+++ b/src/pollenmast/platform/_configuration.py
@@ -1,6 +1,5 @@
 """Parses the operator's configuration into routes."""
 
-import json
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -11,6 +10,7 @@
     FieldError,
     describe_error,
     parse_host,
+    parse_object,
     parse_port,
     read_integer,
     read_number,
@@ -89,7 +89,7 @@
     """
     optional = _OptionalFields()
     try:
-        root = require_object(json.loads(value))
+        root = parse_object(value)
         entries = list(read_objects(root, "services"))
         services = {
             read_text(each, "name"): read_text(each, "healthPath")
--- a/src/pollenmast/platform/_entries.py
+++ b/src/pollenmast/platform/_entries.py
@@ -1,6 +1,5 @@
 """Parses entries of the platform's store: endpoints and drained zones."""
 
-import json
 import zlib
 
 from result import Err, Ok, Result
@@ -9,9 +8,9 @@
     FieldError,
     describe_error,
     parse_address,
+    parse_object,
     read_integer,
     read_text,
-    require_object,
 )
 from pollenmast.steering import Endpoint
 
@@ -36,7 +35,7 @@
 def parse_endpoint(name: str, value: bytes) -> Result[Endpoint, str]:
     """Parses an endpoint's entry, or returns an error message."""
     try:
-        entry = require_object(json.loads(value))
+        entry = parse_object(value)
         host, port = parse_address(read_text(entry, "address"))
         state = read_text(entry, "state")
         if state not in _STATES:
@@ -76,7 +75,7 @@
             raise FieldError("zone")
         if len(value) > _MAX_DRAIN_BYTES:
             raise FieldError("size")
-        require_object(json.loads(value))
+        parse_object(value)
         return Ok(zone)
     except (ValueError, RecursionError) as error:
         return Err(f"drain of {zone!r}: {describe_error(error)}"[:120])
--- a/src/pollenmast/platform/_fields.py
+++ b/src/pollenmast/platform/_fields.py
@@ -1,13 +1,50 @@
 """Reads the fields of the platform's JSON objects."""
 
+import json
 from collections.abc import Iterator
 from typing import Any
 
+_MAX_REVISION = (1 << 63) - 1
+
 
 class FieldError(ValueError):
     """A field is missing or its value is invalid."""
 
 
+def parse_object(value: bytes) -> dict[str, Any]:
+    """Parses an object from JSON in UTF-8.
+
+    Raises:
+        FieldError: The value is of another type.
+        ValueError: The bytes are no JSON or no UTF-8.
+        RecursionError: The value is nested too deeply.
+    """
+    # Given bytes, `json.loads` would let encoded surrogates pass.
+    return require_object(json.loads(value.decode()))
+
+
+def is_text(value: Any) -> bool:
+    """Whether a value is a text that UTF-8 can encode.
+
+    JSON can spell half of a surrogate pair, and Python keeps it. Such a text
+    fails only when it is encoded, as for another VM.
+    """
+    if not isinstance(value, str):
+        return False
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def is_revision(value: Any) -> bool:
+    """Whether a value can be a revision of the store."""
+    if isinstance(value, bool) or not isinstance(value, int):
+        return False
+    return 0 <= value <= _MAX_REVISION
+
+
 def require_object(value: Any) -> dict[str, Any]:
     """Returns the value if it is an object.
 
@@ -32,13 +69,13 @@
 
 
 def read_text(entry: dict[str, Any], field: str) -> str:
-    """Returns a text that is not empty.
+    """Returns a text that is not empty and that UTF-8 can encode.
 
     Raises:
         FieldError: The field holds no such text.
     """
     value = entry.get(field)
-    if not isinstance(value, str) or not value:
+    if not value or not is_text(value):
         raise FieldError(field)
     return value
 
--- a/src/pollenmast/platform/_items.py
+++ b/src/pollenmast/platform/_items.py
@@ -14,6 +14,7 @@
     parse_drain,
     parse_endpoint,
 )
+from pollenmast.platform._fields import is_revision, is_text
 from pollenmast.steering import (
     Change,
     EndpointAnnounced,
@@ -77,8 +78,7 @@
     if not isinstance(item, dict):
         return None
     key, revision = item.get("key"), item.get("revision")
-    known = isinstance(key, str) and isinstance(revision, int)
-    return key if known else None
+    return key if is_text(key) and is_revision(revision) else None
 
 
 def _parse_item(item: Any, refused: list[str]) -> Result[Change | None, str]:
@@ -90,7 +90,7 @@
     """
     key = _item_key(item)
     if key is None:
-        return Err("item without key or revision")
+        return Err("item without valid key or revision")
     if not _is_relevant(key):
         return Ok(None)
     revision = item["revision"]
--- a/src/pollenmast/platform/_listing.py
+++ b/src/pollenmast/platform/_listing.py
@@ -5,6 +5,7 @@
 from result import Err, Ok, Result
 
 from pollenmast.platform._early import LIST_ALL_PATH
+from pollenmast.platform._fields import is_revision
 from pollenmast.platform._items import parse_items
 from pollenmast.steering import DirectoryFault, Position, Update
 
@@ -55,7 +56,7 @@
         if not isinstance(page, dict):
             return _MALFORMED
         items, revision = page.get("items"), page.get("asOf")
-        if not isinstance(items, list) or not isinstance(revision, int):
+        if not isinstance(items, list) or not is_revision(revision):
             return _MALFORMED
         if self._position is None:
             self._position = Position(epoch, revision)
@@ -104,4 +105,6 @@
     # delays the first packet of a VM that starts.
     import urllib.parse
 
-    return f"{path}&after=" + urllib.parse.quote(key, safe="")
+    # A key need not be valid Unicode; the page after it has valid ones.
+    quoted = urllib.parse.quote(key, safe="", errors="surrogatepass")
+    return f"{path}&after={quoted}"
--- a/src/pollenmast/platform/_store.py
+++ b/src/pollenmast/platform/_store.py
@@ -11,6 +11,7 @@
 from pollenmast.platform._early_client import MAX_BODY_BYTES
 from pollenmast.platform._entries import ENDPOINT_PREFIX, OPERATOR_PREFIX
 from pollenmast.platform._epoch import read_epoch
+from pollenmast.platform._fields import is_revision
 from pollenmast.platform._items import parse_items
 from pollenmast.platform._listing import Listing
 from pollenmast.steering import (
@@ -196,7 +197,7 @@
             return response
         body = response.ok_value.body
         events, revision = body.get("events"), body.get("asOf")
-        if not isinstance(events, list) or not isinstance(revision, int):
+        if not isinstance(events, list) or not is_revision(revision):
             return self._reject(DirectoryFault.MALFORMED)
         position = Position(response.ok_value.epoch, revision)
         if position < after:
