--- a/src/pollenmast/platform/_entries.py
+++ b/src/pollenmast/platform/_entries.py
@@ -1,7 +1,5 @@
 """Parses entries of the platform's store: endpoints and drained zones."""
 
-import zlib
-
 from result import Err, Ok, Result
 
 from pollenmast.platform._fields import (
@@ -12,6 +10,7 @@
     read_integer,
     read_text,
 )
+from pollenmast.platform._identity import identify
 from pollenmast.steering import Endpoint
 
 OPERATOR_PREFIX = "op/"
@@ -19,7 +18,6 @@
 DRAIN_PREFIX = "op/evacuate/"
 ENDPOINT_PREFIX = "servers/"
 
-_TOKEN_BITS = 32
 _STATES = ("ready", "draining")
 _MAX_DRAIN_BYTES = 64 << 10
 """Largest value of a drain entry; a larger one is invalid.
@@ -29,7 +27,6 @@
 
 _MAX_WARM_IN_S = 60.0
 _MAX_SLOTS = 1024
-_HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 
 def parse_endpoint(name: str, value: bytes) -> Result[Endpoint, str]:
@@ -40,12 +37,12 @@
         state = read_text(entry, "state")
         if state not in _STATES:
             raise FieldError("state")
-        number = _endpoint_number(name)
+        identity = identify(name)
         return Ok(
             Endpoint(
                 name=name,
-                number=number,
-                token=_endpoint_token(number),
+                number=identity.number,
+                token=identity.token,
                 host=host,
                 port=port,
                 service=read_text(entry, "service"),
@@ -79,24 +76,3 @@
         return Ok(zone)
     except (ValueError, RecursionError) as error:
         return Err(f"drain of {zone!r}: {describe_error(error)}"[:120])
-
-
-def _endpoint_number(name: str) -> int:
-    digits = "".join(
-        char for char in name.split("-")[-1] if char in _HEX_DIGITS
-    )
-    if not digits or len(digits) > 16:
-        raise FieldError("id")
-    return int(digits, 16)
-
-
-def _endpoint_token(number: int) -> int:
-    """Returns the 32-bit token of an endpoint, which is never zero.
-
-    A number that fits in 32 bits is its own token, so no two of those collide.
-    Larger numbers are hashed, with the same result on every VM. Zero is
-    reserved to mean that there is no token.
-    """
-    if 0 < number < 1 << _TOKEN_BITS:
-        return number
-    return zlib.crc32(number.to_bytes(8, "big")) or 1
--- a/src/pollenmast/steering/_catalog.py
+++ b/src/pollenmast/steering/_catalog.py
@@ -27,6 +27,7 @@
 from pollenmast.steering._model import Endpoint, Warmup
 from pollenmast.steering._position import EARLIER_EPOCH_REVISION
 from pollenmast.steering._record import Presence, Record
+from pollenmast.steering._shared_index import SharedIndex
 from pollenmast.steering._watchlist import Watchlist
 
 LAPSE_GRACE_PERIOD_S = 2.3
@@ -50,8 +51,9 @@
 
     def __init__(self):
         self._records: dict[str, Record] = {}
-        self._by_token: dict[int, list[Record]] = {}
-        self._by_number: dict[int, Record] = {}
+        self._by_token = SharedIndex()
+        self._by_number = SharedIndex()
+        self._services: set[str] = set()
         self._watchlist = Watchlist()
         self._lapsed: dict[str, Record] = {}
         self._drains = Drains()
@@ -79,22 +81,34 @@
 
     def by_number(self, number: int) -> Record | None:
         """Returns the endpoint with this number, as used between VMs."""
-        return self._by_number.get(number)
+        return self._by_number.first(number)
 
     def by_token(self, token: int) -> Record | None:
         """Returns the endpoint to which packets with this token are sent.
 
         If two endpoint names map to the same token, every VM resolves it to
         the name that sorts first; `owns_token` keeps new flows away from the
-        other endpoint.
+        other endpoint. Endpoints of services that no configuration has named
+        come last: nothing was placed on them.
         """
-        records = self._by_token.get(token)
-        return records[0] if records else None
+        return self._by_token.first(token)
 
     def owns_token(self, record: Record) -> bool:
         """Whether the endpoint's token resolves to this endpoint."""
         return self.by_token(record.endpoint.token) is record
 
+    def add_services(self, services: Iterable[str]) -> None:
+        """Makes the endpoints of the services of a configuration usable.
+
+        They stay usable when a later configuration no longer names their
+        service, as their open flows go on.
+        """
+        added = set(services) - self._services
+        self._services |= added
+        for record in self._records.values() if added else ():
+            if record.endpoint.service in added:
+                self._mark_usable(record)
+
     def confirm(self, at: float) -> None:
         """Records that the known state matched the directory's at `at`."""
         self._confirmed_at = at
@@ -215,8 +229,8 @@
             if missing and now - record.lapsed_at >= GONE_RETENTION_S:
                 del self._records[name]
                 self._lapsed.pop(name, None)
-                del self._by_number[record.endpoint.number]
-                self._by_token[record.endpoint.token].remove(record)
+                self._by_number.remove(record.endpoint.number, record)
+                self._by_token.remove(record.endpoint.token, record)
 
     def _announce(self, change: EndpointAnnounced, now: float) -> list[Record]:
         endpoint = change.endpoint
@@ -226,11 +240,10 @@
             record.health.set_on_schedule(
                 functools.partial(self._watchlist.add, record)
             )
+            record.usable = endpoint.service in self._services
             self._records[endpoint.name] = record
-            self._by_number[endpoint.number] = record
-            same_token = self._by_token.setdefault(endpoint.token, [])
-            same_token.append(record)
-            same_token.sort(key=lambda each: each.endpoint.name)
+            self._by_number.add(endpoint.number, record)
+            self._by_token.add(endpoint.token, record)
             return [record]
         if change.revision <= record.revision:
             return []
@@ -272,8 +285,15 @@
         record.listed = None
         record.presence = Presence.LISTED
         record.announced_at = now
+        if endpoint.service in self._services:
+            self._mark_usable(record)
         self._watchlist.add(record)
 
+    def _mark_usable(self, record: Record) -> None:
+        record.usable = True
+        self._by_number.sort(record.endpoint.number)
+        self._by_token.sort(record.endpoint.token)
+
     def _remove(self, name: str, revision: int, now: float) -> list[Record]:
         record = self._records.get(name)
         if record is None:
--- a/src/pollenmast/steering/_check_policy.py
+++ b/src/pollenmast/steering/_check_policy.py
@@ -76,8 +76,9 @@
     def cancel_if_unused(self, record: Record) -> bool:
         """Cancels a check that nobody needs; returns whether it did.
 
-        Endpoints of a drained zone get no new flows, so only clients with open
-        flows depend on their health.
+        Endpoints of a drained zone, or of a service that no configuration has
+        named, get no new flows, so only clients with open flows depend on their
+        health.
         """
         if not self._is_unused(record):
             return False
@@ -110,6 +111,7 @@
             record
             for record in self._catalog.records
             if record is not but
+            and record.usable
             and record.presence is Presence.LISTED
             and not record.health.down
             and not self._catalog.is_drained(record)
@@ -128,8 +130,8 @@
 
     def _is_unused(self, record: Record) -> bool:
         """Whether an endpoint gets no new flows and has no open ones here."""
-        drained = self._catalog.is_drained(record)
-        return drained and not self._flows.count(record.endpoint.name)
+        used = record.usable and not self._catalog.is_drained(record)
+        return not used and not self._flows.count(record.endpoint.name)
 
 
 def _always() -> bool:
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -277,6 +277,7 @@
         zones = self._catalog.drains.apply(update)
         table = self.table if self.table is not before else None
         if table is not None:
+            self._catalog.add_services(table.health_paths)
             self._selector.set_warmups(table.warmups)
             self._selector.connection_limit.set_limits(table.max_conns)
         self._mark_cold(zones, now)
--- a/src/pollenmast/steering/_reach.py
+++ b/src/pollenmast/steering/_reach.py
@@ -70,7 +70,8 @@
         return [
             record
             for record in self._catalog.records
-            if record.presence is Presence.LISTED
+            if record.usable
+            and record.presence is Presence.LISTED
             and not record.endpoint.draining
             and not self._catalog.is_drained(record)
         ]
--- a/src/pollenmast/steering/_record.py
+++ b/src/pollenmast/steering/_record.py
@@ -40,6 +40,7 @@
         presence: Whether the endpoint exists.
         lapsed_at: When its entry was removed.
         cold_until: Until when it is cold regardless of its announcement.
+        usable: Whether a configuration has named its service.
         listed: Its entry in a restored directory while the state known before
             the restore takes precedence; otherwise None.
         health: Its health as seen by this VM.
@@ -51,6 +52,7 @@
     presence: Presence = Presence.LISTED
     lapsed_at: float = 0.0
     cold_until: float = float("-inf")
+    usable: bool = True
     listed: Endpoint | None = None
     health: Health = attrs.field(factory=Health)
 
--- a/tests/platform_entries_test.py
+++ b/tests/platform_entries_test.py
@@ -139,9 +139,31 @@
         """Another writer's invalid entry is an error but no exception."""
         self.assertIsInstance(parse_endpoint(NAME, value), Err)
 
-    @parameterized.expand([("no_digits", "i-xyz"), ("empty", "")])
-    def test_name_without_number(self, _, name):
-        """An endpoint whose name contains no number cannot be addressed."""
+    def test_all_digits(self):
+        """Every hexadecimal digit of an id counts, not only its last part.
+
+        Otherwise another writer's entry has the number of a living endpoint.
+        """
+        endpoint = parse_endpoint("backup-7f3a91c2", _entry()).ok_value
+        self.assertEqual(0xBAC7F3A91C2, endpoint.number)
+
+    @parameterized.expand(
+        [
+            ("no_digits", "i-xyz"),
+            ("empty", ""),
+            ("no_prefix", "7f3a91c2"),
+            ("upper_case", "i-7F3A91C2"),
+            ("three_parts", "i-7f3a-91c2"),
+            ("other_letters", "i-7f3a91c2z"),
+            ("line_end", "i-7f3a91c2\n"),
+            ("too_long", "i-" + "1" * 17),
+        ]
+    )
+    def test_invalid_name(self, _, name):
+        """An entry under a key that is no endpoint's id is no endpoint.
+
+        It could have the number of one.
+        """
         self.assertIsInstance(parse_endpoint(name, _entry()), Err)
 
     @given(st.dictionaries(st.sampled_from(list(ENTRY)), _JSON), st.text())
--- a/tests/platform_items_test.py
+++ b/tests/platform_items_test.py
@@ -7,6 +7,7 @@
 from parameterized import parameterized
 from testtools import TestCase
 
+from pollenmast.counters import CheckReason
 from pollenmast.entry import _snapshot as snapshot
 from pollenmast.platform._items import parse_items
 from pollenmast.platform._listing import Listing
@@ -110,6 +111,65 @@
         self.assertTrue(listing.next_path.endswith("%2Fi-bad1%ED%A0%80"))
 
 
+class ForeignIdTest(TestCase):
+    """Entries of another writer with the digits of a living endpoint's id."""
+
+    @parameterized.expand(
+        [
+            (f"{foreign}_{'first' if first else 'later'}", foreign, first)
+            for foreign in ("backup-7f3a91c2", "a-7f3a91c2", "i-07f3a91c2")
+            for first in (False, True)
+        ]
+    )
+    def test_open_flow(self, _, foreign, first):
+        """Another writer's entry does not get a living endpoint's open flows.
+
+        It is of a service that no configuration names, and packets of the flow
+        go on to the living endpoint whichever of the two comes first.
+        """
+        core = group.steering()
+        living = _item(f"servers/{NAME}", {**ENTRY, "service": "a"})
+        other = _item(f"servers/{foreign}", {**ENTRY, "service": "backups"}, 12)
+        items = [other, living] if first else [living, other]
+        for number, item in enumerate(
+            [_item("op/config", CONFIGURATION, 20), *items], 20
+        ):
+            core.apply(parse_items([item], number, complete=False), 1.0)
+        sent = core.on_segment(group.segment(group.flow(), 0x7F3A91C2), 2.0)
+        self.assertEqual(NAME, sent.endpoint.name)
+        self.assertEqual(NAME, core.catalog.by_number(0x7F3A91C2).endpoint.name)
+
+    def test_service_named_later(self):
+        """An endpoint is usable once a configuration names its service.
+
+        Until then it is not checked, and it has no part in anything.
+        """
+        core = group.steering()
+        named = {**CONFIGURATION, "version": 8}
+        named["services"] = [
+            *CONFIGURATION["services"],
+            {"name": "backups", "healthPath": "/health"},
+        ]
+        entry = _item(f"servers/{NAME}", {**ENTRY, "service": "backups"})
+        usable = []
+        for number, item in enumerate(
+            [
+                _item("op/config", CONFIGURATION),
+                entry,
+                _item("op/config", named),
+            ],
+            20,
+        ):
+            core.apply(parse_items([item], number, complete=False), 1.0)
+            record = core.catalog.get(NAME)
+            usable.append(record is not None and record.usable)
+            if record is not None:
+                record.health.request_check(2.0, CheckReason.LAPSED)
+                due = [record] if record.usable else []
+                self.assertEqual(due, core.due_checks(2.0))
+        self.assertEqual([False, False, True], usable)
+
+
 class FleetTest(FleetCase):
     """A fleet whose store another writer writes to."""
 
