--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -356,6 +356,11 @@
     "Entries of the directory, or told by a peer, that were refused.",
     _values(EntryFault),
 )
+TOKENS_SHARED = CounterDefinition(
+    "tokens_shared",
+    "{endpoint}",
+    "Endpoints that get no flows, as an older one has their token.",
+)
 PLATFORM_CALLS = CounterDefinition(
     "platform_calls",
     "{call}",
@@ -382,6 +387,7 @@
     CHECKS,
     PLATFORM_CALLS,
     ENTRIES_REFUSED,
+    TOKENS_SHARED,
     EJECTIONS,
     RESETS,
     PLACEMENTS,
--- a/src/pollenmast/entry/_gossip.py
+++ b/src/pollenmast/entry/_gossip.py
@@ -377,7 +377,10 @@
     def _shared_answer(self, now: float) -> bytes:
         at, position, answer = self._cached_answer
         if now - at >= ANSWER_CACHE_S or position != self._position:
-            answer = self._total_report(now, self._zone)
+            ages = snapshot.encode_ages(self._steering)
+            answer = self._total_report(
+                now, self._zone, self._position.revision, ages
+            )
             self._cached_answer = (now, self._position, answer)
         return answer
 
--- a/src/pollenmast/entry/_peers.py
+++ b/src/pollenmast/entry/_peers.py
@@ -127,6 +127,7 @@
             self._log.write(PEER_TOLD, peer=source, fault=decoded.err_value)
             return
         update = decoded.ok_value
+        self._steering.catalog.owners.on_ages_told(update.ages)
         if update.position <= self._steering.position:
             return
         # If the changes start from a route table that this VM does not have,
--- a/src/pollenmast/entry/_snapshot.py
+++ b/src/pollenmast/entry/_snapshot.py
@@ -50,6 +50,10 @@
 """Maximum size of a decompressed body: four times what 11,000 endpoints and
 2,500 routes take, and little compared with the memory of a VM."""
 
+MAX_AGES_BYTES = 64 << 10
+"""Maximum size of the ages that follow a body. Even of 11,000 endpoints hardly
+two share a token."""
+
 _COMPRESSION_LEVEL = 1
 """Compression level of zlib. Compressing 47 kB takes 0.4 ms at this level; a
 result that is smaller by a sixth would take 0.6 ms."""
@@ -74,7 +78,21 @@
         changes = _full_state(steering)
     epoch, revision = attrs.astuple(steering.position)
     body = (FORMAT, epoch, revision, complete, [_pack(c) for c in changes])
-    return zlib.compress(msgpack.packb(body), _COMPRESSION_LEVEL)
+    data = zlib.compress(msgpack.packb(body), _COMPRESSION_LEVEL)
+    # Older builds ignore what follows the compressed body.
+    ages = steering.catalog.owners.ages()
+    return data + msgpack.packb(ages) if ages else data
+
+
+def encode_ages(steering: Steering) -> bytes:
+    """Encodes an update without changes that tells who has shared tokens.
+
+    Returns:
+        The update; empty if no endpoints share a token, as is usual.
+    """
+    if not steering.catalog.owners.ages():
+        return b""
+    return encode(steering, steering.position)
 
 
 def changes_since(
@@ -121,6 +139,7 @@
                 complete is True,
                 tuple(refused),
                 epoch=epoch,
+                ages=_unpack_ages(inflater.unused_data),
             )
         )
     except (
@@ -133,6 +152,23 @@
         return Err(f"{type(error).__name__}: {error}"[:120])
 
 
+def _unpack_ages(data: bytes) -> dict[str, int]:
+    """Returns the ages that follow a body, none if they are malformed."""
+    if not data or len(data) > MAX_AGES_BYTES:
+        return {}
+    try:
+        ages = msgpack.unpackb(data)
+    except (ValueError, msgpack.UnpackException):
+        return {}
+    if not isinstance(ages, dict):
+        return {}
+    return {
+        name: age
+        for name, age in ages.items()
+        if isinstance(name, str) and isinstance(age, int)
+    }
+
+
 def _are_non_negative_ints(*values: Any) -> bool:
     return all(isinstance(value, int) and value >= 0 for value in values)
 
--- a/src/pollenmast/entry/_update_log.py
+++ b/src/pollenmast/entry/_update_log.py
@@ -6,6 +6,7 @@
     ENDPOINT_LAPSED,
     ENTRY_REFUSED,
     ROUTES_IN_FORCE,
+    TOKEN_SHARED,
     ZONE_DRAINED,
     ZONE_RESTORED,
     EventLog,
@@ -84,6 +85,13 @@
         """Logs endpoints that were added, changed or removed."""
         for record in applied.records:
             self._log_endpoint(record, epoch, source)
+        for record in applied.shadowed:
+            self._log.write(
+                TOKEN_SHARED,
+                endpoint=record.name,
+                service=record.endpoint.service,
+                token=f"{record.endpoint.token:08x}",
+            )
 
     def _log_endpoint(self, record: Record, epoch: int, source: str) -> None:
         lapsed = record.presence is Presence.LAPSED
--- a/src/pollenmast/events/_catalogue.py
+++ b/src/pollenmast/events/_catalogue.py
@@ -298,6 +298,13 @@
     " is in force.",
     "Find out who wrote the entry.",
 )
+TOKEN_SHARED = Event(
+    430,
+    "token_shared",
+    "An endpoint has the token of an older one and gets no new flows until that"
+    " one is forgotten.",
+    "Start the endpoint again, so that it gets another id.",
+)
 HISTORY_GONE = Event(
     423,
     "history_gone",
@@ -409,6 +416,7 @@
     ENDPOINT_CHECKED,
     ROUTES_IN_FORCE,
     ENTRY_REFUSED,
+    TOKEN_SHARED,
     HISTORY_GONE,
     DIRECTORY_RESTORED,
     PEER_TOLD,
--- a/src/pollenmast/platform/_items.py
+++ b/src/pollenmast/platform/_items.py
@@ -104,11 +104,10 @@
         return Err(RefusedEntry(EntryFault.UNREADABLE, description))
     if not _is_relevant(key):
         return Ok(None)
-    revision = item["revision"]
     if item.get("deleted") is True:
-        return Ok(_parse_deletion(key, revision))
+        return Ok(_parse_deletion(key, item["revision"]))
     return _decode_value(key, item.get("value")).and_then(
-        lambda value: _parse_write(key, value, revision, refused)
+        lambda value: _parse_write(item, value, refused)
     )
 
 
@@ -142,11 +141,17 @@
 
 
 def _parse_write(
-    key: str, value: bytes, revision: int, refused: list[RefusedEntry]
+    item: dict[str, Any], value: bytes, refused: list[RefusedEntry]
 ) -> Result[Change, RefusedEntry]:
+    key, revision = item["key"], item["revision"]
     if key.startswith(ENDPOINT_PREFIX):
         endpoint = parse_endpoint(key.removeprefix(ENDPOINT_PREFIX), value)
-        return endpoint.map(lambda known: EndpointAnnounced(known, revision))
+        created = item.get("created")
+        return endpoint.map(
+            lambda known: EndpointAnnounced(
+                known, revision, created if is_revision(created) else None
+            )
+        )
     if key.startswith(DRAIN_PREFIX):
         zone = parse_drain(key.removeprefix(DRAIN_PREFIX), value)
         return zone.map(lambda known: ZoneDrained(known, revision))
--- a/src/pollenmast/steering/_catalog.py
+++ b/src/pollenmast/steering/_catalog.py
@@ -27,7 +27,7 @@
 from pollenmast.steering._model import Endpoint, Warmup
 from pollenmast.steering._position import EARLIER_EPOCH_REVISION
 from pollenmast.steering._record import Presence, Record
-from pollenmast.steering._shared_index import SharedIndex
+from pollenmast.steering._token_owners import TokenOwners
 from pollenmast.steering._watchlist import Watchlist
 
 LAPSE_GRACE_PERIOD_S = 2.3
@@ -51,9 +51,9 @@
 
     def __init__(self):
         self._records: dict[str, Record] = {}
-        self._by_token = SharedIndex()
-        self._by_number = SharedIndex()
+        self._owners = TokenOwners()
         self._services: set[str] = set()
+        self._updates = 0
         self._watchlist = Watchlist()
         self._lapsed: dict[str, Record] = {}
         self._drains = Drains()
@@ -81,23 +81,32 @@
 
     def by_number(self, number: int) -> Record | None:
         """Returns the endpoint with this number, as used between VMs."""
-        return self._by_number.first(number)
+        return self._owners.by_number(number)
 
     def by_token(self, token: int) -> Record | None:
         """Returns the endpoint to which packets with this token are sent.
 
-        If two endpoint names map to the same token, every VM resolves it to
-        the name that sorts first; `owns_token` keeps new flows away from the
-        other endpoint. Endpoints of services that no configuration has named
-        come last: nothing was placed on them.
+        If two endpoints have the same token, every VM resolves it to the older
+        one; `owns_token` keeps new flows away from the other endpoint.
+        Endpoints of services that no configuration has named come last: nothing
+        was placed on them.
         """
-        return self._by_token.first(token)
+        return self._owners.by_token(token)
 
     def owns_token(self, record: Record) -> bool:
         """Whether the endpoint's token resolves to this endpoint."""
         return self.by_token(record.endpoint.token) is record
 
-    def add_services(self, services: Iterable[str]) -> None:
+    @property
+    def owners(self) -> TokenOwners:
+        """The endpoints of each token."""
+        return self._owners
+
+    def became_usable(self, record: Record) -> bool:
+        """Whether the last update made an endpoint usable."""
+        return record.usable_since == self._updates
+
+    def _add_services(self, services: Iterable[str]) -> None:
         """Makes the endpoints of the services of a configuration usable.
 
         They stay usable when a later configuration no longer names their
@@ -142,20 +151,37 @@
             and not self.is_missing(record)
         ]
 
-    def apply(self, update: Update, now: float) -> list[Record]:
-        """Applies an update and returns the records that it changed."""
+    def apply(
+        self, update: Update, services: Iterable[str], now: float
+    ) -> list[Record]:
+        """Applies an update.
+
+        Args:
+            update: The update.
+            services: The services that the configuration in force names.
+            now: The time of the runtime's clock in seconds.
+
+        Returns:
+            The records that the update changed.
+        """
+        self._updates += 1
+        self._add_services(services)
         changed = []
         listed = set()
+        first = not self._records
         for change in update.changes:
             if isinstance(change, EndpointAnnounced):
                 listed.add(change.endpoint.name)
-                changed += self._announce(change, now)
+                created = update.ages.get(change.endpoint.name, change.created)
+                changed += self._announce(change, created, now)
             elif isinstance(change, EndpointRemoved):
                 changed += self._remove(change.name, change.revision, now)
         if update.complete:
             for name, record in list(self._records.items()):
                 if name not in listed and record.revision <= update.revision:
                     changed += self._remove(name, update.revision, now)
+        if first:
+            self._owners.await_order(update.ages, now)
         return changed
 
     def begin_epoch(self, now: float) -> None:
@@ -229,10 +255,12 @@
             if missing and now - record.lapsed_at >= GONE_RETENTION_S:
                 del self._records[name]
                 self._lapsed.pop(name, None)
-                self._by_number.remove(record.endpoint.number, record)
-                self._by_token.remove(record.endpoint.token, record)
+                self._owners.remove(record)
+        self._owners.expire(now)
 
-    def _announce(self, change: EndpointAnnounced, now: float) -> list[Record]:
+    def _announce(
+        self, change: EndpointAnnounced, created: int | None, now: float
+    ) -> list[Record]:
         endpoint = change.endpoint
         record = self._records.get(endpoint.name)
         if record is None:
@@ -240,10 +268,11 @@
             record.health.set_on_schedule(
                 functools.partial(self._watchlist.add, record)
             )
-            record.usable = endpoint.service in self._services
+            record.created = change.revision if created is None else created
+            if endpoint.service in self._services:
+                record.usable_since = self._updates
             self._records[endpoint.name] = record
-            self._by_number.add(endpoint.number, record)
-            self._by_token.add(endpoint.token, record)
+            self._owners.add(record)
             return [record]
         if change.revision <= record.revision:
             return []
@@ -290,9 +319,9 @@
         self._watchlist.add(record)
 
     def _mark_usable(self, record: Record) -> None:
-        record.usable = True
-        self._by_number.sort(record.endpoint.number)
-        self._by_token.sort(record.endpoint.token)
+        if not record.usable:
+            record.usable_since = self._updates
+            self._owners.sort(record)
 
     def _remove(self, name: str, revision: int, now: float) -> list[Record]:
         record = self._records.get(name)
--- a/src/pollenmast/steering/_changes.py
+++ b/src/pollenmast/steering/_changes.py
@@ -40,10 +40,13 @@
     Attributes:
         endpoint: The endpoint as described by the entry.
         revision: The directory's revision at that write.
+        created: The directory's revision when the entry was created, None if
+            not known.
     """
 
     endpoint: Endpoint
     revision: int
+    created: int | None = None
 
 
 @attrs.frozen
@@ -218,6 +221,8 @@
             are not drained.
         epoch: The directory's epoch. Revisions of different epochs cannot be
             compared.
+        ages: The order of endpoints that share a token, from a peer; see
+            `TokenOwners.ages`.
     """
 
     changes: tuple[Change, ...]
@@ -227,6 +232,7 @@
     unclear_zones: tuple[str, ...] = ()
     all_drains: bool = False
     epoch: int = 0
+    ages: dict[str, int] = attrs.field(factory=dict)
 
     @property
     def position(self) -> Position:
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -86,11 +86,13 @@
         table: The new configuration, or None if the one in force did not
             change.
         zones: Availability zones that were drained or restored.
+        shadowed: Endpoints that get no flows, as an older one has their token.
     """
 
     records: list[Record]
     table: RouteTable | None
     zones: list[ZoneDrained | ZoneRestored] = attrs.field(factory=list)
+    shadowed: list[Record] = attrs.field(factory=list)
 
 
 class Steering:
@@ -279,11 +281,18 @@
         zones = self._catalog.drains.apply(update)
         table = self.table if self.table is not before else None
         if table is not None:
-            self._catalog.add_services(table.health_paths)
             self._selector.set_warmups(table.warmups)
             self._selector.connection_limit.set_limits(table.max_conns)
         self._mark_cold(zones, now)
-        records = self._catalog.apply(update, now)
+        services = self.table.health_paths if self.table is not None else ()
+        records = self._catalog.apply(update, services, now)
+        shadowed = [
+            r
+            for r in records
+            if self._catalog.became_usable(r)
+            and not self._catalog.owns_token(r)
+        ]
+        self._counters.add(c.TOKENS_SHARED, amount=len(shadowed))
         lapsed = [r for r in records if r.presence is Presence.LAPSED]
         self._check_policy.on_lapsed(lapsed, now)
         if update.position > self._position:
@@ -292,7 +301,7 @@
             effective = Update(applied, update.revision, update.complete)
             self._journal.add(effective, self._position.revision)
             self._position = update.position
-        return Applied(records, table, zones)
+        return Applied(records, table, zones, shadowed)
 
     def adopt_restored_state(self, now: float) -> Applied:
         """Applies a restored directory's entries once its writers had time.
--- a/src/pollenmast/steering/_record.py
+++ b/src/pollenmast/steering/_record.py
@@ -40,7 +40,9 @@
         presence: Whether the endpoint exists.
         lapsed_at: When its entry was removed.
         cold_until: Until when it is cold regardless of its announcement.
-        usable: Whether a configuration has named its service.
+        created: The directory's revision at which its entry was created.
+        usable_since: The number of this VM's update since which it is known and
+            its service named by a configuration, or None.
         listed: Its entry in a restored directory while the state known before
             the restore takes precedence; otherwise None.
         health: Its health as seen by this VM.
@@ -52,10 +54,21 @@
     presence: Presence = Presence.LISTED
     lapsed_at: float = 0.0
     cold_until: float = float("-inf")
-    usable: bool = True
+    created: int = 0
+    usable_since: int | None = None
     listed: Endpoint | None = None
     health: Health = attrs.field(factory=Health)
 
+    @property
+    def name(self) -> str:
+        """The endpoint's name."""
+        return self.endpoint.name
+
+    @property
+    def usable(self) -> bool:
+        """Whether a configuration has named the endpoint's service."""
+        return self.usable_since is not None
+
     @property
     def announced(self) -> Endpoint | None:
         """The endpoint as the directory lists it now, None if it does not."""
--- a/standins/store.py
+++ b/standins/store.py
@@ -29,6 +29,7 @@
     key: str
     value: bytes | None
     revision: int
+    created: int
 
 
 @attrs.frozen
@@ -134,7 +135,9 @@
 
     def _write(self, key: str, value: bytes | None) -> int:
         self._revision += 1
-        item = _Item(key, value, self._revision)
+        known = self._items.get(key)
+        created = self._revision if known is None else known.created
+        item = _Item(key, value, self._revision, created)
         self._history.append(item)
         self._items[key] = item
         if value is None:
@@ -187,6 +190,6 @@
         "key": item.key,
         "value": base64.b64encode(item.value).decode(),
         "revision": item.revision,
-        "created": item.revision,
+        "created": item.created,
         "lease": 0,
     }
--- a/tests/entry_reach_test.py
+++ b/tests/entry_reach_test.py
@@ -118,7 +118,7 @@
         update = group.listing(NEAR, FAR)
         drained = ZoneDrained(group.ZONE, 10)
         changes = (*update.changes, drained)
-        catalog.apply(Update(changes, 10, complete=True), 0.1)
+        catalog.apply(Update(changes, 10, complete=True), ("registry",), 0.1)
         catalog.drains.apply(Update((drained,), 10))
         self.assertTrue(reach.cut_off)
 
--- a/tests/steering_load_test.py
+++ b/tests/steering_load_test.py
@@ -14,6 +14,7 @@
     CROSS_ZONE_LOAD_MARGIN,
     EndpointSelector,
 )
+from pollenmast.steering._token_owners import SETTLE_S
 from tests import steering_group as group
 
 SLOTS, ROOM, WORK_S = 2, 10, 0.05
@@ -98,7 +99,8 @@
     def _choose(self, rates: dict[int, float], *endpoints, tried=(), own=None):
         """Places a flow by the load from others and from own requests."""
         catalog = Catalog()
-        catalog.apply(group.listing(*endpoints), 0.0)
+        catalog.apply(group.listing(*endpoints), ("registry",), 0.0)
+        catalog.expire(SETTLE_S)
         load = EndpointLoads(group.ZONE)
         load.on_zone_report(group.OTHER_ZONE, rates, 1, 100.0 - ZONES_SETTLE_S)
         load.on_zone_report(group.OTHER_ZONE, rates, 1, 100.0)
@@ -149,7 +151,7 @@
         would break all of these.
         """
         catalog = Catalog()
-        catalog.apply(group.listing(FIRST, FAR), 0.0)
+        catalog.apply(group.listing(FIRST, FAR), ("registry",), 0.0)
         load = EndpointLoads(group.ZONE)
         for at in heard_at:
             load.on_peer_report("vm-2", {1: 60.0}, at)
@@ -225,7 +227,7 @@
         """
         listed = [group.endpoint(n + 1) for n in range(endpoints)]
         catalog = Catalog()
-        catalog.apply(group.listing(*listed), 0.0)
+        catalog.apply(group.listing(*listed), ("registry",), 0.0)
         told = {each.number: 20.0 for each in listed[1:]}
         selectors = []
         for seed in range(vms):
@@ -269,7 +271,7 @@
     rng = random.Random(1)
     listed = [group.endpoint(n + 1) for n in range(endpoints)]
     catalog = Catalog()
-    catalog.apply(group.listing(*listed), 0.0)
+    catalog.apply(group.listing(*listed), ("registry",), 0.0)
     books = [EndpointLoads(group.ZONE) for _ in range(vms)]
     selectors = [
         EndpointSelector(group.ZONE, catalog, book, random.Random(seed))
