The log of changes is in order of revision after a VM has caught up

Cause: catch_up joins the operator's entries, read first, with older events. The log forgets from the front, so the newest configuration went first, and _complete_after went back with the next event.

Change: an update's changes are sorted by revision.

Test: steering_journal_test test_out_of_order, which failed before (the log claimed to be complete after revisions below the forgotten configuration).

--- a/src/pollenmast/steering/_journal.py
+++ b/src/pollenmast/steering/_journal.py
@@ -31,8 +31,12 @@
             self._changes.clear()
             self._complete_after = update.revision
             return
+        # Of a VM that catches up, the operator's entries come before events.
         self._changes.extend(
-            change for change in update.changes if change.revision > known
+            sorted(
+                (each for each in update.changes if each.revision > known),
+                key=lambda each: each.revision,
+            )
         )
         while len(self._changes) > MAX_CHANGES:
             self._complete_after = self._changes.popleft().revision
