--- a/src/pollenmast/admission/_admission.py
+++ b/src/pollenmast/admission/_admission.py
@@ -17,6 +17,7 @@
     FlowArrival,
     Hold,
     Refuse,
+    RefuseReason,
     Release,
     ServiceStatus,
 )
@@ -26,6 +27,11 @@
 """Maximum number of services with state; beyond it the oldest is forgotten."""
 
 
+MAX_HELD_FLOWS = 8192
+"""Maximum number of held flows of all services, each with a packet of up to
+1.2 kB; further ones are refused at once."""
+
+
 class Admission:
     """Admission control of one VM."""
 
@@ -65,8 +71,12 @@
         if arrival.key in self._held:
             return self._held[arrival.key][1]
         self._in_progress.expire(now)
-        outcome = self._service(arrival.service).on_arrival(arrival, now)
+        service = self._service(arrival.service)
+        outcome = service.on_arrival(arrival, now)
         if isinstance(outcome, Hold):
+            if len(self._held) >= MAX_HELD_FLOWS:
+                service.cancel(arrival)
+                return Refuse(RefuseReason.NO_ROOM)
             self._held[arrival.key] = arrival, outcome
         return outcome
 
--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -243,6 +243,9 @@
     SIZE = "size"
     """It is longer than any entry needs to be."""
 
+    LIMIT = "limit"
+    """A VM knows as many endpoints as it keeps."""
+
     IGNORED = "ignored"
     """An optional value of a configuration is not allowed; the rest is used."""
 
--- a/src/pollenmast/entry/_follow.py
+++ b/src/pollenmast/entry/_follow.py
@@ -196,6 +196,8 @@
         """Returns whether this VM has to ask the directory itself."""
         if not self._has_read or self._lost_at is not None or self._is_reader():
             return True
+        if self._steering.catalog.lacks_entries:
+            return True
         age_s = self._steering.age_s(anyio.current_time())
         return age_s >= self._stale_after_s
 
@@ -232,6 +234,8 @@
         position = self._steering.position
         if not self._has_read and not position.revision:
             return await self._read_all()
+        if self._steering.catalog.lacks_entries:
+            return await self._read_all()
         if not self._lagging:
             answer = await self._directory.watch(position, WATCH_TIMEOUT_S)
             if answer != Err(DirectoryFault.TOO_LONG):
--- a/src/pollenmast/entry/_peers.py
+++ b/src/pollenmast/entry/_peers.py
@@ -29,6 +29,10 @@
 milliseconds unless it is down or cut off. The total is longer because the
 peer's link may be slow while all VMs of a zone ask it at once."""
 
+MAX_PEERS_AHEAD = 64
+"""Maximum number of peers that wait to be asked. One answer mostly covers what
+the others are ahead by."""
+
 _OK = 200
 
 
@@ -66,7 +70,8 @@
 
     def on_peer_ahead(self, host: str, position: Position) -> None:
         """Schedules a request to a peer that has reached a later position."""
-        self._positions_ahead[host] = position
+        if len(self._positions_ahead) < MAX_PEERS_AHEAD:
+            self._positions_ahead[host] = position
         self._peer_ahead.set()
 
     async def run(self) -> None:
--- a/src/pollenmast/entry/_report.py
+++ b/src/pollenmast/entry/_report.py
@@ -6,7 +6,13 @@
 import msgpack
 from result import Err, Ok, Result
 
-from pollenmast.steering import Failures, Position, Rates
+from pollenmast.steering import (
+    Failures,
+    Position,
+    Rates,
+    is_integer,
+    is_name,
+)
 
 FORMAT = 6
 """Version of this format; reports of other versions are rejected."""
@@ -33,6 +39,7 @@
 greater ages equally mean that the data is old."""
 
 _MS_PER_S = 1000
+_MIN_INT, _MAX_INT = -(1 << 63), (1 << 63) - 1
 _RATE_SCALE = 8
 """Rates are sent as integers in units of 1/8 request per second."""
 
@@ -146,11 +153,15 @@
         after, changes, link_mbps, failures, ejected = rest
         if number != FORMAT:
             return Err(f"unsupported report format {number!r}")
-        if not all(isinstance(each, str) for each in (vm, zone, of_zone)):
-            return Err("names are not strings")
+        if not (is_name(vm) and is_name(zone) and is_name(of_zone or zone)):
+            return Err("names are not strings of their length")
         numbers = (epoch, revision, age, vms, after, link_mbps)
-        if not all(isinstance(each, int) for each in numbers):
+        if not all(is_integer(each, _MIN_INT, _MAX_INT) for each in numbers):
             return Err("numeric fields are not integers")
+        if max(len(rates), len(down)) > MAX_ENDPOINTS:
+            return Err("too many endpoints")
+        if len(members) > MAX_MEMBERS:
+            return Err("too many members")
         if not isinstance(changes, bytes):
             return Err("changes are not bytes")
         return Ok(
--- a/src/pollenmast/entry/_site.py
+++ b/src/pollenmast/entry/_site.py
@@ -19,6 +19,9 @@
 """Maximum number of cached snapshots. VMs that ask at the same time are at one
 or two different revisions."""
 
+MAX_CACHED_BYTES = 4 << 20
+"""Maximum size of the cached snapshots in bytes; a single one may be larger."""
+
 MAX_DIGITS = 19
 """Maximum number of digits of a number in a query string."""
 
@@ -83,11 +86,17 @@
         if position != self._steering.position:
             position, bodies = self._steering.position, {}
             self._snapshot_cache = (position, bodies)
-        if len(bodies) >= MAX_CACHED_SNAPSHOTS:
+        if known in bodies:
+            return bodies[known]
+        body = snapshot.encode(self._steering, known)
+        cached = sum(map(len, bodies.values()))
+        if (
+            len(bodies) >= MAX_CACHED_SNAPSHOTS
+            or cached + len(body) > MAX_CACHED_BYTES
+        ):
             bodies.clear()
-        if known not in bodies:
-            bodies[known] = snapshot.encode(self._steering, known)
-        return bodies[known]
+        bodies[known] = body
+        return body
 
     def _metrics(self) -> ServerResponse:
         samples = gauges.read(self._steering, anyio.current_time())
--- a/src/pollenmast/steering/_catalog.py
+++ b/src/pollenmast/steering/_catalog.py
@@ -46,6 +46,15 @@
 written their entries again and the entries of the others have lapsed."""
 
 
+MAX_RECORDS = 12_288
+"""Maximum number of endpoints, at about 2.5 kB each; further ones are left out.
+Those that are gone make room first."""
+
+MAX_UNUSABLE = 2048
+"""Maximum number of endpoints of services that no configuration names. Once one
+names a further service, everything is read again if some were left out."""
+
+
 class Catalog:
     """Endpoint records, indexed by name, number and token."""
 
@@ -54,6 +63,10 @@
         self._owners = TokenOwners()
         self._services: set[str] = set()
         self._updates = 0
+        self._unusable = 0
+        self._left_out = 0
+        self._unusable_left_out = False
+        self._lacks_entries = False
         self._watchlist = Watchlist()
         self._lapsed: dict[str, Record] = {}
         self._drains = Drains()
@@ -97,6 +110,16 @@
         """Whether the endpoint's token resolves to this endpoint."""
         return self.by_token(record.endpoint.token) is record
 
+    @property
+    def left_out(self) -> int:
+        """How many announcements were left out because there are too many."""
+        return self._left_out
+
+    @property
+    def lacks_entries(self) -> bool:
+        """Whether entries that were left out are needed, so all are read."""
+        return self._lacks_entries
+
     @property
     def owners(self) -> TokenOwners:
         """The endpoints of each token."""
@@ -114,6 +137,8 @@
         """
         added = set(services) - self._services
         self._services |= added
+        if added and self._unusable_left_out:
+            self._lacks_entries = True
         for record in self._records.values() if added else ():
             if record.endpoint.service in added:
                 self._mark_usable(record)
@@ -166,6 +191,8 @@
         """
         self._updates += 1
         self._add_services(services)
+        if update.complete:
+            self._lacks_entries = self._unusable_left_out = False
         changed = []
         listed = set()
         first = not self._records
@@ -250,12 +277,10 @@
 
     def expire(self, now: float) -> None:
         """Removes endpoints that have been missing for `GONE_RETENTION_S`."""
-        for name, record in list(self._records.items()):
+        for record in list(self._records.values()):
             missing = self.is_missing(record)
             if missing and now - record.lapsed_at >= GONE_RETENTION_S:
-                del self._records[name]
-                self._lapsed.pop(name, None)
-                self._owners.remove(record)
+                self._drop(record)
         self._owners.expire(now)
 
     def _announce(
@@ -264,6 +289,9 @@
         endpoint = change.endpoint
         record = self._records.get(endpoint.name)
         if record is None:
+            if not self._has_room(endpoint):
+                self._left_out += 1
+                return []
             record = Record(endpoint, change.revision, now)
             record.health.set_on_schedule(
                 functools.partial(self._watchlist.add, record)
@@ -272,6 +300,7 @@
             if endpoint.service in self._services:
                 record.usable_since = self._updates
             self._records[endpoint.name] = record
+            self._unusable += not record.usable
             self._owners.add(record)
             return [record]
         if change.revision <= record.revision:
@@ -292,6 +321,28 @@
         self._mark_listed(record, endpoint, now)
         return [record]
 
+    def _has_room(self, endpoint: Endpoint) -> bool:
+        """Whether another endpoint may be added; makes room if it can."""
+        unusable = endpoint.service not in self._services
+        if unusable and self._unusable >= MAX_UNUSABLE:
+            self._unusable_left_out = True
+            return False
+        if len(self._records) < MAX_RECORDS:
+            return True
+        gone = [
+            r for r in self._records.values() if r.presence is Presence.GONE
+        ]
+        if not gone:
+            return False
+        self._drop(min(gone, key=lambda record: record.lapsed_at))
+        return True
+
+    def _drop(self, record: Record) -> None:
+        del self._records[record.name]
+        self._lapsed.pop(record.name, None)
+        self._unusable -= not record.usable
+        self._owners.remove(record)
+
     def _is_withheld(self, record: Record, endpoint: Endpoint) -> bool:
         """Whether to withhold an entry of a restored directory for now.
 
@@ -321,6 +372,7 @@
     def _mark_usable(self, record: Record) -> None:
         if not record.usable:
             record.usable_since = self._updates
+            self._unusable -= 1
             self._owners.sort(record)
 
     def _remove(self, name: str, revision: int, now: float) -> list[Record]:
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -285,7 +285,10 @@
             self._selector.connection_limit.set_limits(table.max_conns)
         self._mark_cold(zones, now)
         services = self.table.health_paths if self.table is not None else ()
+        left_out = self._catalog.left_out
         records = self._catalog.apply(update, services, now)
+        left_out = self._catalog.left_out - left_out
+        self._counters.add(c.ENTRIES_REFUSED, c.EntryFault.LIMIT, left_out)
         shadowed = [
             r
             for r in records
--- a/src/pollenmast/steering/_drains.py
+++ b/src/pollenmast/steering/_drains.py
@@ -10,7 +10,7 @@
 
 MAX_ZONES = 1024
 """The number of zones, drained or restored, beyond which the least recently
-changed restored zone is dropped."""
+changed restored zone is dropped. If all are drained, no other can be."""
 
 
 @attrs.frozen
@@ -104,16 +104,22 @@
         known = self._zones.get(change.zone)
         if known is not None and change.revision <= known.revision:
             return False
+        if known is None and not self._has_room():
+            return False
         # Moves the zone to the end: the dictionary is ordered by last change.
         self._zones.pop(change.zone, None)
         self._zones[change.zone] = _ZoneState(drained, change.revision)
-        self._drop_oldest_restored()
         return drained != (known is not None and known.drained)
 
-    def _drop_oldest_restored(self) -> None:
-        if len(self._zones) <= MAX_ZONES:
-            return
-        for zone, state in self._zones.items():
-            if not state.drained:
-                del self._zones[zone]
-                return
+    def _has_room(self) -> bool:
+        """Whether another zone may be added; makes room if it can."""
+        if len(self._zones) < MAX_ZONES:
+            return True
+        restored = next(
+            (zone for zone, state in self._zones.items() if not state.drained),
+            None,
+        )
+        if restored is None:
+            return False
+        del self._zones[restored]
+        return True
--- a/src/pollenmast/steering/_load.py
+++ b/src/pollenmast/steering/_load.py
@@ -43,6 +43,12 @@
 """Load of one late request, in requests per second. A single one, which any
 endpoint has now and then, moves few flows; several keep new flows away."""
 
+MAX_REPORTERS = 1024
+"""Maximum number of VMs of one zone whose reports are kept, at about 10 kB."""
+
+MAX_ZONES = 64
+"""Maximum number of other zones whose reports are kept."""
+
 Rates = dict[int, float]
 """Requests per second by endpoint number."""
 
@@ -84,13 +90,16 @@
 
     def on_peer_report(self, vm: str, rates: Rates, now: float) -> None:
         """Handles a report by a VM of the same zone of what it sends."""
-        self._on_report_received(now)
-        self._peer_reports[vm] = _Report(now, rates)
+        if _has_room(self._peer_reports, vm, MAX_REPORTERS, now):
+            self._on_report_received(now)
+            self._peer_reports[vm] = _Report(now, rates)
 
     def on_zone_report(
         self, zone: str, rates: Rates, vms: int, now: float
     ) -> None:
         """Handles a report by another zone's reader of what its VMs send."""
+        if not _has_room(self._zone_reports, zone, MAX_ZONES, now):
+            return
         self._on_report_received(now)
         report = _Report(now, rates, vms)
         if report.replaces(self._zone_reports.get(zone)):
@@ -217,6 +226,15 @@
     return rates
 
 
+def _has_room(
+    reports: dict[str, _Report], sender: str, most: int, now: float
+) -> bool:
+    """Whether a report may be kept; the names come from datagrams."""
+    if sender in reports or len(reports) < most:
+        return True
+    return len(_fresh_rates(reports, now)) < most
+
+
 def _fresh_rates(reports: dict[str, _Report], now: float) -> list[Rates]:
     for name, report in list(reports.items()):
         if now - report.at > REPORT_MAX_AGE_S:
--- a/src/pollenmast/steering/_members.py
+++ b/src/pollenmast/steering/_members.py
@@ -49,6 +49,10 @@
 """A VM that was neither heard from nor announced by others for this many
 seconds is considered lost and removed."""
 
+MAX_MEMBERS = 4096
+"""Maximum number of other VMs known, and of lost ones that are contacted. The
+addresses come from datagrams."""
+
 MAX_CONTACT_ATTEMPTS = 60
 """How many times a lost VM is contacted again, once every second or two. A
 zone may be partitioned for longer than its VMs are remembered; afterwards one
@@ -160,7 +164,9 @@
         if host == self._own_host:
             return
         self.on_announced(host, zone, now, link_mbps)
-        member = self._members[host]
+        member = self._members.get(host)
+        if member is None:
+            return
         if member.zone != zone or member.excluded_until > now:
             self._rankings.clear()
         member.zone = zone
@@ -176,6 +182,8 @@
             return
         member = self._members.get(host)
         if member is None:
+            if len(self._members) >= MAX_MEMBERS:
+                return
             rank = zlib.crc32(f"{zone}/{host}".encode())
             member = self._members[host] = _Member(zone, rank, now)
             self._contact_attempts.pop(host, None)
@@ -197,7 +205,8 @@
         for host, member in list(self._members.items()):
             if now - member.last_seen_at >= MEMBER_TIMEOUT_S:
                 del self._members[host]
-                self._contact_attempts[host] = 0
+                if len(self._contact_attempts) < MAX_MEMBERS:
+                    self._contact_attempts[host] = 0
                 self._rankings.clear()
                 continue
             queried_at = member.queried_at
--- a/src/pollenmast/steering/_model.py
+++ b/src/pollenmast/steering/_model.py
@@ -1,6 +1,7 @@
 """The steering core's data model: segments, endpoints and routes."""
 
 import math
+import sys
 import zlib
 from typing import Any
 
@@ -95,6 +96,11 @@
     datagram: bytes
 
 
+def _intern(value: Any) -> Any:
+    """Returns the one copy of a text that many endpoints have."""
+    return sys.intern(value) if type(value) is str else value
+
+
 def _named(_: Any, attribute: attrs.Attribute, value: Any) -> None:
     if not is_name(value):
         raise InvalidEndpointError(attribute.name)
@@ -153,8 +159,8 @@
     token: int = attrs.field(validator=_within(1, _MAX_TOKEN))
     host: str = attrs.field(validator=_address)
     port: int = attrs.field(validator=_within(1, _MAX_PORT))
-    service: str = attrs.field(validator=_named)
-    zone: str = attrs.field(validator=_named)
+    service: str = attrs.field(converter=_intern, validator=_named)
+    zone: str = attrs.field(converter=_intern, validator=_named)
     slots: int = attrs.field(default=2, validator=_within(1, MAX_SLOTS))
     draining: bool = attrs.field(default=False, validator=_flag)
     warmup_left_s: float = attrs.field(default=0.0, validator=_duration)
--- a/src/pollenmast/steering/_outliers.py
+++ b/src/pollenmast/steering/_outliers.py
@@ -19,6 +19,7 @@
 import attrs
 
 from pollenmast.steering._catalog import Catalog
+from pollenmast.steering._load import MAX_REPORTERS
 from pollenmast.steering._meter import Meter
 from pollenmast.steering._record import Presence, Record
 
@@ -102,6 +103,11 @@
 
     def on_peer_report(self, vm: str, failures: Failures, now: float) -> None:
         """Handles a report of failures by a VM of the same zone."""
+        if vm not in self._peer_reports:
+            if len(self._peer_reports) >= MAX_REPORTERS:
+                self._drop_outdated(now)
+            if len(self._peer_reports) >= MAX_REPORTERS:
+                return
         self._peer_reports[vm] = _Report(now, failures)
 
     def own_failures(self, now: float) -> Failures:
@@ -176,10 +182,13 @@
                 members.append(endpoint.number)
         return services
 
-    def _totals(self, now: float) -> Failures:
+    def _drop_outdated(self, now: float) -> None:
         for vm, report in list(self._peer_reports.items()):
             if now - report.at > REPORT_LIFE_S:
                 del self._peer_reports[vm]
+
+    def _totals(self, now: float) -> Failures:
+        self._drop_outdated(now)
         totals = self.own_failures(now)
         for report in self._peer_reports.values():
             for endpoint, count in report.failures.items():
--- a/tests/entry_report_test.py
+++ b/tests/entry_report_test.py
@@ -24,6 +24,9 @@
     CheckResult,
     Position,
 )
+from pollenmast.steering import _load as load
+from pollenmast.steering import _members as members
+from pollenmast.steering import _outliers as outliers
 from tests import steering_group as group
 
 REPORT = Report(
@@ -74,6 +77,28 @@
         self.assertLess(len(data), 2 * 1400)
         self.assertIn(999 << 30, reports.decode(data).ok_value.rates)
 
+    @parameterized.expand(
+        [
+            ("long_name", 2, "v" * 256),
+            ("empty_zone", 3, ""),
+            ("long_zone_of_members", 11, "z" * 256),
+            ("huge_revision", 5, (1 << 64) - 1),
+            ("many_rates", 8, dict.fromkeys(range(91), 8)),
+            ("many_dead", 9, list(range(91))),
+            ("many_members", 10, {f"10.0.0.{n}": 1 for n in range(13)}),
+            ("many_failures", 15, dict.fromkeys(range(91), 1)),
+        ]
+    )
+    def test_too_much(self, _, index, value):
+        """A report that holds more than any VM sends is rejected.
+
+        Kept for each of many senders, such reports would use up the memory.
+        """
+        fields = msgpack.unpackb(reports.encode(REPORT), strict_map_key=False)
+        self.assertTrue(reports.decode(msgpack.packb(fields)).is_ok())
+        fields[index] = value
+        self.assertTrue(reports.decode(msgpack.packb(fields)).is_err())
+
     @given(st.binary(max_size=200))
     @settings(max_examples=300, deadline=None, derandomize=True)
     def test_any_bytes(self, data):
@@ -147,6 +172,26 @@
         report = Report(**{**_values(REPORT), **fields})
         self.gossip.on_datagram(reports.encode(report), "127.0.0.2", now)
 
+    def test_many_senders(self):
+        """Reports under ever new names and addresses take limited memory."""
+        self.patch(members, "MAX_MEMBERS", 20)
+        self.patch(load, "MAX_REPORTERS", 20)
+        self.patch(load, "MAX_ZONES", 20)
+        self.patch(outliers, "MAX_REPORTERS", 20)
+        for number in range(50):
+            for kind in (Kind.ASK, Kind.ZONE):
+                zone = group.ZONE if kind is Kind.ASK else f"z{number}"
+                fields = {"kind": kind, "vm": f"v{number}", "zone": zone}
+                report = Report(**{**_values(REPORT), **fields})
+                self.gossip.on_datagram(
+                    reports.encode(report), f"127.1.0.{number}", 1.0
+                )
+        self.assertEqual(21, self.core.load.vms(1.0))
+        self.assertEqual(20, len(self.gossip._members.hosts))
+        # The names of the first ones are free again once they are silent.
+        self._receive(now=20.0, kind=Kind.ASK, vm="late", zone=group.ZONE)
+        self.assertEqual(2, self.core.load.vms(20.0))
+
     def test_dead_endpoint(self):
         """A VM checks an endpoint that another VM reported as dead.
 
--- /dev/null
+++ b/tests/steering_catalog_test.py
@@ -0,0 +1,111 @@
+"""Tests of steering._catalog: how many endpoints a VM keeps."""
+
+from unittest import mock
+
+import anyio
+from testtools import TestCase
+
+from pollenmast.counters import ENTRIES_REFUSED, Counters, EntryFault
+from pollenmast.steering import (
+    CheckResult,
+    EndpointAnnounced,
+    EndpointRemoved,
+    RoutesPublished,
+    Update,
+)
+from pollenmast.steering import _catalog as catalog
+from tests import steering_group as group
+from tests.platform_entries_test import CONFIGURATION, ENTRY
+from tests.store_group import StoreCase
+
+
+def _announce(core, numbers, revision: int, **fields) -> None:
+    changes = tuple(
+        EndpointAnnounced(group.endpoint(number, **fields), revision)
+        for number in numbers
+    )
+    core.apply(Update(changes, revision), 1.0)
+
+
+class LimitTest(TestCase):
+    """Entries under ever new names."""
+
+    def setUp(self):
+        """Creates a VM that keeps few endpoints."""
+        super().setUp()
+        for name, limit in (("MAX_RECORDS", 10), ("MAX_UNUSABLE", 4)):
+            patch = mock.patch.object(catalog, name, limit)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.counters = Counters()
+        self.core = group.steering(counters=self.counters)
+
+    def _refused(self) -> int:
+        return self.counters.value(ENTRIES_REFUSED, EntryFault.LIMIT)
+
+    def test_unnamed_service(self):
+        """Entries of a service that nobody names leave room for the others."""
+        _announce(self.core, range(100, 130), 11, service="junk")
+        _announce(self.core, range(1, 7), 12)
+        self.assertEqual(6, len(self.core.catalog.serving("registry")))
+        self.assertEqual(10, len(self.core.catalog.records))
+        self.assertEqual(26, self._refused())
+        self.assertFalse(self.core.catalog.lacks_entries)
+
+    def test_service_named_later(self):
+        """All entries are read again if some of a service in use are unknown.
+
+        They were left out before a configuration named it.
+        """
+        _announce(self.core, range(100, 106), 11, service="late")
+        published = RoutesPublished(group.table(2, "registry", "late"), 12)
+        self.core.apply(Update((published,), 12), 1.0)
+        self.assertTrue(self.core.catalog.lacks_entries)
+        late = [group.endpoint(n, service="late") for n in range(100, 106)]
+        self.core.apply(
+            group.listing(
+                *late, revision=13, routes=group.table(2, "registry", "late")
+            ),
+            2.0,
+        )
+        self.assertFalse(self.core.catalog.lacks_entries)
+        self.assertEqual(6, len(self.core.catalog.serving("late")))
+
+    def test_gone_first(self):
+        """Endpoints that are gone make room for new ones."""
+        _announce(self.core, range(1, 11), 11)
+        removed = EndpointRemoved(group.endpoint(1).name, 12)
+        self.core.apply(Update((removed,), 12), 2.0)
+        self.core.on_confirmed(9.0)
+        record = self.core.catalog.get(removed.name)
+        _announce(self.core, [11], 13)
+        self.assertEqual(1, self._refused())
+        self.core.on_check(record, CheckResult.REFUSED, 9.0)
+        _announce(self.core, [12], 14)
+        self.assertIsNone(self.core.catalog.get(removed.name))
+        self.assertIsNotNone(self.core.catalog.get(group.endpoint(12).name))
+        self.assertEqual(1, self._refused())
+
+
+class ReadAgainTest(StoreCase):
+    """A VM that left entries out before a configuration named their service."""
+
+    def test_read_again(self):
+        """A VM that leaves watching to others reads the store again."""
+        self.patch(catalog, "MAX_UNUSABLE", 4)
+        for number in range(1, 9):
+            self.store.put(f"servers/i-{number}", {**ENTRY, "service": "late"})
+        named = {"name": "late", "healthPath": "/health"}
+        services = [*CONFIGURATION["services"], named]
+
+        async def script(core, follower):
+            self.assertLess(len(core.catalog.serving("late")), 8)
+            self.store.put(
+                "op/config",
+                {**CONFIGURATION, "version": 8, "services": services},
+            )
+            await anyio.sleep(3.0)
+            self.assertEqual(8, len(core.catalog.serving("late")))
+            self.assertFalse(core.catalog.lacks_entries)
+
+        self.follow(script, on_change=lambda: None)
--- a/tests/steering_journal_test.py
+++ b/tests/steering_journal_test.py
@@ -1,13 +1,18 @@
 """Tests of steering._journal: the log of recent changes."""
 
+import attrs
+from parameterized import parameterized
 from testtools import TestCase
 
 from pollenmast.steering import (
     EndpointAnnounced,
+    Route,
     RoutesDelta,
+    RoutesPublished,
     Update,
+    WeightedService,
 )
-from pollenmast.steering._journal import MAX_CHANGES, ChangeLog
+from pollenmast.steering._journal import MAX_BYTES, MAX_CHANGES, ChangeLog
 from tests import steering_group as group
 
 
@@ -22,6 +27,19 @@
     return log
 
 
+def _routes(count: int, name: str = "r") -> tuple[Route, ...]:
+    split = (WeightedService("registry", 1),)
+    return tuple(
+        Route(name, group.VIP, port, split, True)
+        for port in range(1, count + 1)
+    )
+
+
+def _table(revision: int) -> RoutesPublished:
+    routes = {(each.host, each.port): each for each in _routes(400)}
+    return RoutesPublished(attrs.evolve(group.table(), routes=routes), revision)
+
+
 def _delta(revision: int, routes, removed=()) -> RoutesDelta:
     paths = {"registry": "/health"}
     return RoutesDelta(1, 2, routes, removed, paths, 15.0, {}, revision)
@@ -30,6 +48,36 @@
 class ChangeLogTest(TestCase):
     """What the log of changes keeps."""
 
+    @parameterized.expand(
+        [
+            ("many_routes", lambda r: _delta(r, _routes(400))),
+            ("long_names", lambda r: _delta(r, _routes(1, "x" * 200_000))),
+            (
+                "removed_routes",
+                lambda r: _delta(r, (), ((group.VIP, 1),) * 2000),
+            ),
+            ("whole_tables", _table),
+        ]
+    )
+    def test_bytes(self, _, change):
+        """Many large changes do not use up a VM's memory.
+
+        Bounded by number alone, 256 of them may take hundreds of MB.
+        """
+        last = 10 + MAX_CHANGES
+        log = _log(*(change(revision) for revision in range(11, last + 1)))
+        kept = log.since(last - 1)
+        self.assertEqual(1, len(kept))
+        self.assertIsNone(log.since(12))
+        self.assertLessEqual(log.size_bytes, MAX_BYTES)
+
+    def test_single_large_change(self):
+        """A change that is too large alone is not kept; peers get a listing."""
+        log = _log(_delta(11, _routes(1, "x" * (2 * MAX_BYTES))))
+        self.assertIsNone(log.since(10))
+        self.assertEqual((), log.since(11))
+        self.assertEqual(0, log.size_bytes)
+
     def test_out_of_order(self):
         """A peer behind gets a configuration that was read before its events.
 
