--- a/src/pollenmast/entry/_follow.py
+++ b/src/pollenmast/entry/_follow.py
@@ -48,13 +48,17 @@
 
 STALE_FRACTION = 0.55
 """Fraction of the time limit for applying a change after which a VM without a
-confirmation asks the directory itself. After a call and a timeout a quarter of
-the limit is left."""
+confirmation asks the directory itself."""
 
 STALE_JITTER = 0.15
 """Upper bound of the random addition to `STALE_FRACTION`. It makes one VM ask
 first and tell the others."""
 
+RETRY_RESERVE_S = 1.0
+"""What a watch leaves of the time limit for applying a change, in seconds: half
+a second until a connection is known to be silent, the delay before the retry,
+the answer to it, and some lag of the VM."""
+
 MAX_IDLE_S = 0.4
 """Longest interval, in seconds, at which a VM that does not watch the directory
 checks whether it should. It bounds how late a VM notices that it has become a
@@ -237,7 +241,7 @@
         if self._steering.catalog.lacks_entries:
             return await self._read_all()
         if not self._lagging:
-            answer = await self._directory.watch(position, WATCH_TIMEOUT_S)
+            answer = await self._directory.watch(position, self._watch_s())
             if answer != Err(DirectoryFault.TOO_LONG):
                 return answer
             self._lagging = True
@@ -246,6 +250,16 @@
             return answer
         return await self._read_all()
 
+    def _watch_s(self) -> float:
+        """Returns how long a watch may wait for a change, in seconds.
+
+        The older the state, the less: if the connection turns out to be silent,
+        the time limit still has to cover another request.
+        """
+        age_s = self._steering.age_s(anyio.current_time())
+        left_s = self._apply_s - age_s - RETRY_RESERVE_S
+        return min(max(left_s, 0.0), WATCH_TIMEOUT_S)
+
     def _update_lagging(self, update: Update) -> None:
         """Records whether configurations arrive faster than they are read."""
         known = self._steering.table.version if self._steering.table else 0
--- a/src/pollenmast/http1/_client.py
+++ b/src/pollenmast/http1/_client.py
@@ -1,6 +1,7 @@
 """A persistent HTTP/1.1 connection that sends GET requests to one server."""
 
 import enum
+import math
 from collections.abc import Callable
 
 import anyio
@@ -62,10 +63,28 @@
     probe costs about three times the CPU time of reusing one.
     """
 
-    def __init__(self, address: str, port: int, most: int = MAX_BODY_BYTES):
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        most: int = MAX_BODY_BYTES,
+        max_idle_s: float = math.inf,
+    ):
+        """Creates a connection that is opened by the first request.
+
+        Args:
+            address: The server's IP address.
+            port: The server's port.
+            most: Default limit of a response body in bytes.
+            max_idle_s: Seconds without a response after which a request opens a
+                new connection. An idle one may have stopped delivering data,
+                which only a timeout would show.
+        """
         self._address = address
         self._port = port
         self._max_body_bytes = most
+        self._max_idle_s = max_idle_s
+        self._responded_at = -math.inf
         self._stream: anyio.abc.SocketStream | None = None
         self._exchange = self._new_exchange()
         self._sent_bytes = 0
@@ -102,7 +121,10 @@
         if not isinstance(timeout, Timeouts):
             timeout = Timeouts(timeout, timeout, timeout)
         self._request_max_body_bytes, self._response_started = most, False
-        total_deadline = anyio.current_time() + timeout.total_s
+        now = anyio.current_time()
+        if now - self._responded_at > self._max_idle_s:
+            await self.aclose()
+        total_deadline = now + timeout.total_s
         with anyio.move_on_after(timeout.first_s) as scope:
 
             def extend_deadline() -> None:
@@ -170,6 +192,7 @@
         except BaseException:
             await self.aclose()
             raise
+        self._responded_at = anyio.current_time()
         await self._prepare_next_request()
         return Ok(response)
 
--- a/src/pollenmast/platform/_store.py
+++ b/src/pollenmast/platform/_store.py
@@ -30,6 +30,14 @@
 and longer when the link also carries clients' packets.
 """
 
+MAX_IDLE_S = 1.0
+"""Seconds after which an unused connection is not used again.
+
+It may have gone silent, and a VM that asks only when others have told it
+nothing has no time left to notice that. The watches of a reader follow each
+other faster, so it keeps its connection.
+"""
+
 WATCH_MARGIN_S = 0.5
 """Seconds past its requested wait that a watch may take to begin responding."""
 
@@ -93,8 +101,12 @@
     """
 
     def __init__(self, address: str, port: int, counters: Counters):
-        self._read_connection = http1.Connection(address, port, MAX_BODY_BYTES)
-        self._watch_connection = http1.Connection(address, port, MAX_BODY_BYTES)
+        self._read_connection = http1.Connection(
+            address, port, MAX_BODY_BYTES, MAX_IDLE_S
+        )
+        self._watch_connection = http1.Connection(
+            address, port, MAX_BODY_BYTES, MAX_IDLE_S
+        )
         self._counters = counters
 
     async def read(
--- a/tests/fleet_group.py
+++ b/tests/fleet_group.py
@@ -172,7 +172,9 @@
         test.addCleanup(vm.gossip.close)
         return vm
 
-    def _connect(self, host: str, port: int, most: int = 0):
+    def _connect(
+        self, host: str, port: int, most: int = 0, max_idle_s: float = 0.0
+    ):
         store, _, asker = host.partition(" ")
         if store == STORE:
             connection = store_group.Connection(self.store, self._link)
