A fault in the handling of one message stays in that message

Cause: an exception in the handling of a message leaves the program's task group.

Change: a barrier around the handling of each packet, report, answer, request and check, and of the periodic work: counted by place, logged with input and trace, and the VM goes on. Health paths are percent-encoded; a target that is not ASCII raised UnicodeEncodeError at the first check and is a fault of http1 now.

Parts run without a barrier in tests by default, so no test sees less than before.

--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -228,6 +228,37 @@
     INVALID = "invalid"
 
 
+class FaultPlace(str, enum.Enum):
+    """What was handled when a fault was contained."""
+
+    PACKET = "packet"
+    """A client's packet."""
+
+    HELD = "held"
+    """Held packets that were to be released."""
+
+    REPORT = "report"
+    """A datagram of another VM."""
+
+    SENDING = "sending"
+    """Reports or changes for other VMs."""
+
+    PEER = "peer"
+    """An answer or changes of another VM."""
+
+    DIRECTORY = "directory"
+    """An answer of the directory."""
+
+    REQUEST = "request"
+    """An HTTP request to this VM."""
+
+    CHECK = "check"
+    """A health check or a probe."""
+
+    MAINTENANCE = "maintenance"
+    """The periodic removal of old state."""
+
+
 class EntryFault(str, enum.Enum):
     """Why an entry or configuration, or a value in it, was refused."""
 
@@ -359,6 +390,12 @@
     "Entries of the directory, or told by a peer, that were refused.",
     _values(EntryFault),
 )
+FAULTS_CONTAINED = CounterDefinition(
+    "faults_contained",
+    "{fault}",
+    "Unexpected errors while a message was handled; the program went on.",
+    _values(FaultPlace),
+)
 TOKENS_SHARED = CounterDefinition(
     "tokens_shared",
     "{endpoint}",
@@ -391,6 +428,7 @@
     PLATFORM_CALLS,
     ENTRIES_REFUSED,
     TOKENS_SHARED,
+    FAULTS_CONTAINED,
     EJECTIONS,
     RESETS,
     PLACEMENTS,
--- a/src/pollenmast/entry/_boot.py
+++ b/src/pollenmast/entry/_boot.py
@@ -33,8 +33,13 @@
 import attrs
 from result import Err, Result
 
-from pollenmast.counters import Counters, Histograms
+from pollenmast.counters import Counters, FaultPlace, Histograms
 from pollenmast.entry._carrier import Forwarder
+from pollenmast.entry._faults import (
+    OPEN_BARRIER,
+    FaultBarrier,
+    LoggingBarrier,
+)
 from pollenmast.entry._ports import EntrySettings, PacketFormat
 from pollenmast.entry._update_log import UpdateLog
 from pollenmast.events import (
@@ -106,6 +111,7 @@
         rng: Its random number generator.
         steering: Its endpoints, routes and flows.
         forwarder: Forwards its packets.
+        faults: Contains faults in the handling of one message.
     """
 
     settings: EntrySettings
@@ -116,6 +122,7 @@
     rng: random.Random
     steering: Steering
     forwarder: Forwarder
+    faults: FaultBarrier = OPEN_BARRIER
 
 
 def build_components(
@@ -137,10 +144,19 @@
         settings.allowance,
         settings.admission,
     )
-    forwarder = Forwarder(sock, packets, steering, counters, log)
+    faults = LoggingBarrier(counters, log)
+    forwarder = Forwarder(sock, packets, steering, counters, log, faults)
     log.write(STARTED, zone=settings.zone, pid=os.getpid())
     return BootComponents(
-        settings, counters, histograms, stream, log, rng, steering, forwarder
+        settings,
+        counters,
+        histograms,
+        stream,
+        log,
+        rng,
+        steering,
+        forwarder,
+        faults,
     )
 
 
@@ -181,10 +197,11 @@
             wait_s: How long to wait for the response, in seconds.
         """
         if self._first_read is not None:
-            response = self._first_read.poll(wait_s)
+            response = self._poll(self._first_read, wait_s)
             if response is not None:
                 self.cancel_request()
-                self._apply_response(response)
+                with self._components.faults.guard(FaultPlace.DIRECTORY):
+                    self._apply_response(response)
         if self._components.steering.ready:
             self._components.forwarder.forward_queued(_now())
 
@@ -194,6 +211,17 @@
             self._first_read.close()
             self._first_read = None
 
+    def _poll(
+        self, first_read: InitialRead, wait_s: float
+    ) -> Result[Update, DirectoryFault] | None:
+        try:
+            return first_read.poll(wait_s)
+        except Exception as error:
+            place = FaultPlace.DIRECTORY
+            if not self._components.faults.contains(place, error):
+                raise
+            return Err(DirectoryFault.MALFORMED)
+
     def _load(self, name: str) -> None:
         """Loads a module; forwards packets between failed attempts."""
         deadline = _now() + LOAD_TIMEOUT_S
--- a/src/pollenmast/entry/_carrier.py
+++ b/src/pollenmast/entry/_carrier.py
@@ -9,7 +9,8 @@
 from result import Err
 
 from pollenmast import counters as c
-from pollenmast.counters import Counters, DropReason
+from pollenmast.counters import Counters, DropReason, FaultPlace
+from pollenmast.entry._faults import OPEN_BARRIER, FaultBarrier
 from pollenmast.entry._ports import Address, PacketFormat
 from pollenmast.events import (
     FLOW_PLACED,
@@ -44,6 +45,7 @@
         steering: Chooses the endpoint of each flow.
         counters: Counts dropped datagrams.
         log: The event log.
+        faults: Contains faults in the handling of one packet.
     """
 
     def __init__(
@@ -53,7 +55,9 @@
         steering: Steering,
         counters: Counters,
         log: EventLog,
+        faults: FaultBarrier = OPEN_BARRIER,
     ):
+        self._faults = faults
         self._sock = sock
         self._packets = packets
         self._steering = steering
@@ -94,9 +98,16 @@
                 # The error concerns a datagram sent earlier, to an address
                 # without a listener, and says nothing of this socket.
                 continue
-            self._on_datagram(datagram, now)
+            try:
+                self._on_datagram(datagram, now)
+            except Exception as error:
+                if not self._faults.contains(
+                    FaultPlace.PACKET, error, datagram
+                ):
+                    raise
         if self._steering.admission.held:
-            self._release_held(now)
+            with self._faults.guard(FaultPlace.HELD):
+                self._release_held(now)
 
     def next_release_at(self, now: float) -> float:
         """Returns when `forward_queued` has to be called at the latest.
--- a/src/pollenmast/entry/_checks.py
+++ b/src/pollenmast/entry/_checks.py
@@ -9,9 +9,11 @@
     PROBES,
     CheckReason,
     Counters,
+    FaultPlace,
     Histograms,
 )
 from pollenmast.entry._carrier import Forwarder
+from pollenmast.entry._faults import OPEN_BARRIER, FaultBarrier
 from pollenmast.entry._pause import PauseDetector
 from pollenmast.entry._ports import HealthProbe
 from pollenmast.events import (
@@ -65,6 +67,7 @@
         counters: Counts checks and their results.
         histograms: Records how long checks take.
         log: The event log.
+        faults: Contains faults in a check.
     """
 
     def __init__(
@@ -76,7 +79,9 @@
         counters: Counters,
         histograms: Histograms,
         log: EventLog,
+        faults: FaultBarrier = OPEN_BARRIER,
     ):
+        self._faults = faults
         self._probe = probe
         self._steering = steering
         self._forwarder = forwarder
@@ -128,6 +133,10 @@
             while record.health.due(anyio.current_time()):
                 if not await self._check_once(record):
                     return
+        except Exception as error:
+            if not self._faults.contains(FaultPlace.CHECK, error, name):
+                raise
+            record.health.postpone(anyio.current_time())
         finally:
             self._in_progress.discard(name)
             self._wake()
--- a/src/pollenmast/entry/_follow.py
+++ b/src/pollenmast/entry/_follow.py
@@ -18,7 +18,8 @@
 import anyio
 from result import Err, Result
 
-from pollenmast.counters import DIRECTORY_READ, Histograms
+from pollenmast.counters import DIRECTORY_READ, FaultPlace, Histograms
+from pollenmast.entry._faults import OPEN_BARRIER, FaultBarrier
 from pollenmast.entry._update_log import UpdateLog
 from pollenmast.events import (
     HISTORY_GONE,
@@ -97,6 +98,7 @@
         log: EventLog,
         apply_s: float,
         rng: random.Random,
+        faults: FaultBarrier = OPEN_BARRIER,
     ):
         """Initializes the follower.
 
@@ -107,7 +109,9 @@
             log: Receives a line for each change.
             apply_s: Time limit for applying a change, in seconds.
             rng: Spreads the requests of the VMs over time.
+            faults: Contains faults in the handling of an answer.
         """
+        self._faults = faults
         self._directory = directory
         self._steering = steering
         self._histograms = histograms
@@ -164,7 +168,7 @@
             self._lost_at = anyio.current_time()
         while True:
             with anyio.CancelScope() as self._scope:
-                await self._step()
+                await self._guarded_step()
 
     def apply(self, update: Update, source: str) -> None:
         """Applies and logs an update from the directory or a peer.
@@ -215,6 +219,15 @@
         fraction = STALE_FRACTION + STALE_JITTER * self._rng.random()
         self._stale_after_s = fraction * self._apply_s
 
+    async def _guarded_step(self) -> None:
+        """Takes an answer that causes a fault for no answer."""
+        try:
+            await self._step()
+        except Exception as error:
+            if not self._faults.contains(FaultPlace.DIRECTORY, error):
+                raise
+            await self._on_fault(DirectoryFault.MALFORMED)
+
     async def _step(self) -> None:
         if not self._should_ask():
             await anyio.sleep(self._idle_s())
--- a/src/pollenmast/entry/_gossip.py
+++ b/src/pollenmast/entry/_gossip.py
@@ -25,9 +25,15 @@
 import anyio
 from result import Err
 
-from pollenmast.counters import CONTROL_BYTES, ENVELOPE_FAULTS, Counters
+from pollenmast.counters import (
+    CONTROL_BYTES,
+    ENVELOPE_FAULTS,
+    Counters,
+    FaultPlace,
+)
 from pollenmast.entry import _report as reports
 from pollenmast.entry import _snapshot as snapshot
+from pollenmast.entry._faults import OPEN_BARRIER, FaultBarrier
 from pollenmast.entry._pause import PauseDetector
 from pollenmast.entry._peers import PeerReader
 from pollenmast.entry._ports import Address
@@ -95,6 +101,7 @@
         rng: Source of randomness for intervals and samples.
         link_mbps: Bandwidth of this VM's link in Mbit/s, 0 if unknown.
         pauses: Detects that this VM was suspended.
+        faults: Contains faults in the handling of one datagram.
     """
 
     def __init__(
@@ -109,7 +116,9 @@
         rng: random.Random,
         link_mbps: int = 0,
         pauses: PauseDetector | None = None,
+        faults: FaultBarrier = OPEN_BARRIER,
     ):
+        self._faults = faults
         self._pauses = pauses or PauseDetector()
         self._vm = vm
         self._zone = zone
@@ -194,7 +203,8 @@
     async def send(self) -> None:
         """Sends reports periodically until cancelled."""
         while True:
-            self.send_reports(anyio.current_time())
+            with self._faults.guard(FaultPlace.SENDING):
+                self.send_reports(anyio.current_time())
             await anyio.sleep(REPORT_INTERVAL_S * self._rng.uniform(0.9, 1.1))
 
     async def run_broadcasts(self) -> None:
@@ -202,7 +212,8 @@
         while True:
             await self._changes_pending.wait()
             self._changes_pending = anyio.Event()
-            self.broadcast_changes(anyio.current_time())
+            with self._faults.guard(FaultPlace.SENDING):
+                self.broadcast_changes(anyio.current_time())
             await anyio.sleep(MIN_CHANGES_INTERVAL_S)
 
     def discard_queued(self) -> None:
@@ -237,7 +248,8 @@
                     # The error concerns a datagram sent earlier, to a peer
                     # that no longer listens.
                     continue
-                self.on_datagram(datagram, sender[0], now)
+                with self._faults.guard(FaultPlace.REPORT, datagram):
+                    self.on_datagram(datagram, sender[0], now)
             await anyio.lowlevel.checkpoint()
 
     def send_reports(self, now: float) -> None:
--- a/src/pollenmast/entry/_peers.py
+++ b/src/pollenmast/entry/_peers.py
@@ -9,7 +9,9 @@
 from result import Err
 
 from pollenmast import http1
+from pollenmast.counters import FaultPlace
 from pollenmast.entry import _snapshot as snapshot
+from pollenmast.entry._faults import OPEN_BARRIER, FaultBarrier
 from pollenmast.entry._follow import Follower
 from pollenmast.entry._ports import Address
 from pollenmast.events import PEER_TOLD, EventLog
@@ -47,6 +49,7 @@
         log: The event log.
         identify: Returns the identity of the endpoint of a name, None if no
             endpoint can have it.
+        faults: Contains faults in the handling of an answer.
     """
 
     def __init__(
@@ -57,7 +60,9 @@
         follower: Follower,
         log: EventLog,
         identify: snapshot.Identify,
+        faults: FaultBarrier = OPEN_BARRIER,
     ):
+        self._faults = faults
         self._identify = identify
         self._seeds = [seed for seed in seeds if seed != own]
         self._port = own[1] if own is not None else 0
@@ -118,7 +123,9 @@
             await connection.aclose()
         if isinstance(answer, Err) or answer.ok_value.status != _OK:
             return
-        self.on_update(answer.ok_value.body, f"{seed[0]}:{seed[1]}")
+        body = answer.ok_value.body
+        with self._faults.guard(FaultPlace.PEER, body):
+            self.on_update(body, f"{seed[0]}:{seed[1]}")
 
     def on_update(self, body: bytes, source: str) -> None:
         """Applies an encoded update received from a peer.
--- a/src/pollenmast/entry/_program.py
+++ b/src/pollenmast/entry/_program.py
@@ -9,7 +9,7 @@
 from result import Err
 
 from pollenmast import http1
-from pollenmast.counters import EJECTIONS
+from pollenmast.counters import EJECTIONS, FaultPlace
 from pollenmast.entry._boot import Boot, BootComponents
 from pollenmast.entry._checks import HealthChecker
 from pollenmast.entry._follow import Follower
@@ -68,11 +68,13 @@
         self._rng = components.rng
         self._steering = components.steering
         self._forwarder = components.forwarder
+        self._faults = components.faults
         self._site = HttpHandler(
             components.settings.ready_path,
             components.steering,
             components.counters,
             components.histograms,
+            components.faults,
         )
         self._overload_log = OverloadLog(components.log)
         self._pauses = PauseDetector()
@@ -87,6 +89,7 @@
             self._counters,
             self._histograms,
             self._log,
+            self._faults,
         )
         self._zone_prober = ZoneProber(
             ports.probe,
@@ -94,6 +97,7 @@
             self._pauses,
             self._counters,
             self._log,
+            self._faults,
         )
         self._create_update_sources()
         self._pauses.notify(self._on_pause)
@@ -108,6 +112,7 @@
             self._log,
             settings.apply_s,
             self._rng,
+            self._faults,
         )
         self._peers = PeerReader(
             settings.seeds,
@@ -116,6 +121,7 @@
             self._follower,
             self._log,
             self._ports.packets.identify,
+            self._faults,
         )
         self._gossip = Gossip(
             settings.vm,
@@ -128,6 +134,7 @@
             self._rng,
             settings.link_mbps,
             self._pauses,
+            self._faults,
         )
         self._follower.divide_watching(
             self._gossip.is_reader, self._gossip.schedule_broadcast
@@ -238,12 +245,15 @@
     async def _run_maintenance(self) -> None:
         while True:
             await anyio.sleep(MAINTENANCE_INTERVAL_S)
-            now = anyio.current_time()
-            self._steering.tick(now)
-            self._overload_log.update(self._steering.admission.status(now), now)
-            self._follower.adopt_restored_state()
+            with self._faults.guard(FaultPlace.MAINTENANCE):
+                self._maintain(anyio.current_time())
             self._stream.flush()
 
+    def _maintain(self, now: float) -> None:
+        self._steering.tick(now)
+        self._overload_log.update(self._steering.admission.status(now), now)
+        self._follower.adopt_restored_state()
+
 
 def run(components: BootComponents, ports: Ports, boot: Boot) -> int:
     """Runs the program of a VM until it is stopped.
--- a/src/pollenmast/entry/_reach.py
+++ b/src/pollenmast/entry/_reach.py
@@ -2,7 +2,14 @@
 
 import anyio
 
-from pollenmast.counters import CHECKS, PROBES, CheckReason, Counters
+from pollenmast.counters import (
+    CHECKS,
+    PROBES,
+    CheckReason,
+    Counters,
+    FaultPlace,
+)
+from pollenmast.entry._faults import OPEN_BARRIER, FaultBarrier
 from pollenmast.entry._pause import PauseDetector
 from pollenmast.entry._ports import HealthProbe
 from pollenmast.events import ZONES_REACHED, ZONES_UNREACHED, EventLog
@@ -22,7 +29,9 @@
         pauses: PauseDetector,
         counters: Counters,
         log: EventLog,
+        faults: FaultBarrier = OPEN_BARRIER,
     ):
+        self._faults = faults
         self._probe = probe
         self._reach = reach
         self._pauses = pauses
@@ -32,7 +41,8 @@
     async def run(self) -> None:
         """Probes periodically until cancelled."""
         while True:
-            await self.probe_once()
+            with self._faults.guard(FaultPlace.CHECK):
+                await self.probe_once()
             await anyio.sleep(PROBE_INTERVAL_S)
 
     async def probe_once(self) -> None:
--- a/src/pollenmast/entry/_site.py
+++ b/src/pollenmast/entry/_site.py
@@ -5,11 +5,12 @@
 import anyio
 
 from pollenmast import http1
-from pollenmast.counters import Counters, Histograms
+from pollenmast.counters import Counters, FaultPlace, Histograms
 from pollenmast.entry import _gauges as gauges
 from pollenmast.entry import _metrics as metrics
 from pollenmast.entry import _peers as peers
 from pollenmast.entry import _snapshot as snapshot
+from pollenmast.entry._faults import OPEN_BARRIER, FaultBarrier
 from pollenmast.http1 import Request, ServerResponse
 from pollenmast.steering import START_POSITION, Position, Steering
 
@@ -27,6 +28,7 @@
 
 _NOT_FOUND = ServerResponse(404, b"not found\n")
 _NO_CONTENT = ServerResponse(204)
+_FAILED = ServerResponse(500, b"internal error\n")
 
 
 class HttpHandler:
@@ -38,7 +40,9 @@
         steering: Steering,
         counters: Counters,
         histograms: Histograms,
+        faults: FaultBarrier = OPEN_BARRIER,
     ):
+        self._faults = faults
         self._ready_path = ready_path
         self._steering = steering
         self._counters = counters
@@ -52,6 +56,11 @@
 
     async def answer(self, request: Request) -> http1.ServerResponse:
         """Returns the response to a request."""
+        with self._faults.guard(FaultPlace.REQUEST, request.target):
+            return self._respond(request)
+        return _FAILED
+
+    def _respond(self, request: Request) -> ServerResponse:
         if request.path == self._ready_path:
             return self._readiness()
         if request.path == peers.SNAPSHOT_PATH:
--- a/src/pollenmast/events/_catalogue.py
+++ b/src/pollenmast/events/_catalogue.py
@@ -298,6 +298,13 @@
     " is in force.",
     "Find out who wrote the entry.",
 )
+FAULT_CONTAINED = Event(
+    112,
+    "fault_contained",
+    "An unexpected error while a message was handled; the program went on.",
+    "Report it with the line, which has the input and the trace.",
+    burst=2,
+)
 TOKEN_SHARED = Event(
     430,
     "token_shared",
@@ -417,6 +424,7 @@
     ROUTES_IN_FORCE,
     ENTRY_REFUSED,
     TOKEN_SHARED,
+    FAULT_CONTAINED,
     HISTORY_GONE,
     DIRECTORY_RESTORED,
     PEER_TOLD,
--- a/src/pollenmast/exchange/_exchange.py
+++ b/src/pollenmast/exchange/_exchange.py
@@ -57,8 +57,13 @@
             most: Limit on the bytes of this response's body, or None for the
                 default. With a limit, a response whose `Content-Length`
                 exceeds it is rejected before its body is read.
+
+        Raises:
+            ProtocolError: The target has characters that none may have.
         """
         self._max_body_bytes = most
+        if not target.isascii():
+            raise h11.LocalProtocolError("target is not ASCII")
         request = h11.Request(
             method="GET", target=target, headers=[("Host", self._host)]
         )
--- a/src/pollenmast/http1/_server.py
+++ b/src/pollenmast/http1/_server.py
@@ -93,7 +93,12 @@
         try:
             async with stream:
                 await _ServerConnection(stream, handler).run()
-        except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+        except (
+            OSError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            h11.ProtocolError,
+        ):
             pass
         finally:
             limiter.release()
--- a/src/pollenmast/platform/_probe.py
+++ b/src/pollenmast/platform/_probe.py
@@ -1,5 +1,7 @@
 """Health checks of the platform's endpoints."""
 
+import urllib.parse
+
 from result import Err
 
 from pollenmast import http1
@@ -22,6 +24,7 @@
 queue is full.
 """
 
+_TARGET_CHARACTERS = "!#$%&'()*+,/:;=?@[]~"
 _ENDPOINT_ID_HEADER = "x-endpoint-id"
 _OK = 200
 
@@ -69,7 +72,9 @@
         if isinstance(opened, Err):
             refused = opened.err_value is HttpFault.REFUSED
             return CheckResult.REFUSED if refused else CheckResult.TIMEOUT
-        answer = await connection.get(path, ANSWER_TIMEOUT_S + extra_s)
+        # The configuration may spell any character, a request may not.
+        target = urllib.parse.quote(path, safe=_TARGET_CHARACTERS)
+        answer = await connection.get(target, ANSWER_TIMEOUT_S + extra_s)
         if isinstance(answer, Err):
             # The host accepted the connection, so it is alive but busy.
             return CheckResult.UNHEALTHY
