A VM that learns the configuration last waits for the order of shared tokens too

Change: it waits whenever it learns at once which endpoints are usable; while none of those with a token is, packets with it are dropped.

Test: steering_token_owners_test test_configuration_later, which failed before.

--- a/src/pollenmast/steering/_catalog.py
+++ b/src/pollenmast/steering/_catalog.py
@@ -190,12 +190,14 @@
             The records that the update changed.
         """
         self._updates += 1
+        # A VM that starts learns of endpoints, or which of them are usable, all
+        # at once, and not in their order.
+        first = not self._records or not self._services
         self._add_services(services)
         if update.complete:
             self._lacks_entries = self._unusable_left_out = False
         changed = []
         listed = set()
-        first = not self._records
         for change in update.changes:
             if isinstance(change, EndpointAnnounced):
                 listed.add(change.endpoint.name)
--- a/src/pollenmast/steering/_shared_index.py
+++ b/src/pollenmast/steering/_shared_index.py
@@ -22,6 +22,10 @@
         """The keys that more than one record has."""
         return list(self._shared)
 
+    def is_shared(self, key: int) -> bool:
+        """Whether more than one record has a key."""
+        return key in self._shared
+
     def first(self, key: int) -> Record | None:
         """Returns the record that a key resolves to, None if there is none."""
         records = self._records.get(key)
--- a/src/pollenmast/steering/_token_owners.py
+++ b/src/pollenmast/steering/_token_owners.py
@@ -41,7 +41,11 @@
         """
         if token in self._unsettled_until:
             return None
-        return self._by_token.first(token)
+        record = self._by_token.first(token)
+        if record is not None and not record.usable:
+            # Without a configuration nothing says which of them is in use.
+            return None if self._by_token.is_shared(token) else record
+        return record
 
     def add(self, record: Record) -> None:
         """Adds an endpoint."""
--- a/tests/steering_token_owners_test.py
+++ b/tests/steering_token_owners_test.py
@@ -1,5 +1,7 @@
 """Tests of steering._token_owners: endpoints that share a token."""
 
+import random
+
 import anyio
 import attrs
 from parameterized import parameterized
@@ -13,6 +15,7 @@
     EndpointAnnounced,
     EndpointRemoved,
     RoutesPublished,
+    Steering,
     Update,
 )
 from pollenmast.steering._catalog import GONE_RETENTION_S, LAPSE_GRACE_PERIOD_S
@@ -164,6 +167,25 @@
         core.catalog.owners.on_ages_told(late)
         self.assertEqual(OLD.name, _sent_to(core))
 
+    def test_configuration_later(self):
+        """Endpoints known before any configuration have no order either.
+
+        Packets that came meanwhile went to the entry that was created first.
+        """
+        core = Steering(group.ZONE, Counters(), random.Random(1))
+        changes = [
+            EndpointAnnounced(endpoint, 90, created)
+            for endpoint, created in ((NEW, 12), (OLD, 90))
+        ]
+        core.apply(Update(tuple(changes), 90, complete=True), 1.0)
+        self.assertIsNone(core.catalog.by_token(TOKEN))
+        published = RoutesPublished(group.table(), 91)
+        core.apply(Update((published,), 91), 1.1)
+        self.assertIsNone(core.catalog.by_token(TOKEN))
+        told = {OLD.name: 11, NEW.name: 12}
+        core.catalog.owners.on_ages_told(told)
+        self.assertEqual(OLD.name, _sent_to(core))
+
     def test_by_peer(self):
         """A VM that learns of the endpoints from a peer learns their order."""
         peer = _running(OLD, NEW)
