soak: a junk writer and idle connections that go silent

From seed 4001 on; with odd seeds junk beside planned changes alone, so that time bounds are checked. Two more checks for all seeds: no contained fault in a VM's log, and at most 60 MB of resident memory. The junk writer is a stand-in that the fuzz shares.

--- a/soak/_invariants.py
+++ b/soak/_invariants.py
@@ -43,6 +43,9 @@
 FREE_SLOTS_S = 2.0
 """How long slots may have been free when a SYN is refused, in seconds."""
 
+MAX_MEMORY_MB = 60.0
+"""Limit of a VM's resident memory, half of that of a small VM."""
+
 SHUT_OUT_S = 10.0
 """The time within which each client address must be served, in seconds."""
 
@@ -126,6 +129,8 @@
         _configuration,
         _resets,
         _exits,
+        _contained_faults,
+        _memory,
         _recovery,
         _urgent,
         _refusals,
@@ -267,6 +272,25 @@
     ]
 
 
+def _contained_faults(seen: Observations) -> list[str]:
+    """Checks that no message caused an unexpected error in a VM."""
+    return [
+        f"contained fault of {vm.host}: {line[:300]}"
+        for vm in seen.vms
+        for line in vm.contained_faults
+    ]
+
+
+def _memory(seen: Observations) -> list[str]:
+    """Checks that a VM's resident memory stays within `MAX_MEMORY_MB`."""
+    return [
+        f"memory of {vm.host}: {peak:.0f} MB"
+        for vm in seen.vms
+        for peak in vm.peaks_mb
+        if peak > MAX_MEMORY_MB
+    ]
+
+
 def _recovery(seen: Observations) -> list[str]:
     """Checks that requests are served again after the last fault."""
     last = [a for a in seen.callers.requests if a.at >= seen.recovery_deadline]
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -95,6 +95,11 @@
             if mode is Mode.RESET:
                 await connection.aclose()
 
+    def silence_open(self) -> None:
+        """Silences the open connections; new ones work."""
+        for connection in self._connections:
+            connection.mode = Mode.SILENT
+
     async def run(
         self,
         *,
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -40,11 +40,14 @@
     STORM = "configurations of many routes come in quick succession"
     RESTORE = "the store comes back from an older copy"
     SPIKE = "clients send several times the usual number of requests"
+    JUNK = "another writer writes junk entries"
+    IDLE = "open connections to the store go silent for good"
 
 
 FIRST_STORM_SEED = 1001
 FIRST_RESTORE_SEED = 2001
 FIRST_LOAD_SEED = 3001
+FIRST_JUNK_SEED = 4001
 MAX_PLANNED_KINDS = 2
 """The number of kinds beside spikes that an odd seed of the last range draws.
 
@@ -56,6 +59,8 @@
     Kind.STORM: FIRST_STORM_SEED,
     Kind.RESTORE: FIRST_RESTORE_SEED,
     Kind.SPIKE: FIRST_LOAD_SEED,
+    Kind.JUNK: FIRST_JUNK_SEED,
+    Kind.IDLE: FIRST_JUNK_SEED,
 }
 """The lowest seed that draws each of these kinds.
 
@@ -72,6 +77,7 @@
         Kind.LAPSE,
         Kind.LOSS,
         Kind.RESTORE,
+        Kind.IDLE,
     }
 )
 """Unplanned disturbances.
@@ -122,8 +128,10 @@
     # test their combinations.
     known = kinds_for_seed(seed)
     kinds = rng.sample(known, rng.randint(2, len(known)))
-    if seed >= FIRST_LOAD_SEED:
+    if has_load(seed):
         kinds = _kinds_with_spike(seed, kinds)
+    elif seed >= FIRST_JUNK_SEED:
+        kinds = _kinds_with_junk(seed, kinds)
     faults = []
     at = QUIET_START_S
     for _ in range(count):
@@ -158,6 +166,29 @@
     return [Kind.SPIKE, *kinds]
 
 
+def _kinds_with_junk(seed: int, kinds: list[Kind]) -> list[Kind]:
+    """Returns the kinds of a run with a junk writer.
+
+    Odd seeds play it beside planned changes only, since time bounds are not
+    checked beside an unplanned disturbance.
+    """
+    kinds = [kind for kind in kinds if kind not in (Kind.JUNK, Kind.IDLE)]
+    if seed % 2:
+        unchecked = UNPLANNED | ENDPOINT_FAULTS
+        return [Kind.JUNK, *(kind for kind in kinds if kind not in unchecked)]
+    return [Kind.JUNK, Kind.IDLE, *kinds]
+
+
+def has_load(seed: int) -> bool:
+    """Whether endpoints are limited in a run and clients overload them."""
+    return FIRST_LOAD_SEED <= seed < FIRST_JUNK_SEED
+
+
 def kinds_for_seed(seed: int) -> list[Kind]:
     """Returns the kinds of faults that a seed can draw."""
-    return [kind for kind in Kind if seed >= _FIRST_SEED_BY_KIND.get(kind, 0)]
+    return [
+        kind
+        for kind in Kind
+        if seed >= _FIRST_SEED_BY_KIND.get(kind, 0)
+        and (kind is not Kind.SPIKE or has_load(seed))
+    ]
--- a/soak/_vm.py
+++ b/soak/_vm.py
@@ -34,6 +34,7 @@
         module: The module to run, followed by its arguments.
         disturbed_at: When the process was last started, signalled or killed.
         exit_codes: The exit code of each orderly stop.
+        peaks_mb: The peak of resident memory at each orderly stop, in MB.
     """
 
     def __init__(self, host, zone, seeds, store, folder, module, apply_s):
@@ -42,6 +43,7 @@
         self.module = module
         self.disturbed_at = float("-inf")
         self.exit_codes: list[int] = []
+        self.peaks_mb: list[float] = []
         self._config_file = folder / f"{host}.conf"
         self._log = folder / f"{host}.log"
         self._process: subprocess.Popen | None = None
@@ -62,6 +64,12 @@
             f"platform.address={store[0]}:{store[1]}\n"
         )
 
+    @property
+    def contained_faults(self) -> list[str]:
+        """The log lines of faults that the program contained."""
+        lines = self._log.read_text(errors="replace").splitlines()
+        return [line for line in lines if '"fault_contained"' in line]
+
     @property
     def running(self) -> bool:
         """Whether the process runs."""
@@ -110,6 +118,8 @@
         it stops.
         """
         process = self._process
+        if self.running:
+            self.peaks_mb.append(_read_peak_mb(process.pid))
         self.signal(signal.SIGTERM)
         with anyio.move_on_after(GRACE_S):
             while process.poll() is None:
@@ -126,3 +136,16 @@
             self._killed = self._process
             self._process.kill()
             self._process.wait()
+
+
+def _read_peak_mb(pid: int) -> float:
+    """Returns the peak of a process's resident memory in MB, 0 if it ended."""
+    try:
+        lines = pathlib.Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return 0.0
+    return sum(
+        int(line.split()[1]) / 1024
+        for line in lines
+        if line.startswith("VmHWM:")
+    )
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -17,15 +17,16 @@
 from soak._proxy import Mode, Proxy
 from soak._schedule import (
     ENDPOINT_FAULTS,
-    FIRST_LOAD_SEED,
     FIRST_STORM_SEED,
     UNPLANNED,
     Fault,
     Kind,
+    has_load,
     schedule,
 )
 from soak._vm import DATAGRAM_PORT, Vm
 from standins import http
+from standins.junk import JunkWriter
 from standins.store import Fault as StoreFault
 from standins.store import Store
 
@@ -80,6 +81,20 @@
 """The number of additional routes in each configuration of a storm, and the
 seconds between two configurations."""
 
+JUNK_GAP_S = 0.05
+"""Seconds between two writes of junk."""
+
+JUNK_ENTRY = {
+    "service": SERVICES[0],
+    "zone": ZONES[0],
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmupLeftMs": 0,
+    "seqNo": 1,
+}
+"""A complete entry but for its address."""
+
 CLIENT_ADDRESSES = 4
 """The number of client addresses in runs with limited endpoints."""
 
@@ -103,8 +118,9 @@
     def __init__(self, plan: Plan, folder: pathlib.Path):
         net = f"127.{10 + os.getpid() % 200}"
         self._plan = plan
+        self._net = net
         self._rng = random.Random(plan.seed)
-        self._limited = plan.seed >= FIRST_LOAD_SEED
+        self._limited = has_load(plan.seed)
         self._store = Store()
         self._store_address = (f"{net}.2.1", STORE_PORT)
         self._endpoints = Endpoints(
@@ -435,6 +451,25 @@
             )
         await anyio.sleep(fault.for_s)
 
+    async def _write_junk(self, fault: Fault) -> None:
+        """Writes junk entries as fast as some heartbeats."""
+        entry = {**JUNK_ENTRY, "address": f"{self._net}.9.9:9"}
+        living = {e.name: int(e.name[2:], 16) for e in self._endpoints.up}
+        writer = JunkWriter(random.Random(fault.draw), entry, living)
+        until = anyio.current_time() + fault.for_s
+        while anyio.current_time() < until:
+            key, value = writer.draw()
+            if value is None:
+                self._store.delete(key)
+            else:
+                self._store.put(key, value)
+            await anyio.sleep(JUNK_GAP_S)
+
+    async def _silence_idle(self, fault: Fault) -> None:
+        """Silences the open connections of some VMs to the store."""
+        for vm in self._choose_vms(fault):
+            self._proxies[self._vms.index(vm)].silence_open()
+
     async def _storm(self, fault: Fault) -> None:
         until = anyio.current_time() + fault.for_s
         while anyio.current_time() < until:
@@ -462,6 +497,8 @@
     Kind.STORM: World._storm,
     Kind.RESTORE: World._restore,
     Kind.SPIKE: World._spike,
+    Kind.JUNK: World._write_junk,
+    Kind.IDLE: World._silence_idle,
 }
 
 
--- a/tests/entry_junk_fuzz_test.py
+++ b/tests/entry_junk_fuzz_test.py
@@ -28,6 +28,7 @@
 from pollenmast.steering import _shared_index as shared_index
 from pollenmast.steering import _token_owners as token_owners
 from pollenmast.steering._catalog import GONE_RETENTION_S
+from standins.junk import JunkWriter
 from tests import steering_group as group
 from tests.platform_entries_test import CONFIGURATION, ENTRY
 
@@ -37,101 +38,6 @@
 LIVING = {f"i-{number:010x}": number for number in range(0xA1, 0xA5)}
 MAX_TEXT_BYTES = 255
 _IDENTIFY = PlatformPackets(8172).identify
-_LONE = "\ud800"
-
-
-class _JunkWriter:
-    """Writes entries that name no endpoint, and a few that do."""
-
-    def __init__(self, rng: random.Random):
-        self._rng = rng
-        self.valid = set(LIVING)
-
-    def item(self, revision: int) -> dict:
-        """Returns the next item of the store."""
-        kinds = (
-            self._changed_field,
-            self._changed_key,
-            self._other_bytes,
-            self._long,
-            self._deletion,
-            self._operator_key,
-            self._same_digits,
-            self._other_service,
-        )
-        key, value = self._rng.choice(kinds)()
-        if value is None:
-            return {"key": key, "revision": revision, "deleted": True}
-        data = value if isinstance(value, bytes) else json.dumps(value).encode()
-        return {
-            "key": key,
-            "value": base64.b64encode(data).decode(),
-            "revision": revision,
-            "created": self._rng.choice((revision, 1, None, "x", True)),
-        }
-
-    def _id(self) -> str:
-        return f"i-{self._rng.randrange(1 << 32, 1 << 40):010x}"
-
-    def _changed_field(self):
-        entry = {**ENTRY, "service": "a"}
-        field = self._rng.choice([*ENTRY, "born"])
-        if field != "born" and self._rng.random() < 0.3:
-            del entry[field]
-        else:
-            invalid = (None, [], {}, True, -1, 1.5, "", _LONE, "x" * 300)
-            entry[field] = self._rng.choice(invalid)
-        return f"servers/{self._id()}", entry
-
-    def _changed_key(self):
-        names = ("", "i-", "i-0", "i-0000000000", "I-a1", "i-g", f"i-{_LONE}")
-        name = self._rng.choice((*names, "i-" + "f" * 17, "x" * 190, "ü-1"))
-        return f"servers/{name}", {**ENTRY, "service": "a"}
-
-    def _other_bytes(self):
-        values = (
-            b"\xff",
-            b"[" * 5000,
-            b"{}",
-            b"null",
-            b'"x"',
-            b"\xef\xbb\xbf{}",
-        )
-        ill_formed = json.dumps({**ENTRY, "service": "??"}).encode()
-        ill_formed = ill_formed.replace(b"??", b"\xed\xa0\x80")
-        return f"servers/{self._id()}", self._rng.choice((*values, ill_formed))
-
-    def _long(self):
-        field = self._rng.choice(("service", "zone", "version", "other"))
-        size = self._rng.choice((1 << 17, 1 << 20))
-        text = "\U0001f527" + "x" * size
-        entry = json.dumps({**ENTRY, field: text}, ensure_ascii=False)
-        return "servers/i-5ca1ab1e00", entry.encode()
-
-    def _deletion(self):
-        name = self._rng.choice(("i-7f", "", _LONE, "backup-00000000a1", "x"))
-        prefix = self._rng.choice(("servers/", "op/evacuate/", "op/"))
-        return prefix + name, None
-
-    def _operator_key(self):
-        zone = self._rng.choice(("z\x00", _LONE, "z" * 300, ""))
-        junk = ({}, [], b"\xff", {"version": _LONE})
-        key = self._rng.choice((f"op/evacuate/{zone}", "op/config"))
-        return key, self._rng.choice(junk)
-
-    def _same_digits(self):
-        """An endpoint as the page has it, with a living one's token."""
-        number = self._rng.choice(list(LIVING.values()))
-        name = f"{self._rng.choice(('h', 'z'))}-{number:x}"
-        self.valid.add(name)
-        return f"servers/{name}", {**ENTRY, "service": "a"}
-
-    def _other_service(self):
-        """An entry of a service that no configuration names."""
-        number = self._rng.choice(list(LIVING.values()))
-        name = self._rng.choice((f"backup-{number:010x}", self._id()))
-        self.valid.add(name)
-        return f"servers/{name}", {**ENTRY, "service": "backups"}
 
 
 class _Vm:
@@ -182,7 +88,9 @@
 
     def __init__(self, test: TestCase, seed: int):
         self._test = test
-        self._junk = _JunkWriter(random.Random(seed))
+        self._rng = random.Random(seed)
+        entry = {**ENTRY, "service": "a"}
+        self._junk = JunkWriter(self._rng, entry, LIVING)
         self._items: dict[str, dict] = {}
         self._revision = 10
         self._vms = [_Vm(), _Vm()]
@@ -193,8 +101,7 @@
         for name in LIVING:
             self._write(f"servers/{name}", {**ENTRY, "service": "a"})
         for step in range(STEPS):
-            self._revision += 1
-            self._take(self._junk.item(self._revision))
+            self._take_junk()
             if step == STEPS // 2:
                 self._start_vm()
             self._check()
@@ -211,20 +118,34 @@
         for vm in self._vms:
             self._test.assertEqual([], vm.core.catalog.records)
 
-    def _write(self, key: str, value: dict) -> None:
+    def _write(self, key: str, value: object, **fields) -> None:
         self._revision += 1
-        data = base64.b64encode(json.dumps(value).encode()).decode()
-        revision = self._revision
-        item = {"key": key, "value": data, "revision": revision}
-        self._take({**item, "created": revision})
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        item = {
+            "key": key,
+            "value": base64.b64encode(data).decode(),
+            "revision": self._revision,
+            "created": self._revision,
+        }
+        self._take({**item, **fields})
+
+    def _take_junk(self) -> None:
+        key, value = self._junk.draw()
+        if value is None:
+            self._revision += 1
+            self._take(
+                {"key": key, "revision": self._revision, "deleted": True}
+            )
+            return
+        created = self._rng.choice((self._revision, 1, None, "x", True))
+        self._write(key, value, created=created)
 
     def _take(self, item: dict) -> None:
         """Applies a change of the store; the reader tells the other VMs."""
         self._now += STEP_S
         if item.get("deleted"):
             self._items.pop(item["key"], None)
-        elif item["key"] != "op/config" or "op/config" not in self._items:
-            # The store accepts only valid configurations.
+        else:
             self._items[item["key"]] = item
         update = parse_items([item], item["revision"], complete=False)
         reader, *others = self._vms
@@ -252,7 +173,7 @@
                 self._test.assertNotIsInstance(sent, Drop)
                 self._test.assertEqual(name, sent.endpoint.name)
             names = {record.name for record in catalog.records}
-            self._test.assertLessEqual(names, self._junk.valid)
+            self._test.assertLessEqual(names, self._junk.valid | set(LIVING))
             for record in catalog.records:
                 for value in attrs.astuple(record.endpoint):
                     text = value if isinstance(value, str) else ""
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -4,6 +4,7 @@
 from testtools import TestCase
 
 from soak._schedule import (
+    FIRST_JUNK_SEED,
     FIRST_LOAD_SEED,
     FIRST_RESTORE_SEED,
     FIRST_STORM_SEED,
@@ -16,6 +17,8 @@
 from soak._world import Plan, run_plan
 from tests.soak_seeds import load_seeds
 
+_LATEST = {Kind.SPIKE, Kind.JUNK, Kind.IDLE}
+
 
 class ScheduleTest(TestCase):
     """The schedule of faults that is drawn from a seed."""
@@ -34,14 +37,11 @@
 
     @parameterized.expand(
         [
-            (
-                "first",
-                0,
-                {Kind.DRAIN_ZONE, Kind.STORM, Kind.RESTORE, Kind.SPIKE},
-            ),
-            ("later", FIRST_STORM_SEED, {Kind.RESTORE, Kind.SPIKE}),
-            ("restore", FIRST_RESTORE_SEED, {Kind.SPIKE}),
-            ("load", FIRST_LOAD_SEED, set()),
+            ("first", 0, {Kind.DRAIN_ZONE, Kind.STORM, Kind.RESTORE, *_LATEST}),
+            ("later", FIRST_STORM_SEED, {Kind.RESTORE, *_LATEST}),
+            ("restore", FIRST_RESTORE_SEED, _LATEST),
+            ("load", FIRST_LOAD_SEED, {Kind.JUNK, Kind.IDLE}),
+            ("junk", FIRST_JUNK_SEED, {Kind.SPIKE}),
         ]
     )
     def test_draws_every_kind(self, _, first, without):
