Bound names in peers' changes; search for room once an update

Names of removed endpoints and of zones that a peer tells went into the log of changes at any length. With as many endpoints as are kept, each further one of a listing searched all records for one that is gone; a test of 20,000 would take seconds by reading, so the search is made once an update at most. A starting VM no longer logs both endpoints of an unsettled token as shadowed.

Tests: entry_snapshot_test test_long_name (4 cases, failed before by reading).

--- a/src/pollenmast/entry/_snapshot.py
+++ b/src/pollenmast/entry/_snapshot.py
@@ -38,6 +38,7 @@
     WeightedService,
     ZoneDrained,
     ZoneRestored,
+    is_name,
 )
 
 Identify = Callable[[str], EndpointIdentity | None]
@@ -253,18 +254,24 @@
     if kind == _ANNOUNCED:
         return _unpack_announced(identify, refused, revision, value)
     if kind == _REMOVED:
-        return EndpointRemoved(str(value), revision)
+        return EndpointRemoved(_require_name(value), revision)
     if kind == _ROUTES:
         return RoutesPublished(_unpack_table(*value), revision)
     if kind == _ROUTES_CHANGED:
         return _unpack_routes_changed(*value, revision)
     if kind == _DRAINED:
-        return ZoneDrained(str(value), revision)
+        return ZoneDrained(_require_name(value), revision)
     if kind == _RESTORED:
-        return ZoneRestored(str(value), revision)
+        return ZoneRestored(_require_name(value), revision)
     raise ValueError(f"unknown kind of change: {kind!r}")
 
 
+def _require_name(value: Any) -> str:
+    if not is_name(value):
+        raise ValueError("a name is no text of its length")
+    return value
+
+
 def _unpack_announced(
     identify: Identify | None,
     refused: list[RefusedEntry],
--- a/src/pollenmast/steering/_catalog.py
+++ b/src/pollenmast/steering/_catalog.py
@@ -45,7 +45,6 @@
 before takes precedence over the copy, in seconds. By then live endpoints have
 written their entries again and the entries of the others have lapsed."""
 
-
 MAX_RECORDS = 12_288
 """Maximum number of endpoints, at about 2.5 kB each; further ones are left out.
 Those that are gone make room first."""
@@ -65,6 +64,7 @@
         self._updates = 0
         self._unusable = 0
         self._left_out = 0
+        self._full_at = 0
         self._unusable_left_out = False
         self._lacks_entries = False
         self._watchlist = Watchlist()
@@ -88,6 +88,21 @@
         """The endpoints whose health has to be evaluated."""
         return self._watchlist
 
+    @property
+    def left_out(self) -> int:
+        """How many announcements were left out because there are too many."""
+        return self._left_out
+
+    @property
+    def lacks_entries(self) -> bool:
+        """Whether entries that were left out are needed, so all are read."""
+        return self._lacks_entries
+
+    @property
+    def owners(self) -> TokenOwners:
+        """The endpoints of each token."""
+        return self._owners
+
     def get(self, name: str) -> Record | None:
         """Returns the record of the endpoint of this name, if known."""
         return self._records.get(name)
@@ -110,24 +125,14 @@
         """Whether the endpoint's token resolves to this endpoint."""
         return self.by_token(record.endpoint.token) is record
 
-    @property
-    def left_out(self) -> int:
-        """How many announcements were left out because there are too many."""
-        return self._left_out
-
-    @property
-    def lacks_entries(self) -> bool:
-        """Whether entries that were left out are needed, so all are read."""
-        return self._lacks_entries
+    def is_shadowed(self, record: Record) -> bool:
+        """Whether the last update made an endpoint usable, but without token.
 
-    @property
-    def owners(self) -> TokenOwners:
-        """The endpoints of each token."""
-        return self._owners
-
-    def became_usable(self, record: Record) -> bool:
-        """Whether the last update made an endpoint usable."""
-        return record.usable_since == self._updates
+        An older endpoint has its token.
+        """
+        if record.usable_since != self._updates:
+            return False
+        return self.by_token(record.endpoint.token) not in (None, record)
 
     def _add_services(self, services: Iterable[str]) -> None:
         """Makes the endpoints of the services of a configuration usable.
@@ -331,10 +336,14 @@
             return False
         if len(self._records) < MAX_RECORDS:
             return True
+        # Searched once an update at most, as a listing may have thousands more.
+        if self._full_at == self._updates:
+            return False
         gone = [
             r for r in self._records.values() if r.presence is Presence.GONE
         ]
         if not gone:
+            self._full_at = self._updates
             return False
         self._drop(min(gone, key=lambda record: record.lapsed_at))
         return True
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -289,12 +289,7 @@
         records = self._catalog.apply(update, services, now)
         left_out = self._catalog.left_out - left_out
         self._counters.add(c.ENTRIES_REFUSED, c.EntryFault.LIMIT, left_out)
-        shadowed = [
-            r
-            for r in records
-            if self._catalog.became_usable(r)
-            and not self._catalog.owns_token(r)
-        ]
+        shadowed = [r for r in records if self._catalog.is_shadowed(r)]
         self._counters.add(c.TOKENS_SHARED, amount=len(shadowed))
         lapsed = [r for r in records if r.presence is Presence.LAPSED]
         self._check_policy.on_lapsed(lapsed, now)
--- a/src/pollenmast/steering/_token_owners.py
+++ b/src/pollenmast/steering/_token_owners.py
@@ -42,10 +42,10 @@
         if token in self._unsettled_until:
             return None
         record = self._by_token.first(token)
-        if record is not None and not record.usable:
-            # Without a configuration nothing says which of them is in use.
-            return None if self._by_token.is_shared(token) else record
-        return record
+        if record is None or record.usable_since is not None:
+            return record
+        # Without a configuration nothing says which of several is in use.
+        return None if self._by_token.is_shared(token) else record
 
     def add(self, record: Record) -> None:
         """Adds an endpoint."""
--- a/tests/entry_snapshot_test.py
+++ b/tests/entry_snapshot_test.py
@@ -80,6 +80,20 @@
         )
         self.assertEqual(1, counters.value(ENTRIES_REFUSED, fault))
 
+    @parameterized.expand(
+        [
+            ("removed", 2, "x" * 256),
+            ("removed_number", 2, 1),
+            ("drained", 5, ""),
+            ("restored", 6, "z" * 256),
+        ]
+    )
+    def test_long_name(self, _, kind, name):
+        """A message with a name that is too long to keep is rejected."""
+        body = (snapshot.FORMAT, 0, 12, False, [(kind, 11, name)])
+        data = zlib.compress(msgpack.packb(body))
+        self.assertTrue(snapshot.decode(data).is_err())
+
     @parameterized.expand([("number", 7), ("token", 7), ("number", None)])
     def test_identity(self, field, value):
         """A peer's number or token does not redirect an endpoint's packets.
