Keep a living endpoint's address and service until a change of them lasts

Another writer overwrites the entry of a living endpoint: with another address the packets of its open flows go there, the check is refused and the flows are reset; with another service, requests of that service are placed on it. Both until the endpoint's next heartbeat.

Cause: an entry was used as soon as it was read, whatever it had said before.

Change: address and service of a known endpoint change once the entry has said so for 4 s, or at once if the endpoint is down or gone. Draining counts at once; peers are told the entry as the store has it.

--- a/src/pollenmast/steering/_catalog.py
+++ b/src/pollenmast/steering/_catalog.py
@@ -25,6 +25,7 @@
 )
 from pollenmast.steering._drains import Drains
 from pollenmast.steering._model import Endpoint, Warmup
+from pollenmast.steering._moves import hold_move, take_lasting_move
 from pollenmast.steering._position import EARLIER_EPOCH_REVISION
 from pollenmast.steering._record import Presence, Record
 from pollenmast.steering._token_owners import TokenOwners
@@ -283,11 +284,18 @@
         return list(self._lapsed.values())
 
     def expire(self, now: float) -> None:
-        """Removes endpoints that have been missing for `GONE_RETENTION_S`."""
+        """Removes endpoints that have been missing for `GONE_RETENTION_S`.
+
+        Uses entries with another address or service that have lasted.
+        """
         for record in list(self._records.values()):
             missing = self.is_missing(record)
             if missing and now - record.lapsed_at >= GONE_RETENTION_S:
                 self._drop(record)
+                continue
+            moved = take_lasting_move(record, now)
+            if moved is not None:
+                self._mark_listed(record, moved, now)
         self._owners.expire(now)
 
     def _announce(
@@ -320,6 +328,7 @@
             )
             record.listed = endpoint
             return []
+        endpoint = hold_move(record, endpoint, now)
         unchanged = record.endpoint == endpoint
         returned = record.presence is not Presence.LISTED
         if unchanged and not returned:
@@ -393,7 +402,7 @@
         if revision < record.revision:
             return []
         record.revision = revision
-        record.listed = None
+        record.listed = record.moved = None
         if record.presence is not Presence.LISTED:
             return []
         record.presence = Presence.LAPSED
--- a/src/pollenmast/steering/_record.py
+++ b/src/pollenmast/steering/_record.py
@@ -43,6 +43,9 @@
         created: The directory's revision at which its entry was created.
         usable_since: The number of this VM's update since which it is known and
             its service named by a configuration, or None.
+        moved: Its entry as last announced, if that has another address or
+            service and has not lasted yet; otherwise None.
+        moved_at: When `moved` was announced.
         listed: Its entry in a restored directory while the state known before
             the restore takes precedence; otherwise None.
         health: Its health as seen by this VM.
@@ -56,6 +59,8 @@
     cold_until: float = float("-inf")
     created: int = 0
     usable_since: int | None = None
+    moved: Endpoint | None = None
+    moved_at: float = float("-inf")
     listed: Endpoint | None = None
     health: Health = attrs.field(factory=Health)
 
@@ -74,6 +79,8 @@
         """The endpoint as the directory lists it now, None if it does not."""
         if self.listed is not None:
             return self.listed
+        if self.moved is not None:
+            return self.moved
         return self.endpoint if self.presence is Presence.LISTED else None
 
     def is_cold(self, now: float) -> bool:
--- a/standins/junk.py
+++ b/standins/junk.py
@@ -31,6 +31,8 @@
         rng: random.Random,
         entry: Mapping[str, object],
         living: Mapping[str, int],
+        *,
+        overwrites: bool = False,
     ):
         """Creates a writer.
 
@@ -39,7 +41,10 @@
             entry: A complete entry of a service in use, at an address where
                 nobody listens.
             living: The numbers of living endpoints by name.
+            overwrites: Whether it writes entries of living endpoints, too,
+                which then have to write their own again.
         """
+        self._overwrites = overwrites
         self._rng = rng
         self._entry = dict(entry)
         self._living = living
@@ -56,6 +61,7 @@
             self._drained_zone,
             self._same_number,
             self._other_service,
+            *((self._overwritten,) if self._overwrites else ()),
         )
         return self._rng.choice(kinds)()
 
@@ -109,3 +115,10 @@
         name = self._rng.choice((f"backup-{number:010x}", self._id()))
         self.valid.add(name)
         return f"servers/{name}", {**self._entry, "service": "backups"}
+
+    def _overwritten(self) -> Write:
+        """Returns the entry of a living endpoint with another one's fields."""
+        name = self._rng.choice(list(self._living))
+        if self._rng.random() < 0.5:
+            return f"servers/{name}", self._rng.choice(_VALUES)
+        return f"servers/{name}", self._entry
--- a/tests/entry_junk_fuzz_test.py
+++ b/tests/entry_junk_fuzz_test.py
@@ -24,6 +24,7 @@
 from pollenmast.platform._items import parse_items
 from pollenmast.platform._packet import PlatformPackets
 from pollenmast.steering import Drop, EndpointIdentity, Steering, _model
+from pollenmast.steering import _catalog as catalog
 from pollenmast.steering import _journal as journal
 from pollenmast.steering import _shared_index as shared_index
 from pollenmast.steering import _token_owners as token_owners
@@ -35,6 +36,7 @@
 SEEDS = range(1, 13)
 STEPS = 60
 STEP_S = 0.5
+HOST = ENTRY["address"].partition(":")[0]
 LIVING = {f"i-{number:010x}": number for number in range(0xA1, 0xA5)}
 MAX_TEXT_BYTES = 255
 _IDENTIFY = PlatformPackets(8172).identify
@@ -89,8 +91,12 @@
     def __init__(self, test: TestCase, seed: int):
         self._test = test
         self._rng = random.Random(seed)
-        entry = {**ENTRY, "service": "a"}
-        self._junk = JunkWriter(self._rng, entry, LIVING)
+        self._junk = JunkWriter(
+            self._rng,
+            {**ENTRY, "service": "b", "address": "10.128.0.77:9"},
+            LIVING,
+            overwrites=True,
+        )
         self._items: dict[str, dict] = {}
         self._revision = 10
         self._vms = [_Vm(), _Vm()]
@@ -139,6 +145,11 @@
             return
         created = self._rng.choice((self._revision, 1, None, "x", True))
         self._write(key, value, created=created)
+        self._check()
+        name = key.removeprefix("servers/")
+        if name in LIVING:
+            # Its next heartbeat.
+            self._write(key, {**ENTRY, "service": "a"})
 
     def _take(self, item: dict) -> None:
         """Applies a change of the store; the reader tells the other VMs."""
@@ -165,16 +176,18 @@
 
     def _check(self) -> None:
         for vm in self._vms:
-            catalog = vm.core.catalog
+            known = vm.core.catalog
             for name, number in LIVING.items():
                 sent = vm.core.on_segment(
                     group.segment(group.flow(number), number), self._now
                 )
                 self._test.assertNotIsInstance(sent, Drop)
                 self._test.assertEqual(name, sent.endpoint.name)
-            names = {record.name for record in catalog.records}
+                self._test.assertEqual(HOST, sent.endpoint.host)
+                self._test.assertEqual("a", sent.endpoint.service)
+            names = {record.name for record in known.records}
             self._test.assertLessEqual(names, self._junk.valid | set(LIVING))
-            for record in catalog.records:
+            for record in known.records:
                 for value in attrs.astuple(record.endpoint):
                     text = value if isinstance(value, str) else ""
                     size = len(text.encode())
@@ -226,6 +239,7 @@
         (token_owners, "SETTLE_S", 0.0),
         (shared_index, "_precedence", lambda r: (not r.usable, r.created)),
     ),
+    "overwritten": ((catalog, "hold_move", lambda _, endpoint, __: endpoint),),
     "review_6_bytes": (
         (_entries, "MAX_ENTRY_BYTES", 1 << 30),
         (_items, "_MAX_ENTRY_BASE64", 1 << 30),
--- a/tests/steering_catalog_test.py
+++ b/tests/steering_catalog_test.py
@@ -3,9 +3,12 @@
 from unittest import mock
 
 import anyio
+import attrs
+from parameterized import parameterized
 from testtools import TestCase
 
 from pollenmast.counters import ENTRIES_REFUSED, Counters, EntryFault
+from pollenmast.entry import _snapshot as snapshot
 from pollenmast.steering import (
     CheckResult,
     EndpointAnnounced,
@@ -14,10 +17,13 @@
     Update,
 )
 from pollenmast.steering import _catalog as catalog
+from pollenmast.steering._moves import MOVE_SETTLE_S
 from tests import steering_group as group
 from tests.platform_entries_test import CONFIGURATION, ENTRY
 from tests.store_group import StoreCase
 
+KNOWN = group.endpoint(1)
+
 
 def _announce(core, numbers, revision: int, **fields) -> None:
     changes = tuple(
@@ -87,6 +93,74 @@
         self.assertEqual(1, self._refused())
 
 
+class MovedTest(TestCase):
+    """A living endpoint's entry with another address or service."""
+
+    def setUp(self):
+        """Creates a VM with an endpoint, whose entry then changes."""
+        super().setUp()
+        routes = group.table(1, "registry", "other")
+        self.core = group.steering(KNOWN, routes=routes)
+
+    def _announce(self, revision: int, now: float, **fields) -> None:
+        change = EndpointAnnounced(attrs.evolve(KNOWN, **fields), revision)
+        self.core.apply(Update((change,), revision), now)
+
+    def _used(self, now: float):
+        self.core.tick(now)
+        return self.core.on_segment(
+            group.segment(group.flow(), KNOWN.token), now
+        ).endpoint
+
+    @parameterized.expand(
+        [
+            ("address", {"host": "10.1.64.99"}),
+            ("port", {"port": 9}),
+            ("service", {"service": "other"}),
+        ]
+    )
+    def test_overwritten(self, _, fields):
+        """An entry that another writer overwrites moves no open flow.
+
+        Packets would go to an address where nobody holds the flow, or requests
+        of another service to the endpoint, until its next heartbeat.
+        """
+        for revision in range(11, 31, 2):
+            at = float(revision)
+            self._announce(revision, at, **fields)
+            self.assertEqual(KNOWN, self._used(at + 1.0))
+            self.assertEqual([], self.core.catalog.serving("other"))
+            self._announce(revision + 1, at + 1.2)
+        self.assertEqual(KNOWN, self._used(40.0))
+
+    def test_lasting(self):
+        """An endpoint that started again elsewhere is used there."""
+        moved = attrs.evolve(KNOWN, host="10.1.64.99", draining=True)
+        self._announce(11, 1.0, host=moved.host, draining=True)
+        self.assertTrue(self._used(2.0).draining)
+        self.assertEqual(KNOWN.host, self._used(2.0).host)
+        self.assertEqual(moved, self._used(1.0 + MOVE_SETTLE_S))
+
+    def test_down(self):
+        """The new address of an endpoint that is down is used at once."""
+        self._announce(11, 1.0, host="10.1.64.99")
+        record = self.core.catalog.get(KNOWN.name)
+        self.core.on_check(record, CheckResult.REFUSED, 1.5)
+        self.core.tick(1.6)
+        self.assertEqual("10.1.64.99", record.endpoint.host)
+
+    def test_told(self):
+        """A VM that starts is told the entry as the directory has it."""
+        self._announce(11, 1.0, host="10.1.64.99")
+        told = snapshot.decode(snapshot.encode(self.core)).ok_value
+        hosts = [
+            change.endpoint.host
+            for change in told.changes
+            if isinstance(change, EndpointAnnounced)
+        ]
+        self.assertEqual(["10.1.64.99"], hosts)
+
+
 class ReadAgainTest(StoreCase):
     """A VM that left entries out before a configuration named their service."""
 
