An entry that was written again does not make its endpoint the newer one

Cause: with nobody left to tell the order, a VM compares when the entries were created, and the older endpoint's is the newer entry.

Change: a VM that starts orders such endpoints by when they say that they started (`born`), if all of them say so, else by their entries as before. What running VMs tell goes first. Peers tell the starts behind the compressed body, from where older builds take only the ages; what an older build tells leaves a known start as it is.

Test: steering_token_owners_test, test_listed "written_again"; without the order by start it fails with the newer endpoint as the owner.

--- a/src/pollenmast/entry/_snapshot.py
+++ b/src/pollenmast/entry/_snapshot.py
@@ -8,7 +8,7 @@
 """
 
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import attrs
@@ -51,9 +51,12 @@
 """Maximum size of a decompressed body: four times what 11,000 endpoints and
 2,500 routes take, and little compared with the memory of a VM."""
 
-MAX_AGES_BYTES = 64 << 10
-"""Maximum size of the ages that follow a body. Even of 11,000 endpoints hardly
-two share a token."""
+MAX_EXTRA_BYTES = 256 << 10
+"""Maximum size of what follows a body: the starts of 11,000 endpoints take up
+to 99 kB, and hardly two of them share a token."""
+
+_STARTS = ""
+"""Key of the endpoints' starts among the ages; no endpoint has this name."""
 
 _COMPRESSION_LEVEL = 1
 """Compression level of zlib. Compressing 47 kB takes 0.4 ms at this level; a
@@ -80,9 +83,16 @@
     epoch, revision = attrs.astuple(steering.position)
     body = (FORMAT, epoch, revision, complete, [_pack(c) for c in changes])
     data = zlib.compress(msgpack.packb(body), _COMPRESSION_LEVEL)
-    # Older builds ignore what follows the compressed body.
-    ages = steering.catalog.owners.ages()
-    return data + msgpack.packb(ages) if ages else data
+    # Older builds take only the ages from what follows the compressed body.
+    extra: dict[str, Any] = dict(steering.catalog.owners.ages())
+    starts = [
+        change.endpoint.started_ms
+        for change in changes
+        if isinstance(change, EndpointAnnounced)
+    ]
+    if any(start is not None for start in starts):
+        extra[_STARTS] = starts
+    return data + msgpack.packb(extra) if extra else data
 
 
 def encode_ages(steering: Steering) -> bytes:
@@ -131,16 +141,24 @@
             return Err(
                 f"unsupported format or invalid position: format {version!r}"
             )
-        refused: list[RefusedEntry] = []
-        unpacked = [_unpack(identify, refused, *each) for each in changes]
+        extra = _unpack_extra(inflater.unused_data)
+        starts = extra.pop(_STARTS, None)
+        unpacker = _Unpacker(
+            identify, iter(starts if isinstance(starts, list) else ())
+        )
+        unpacked = [unpacker.unpack(*each) for each in changes]
         return Ok(
             Update(
                 tuple(change for change in unpacked if change is not None),
                 revision,
                 complete is True,
-                tuple(refused),
+                tuple(unpacker.refused),
                 epoch=epoch,
-                ages=_unpack_ages(inflater.unused_data),
+                ages={
+                    name: age
+                    for name, age in extra.items()
+                    if isinstance(name, str) and isinstance(age, int)
+                },
             )
         )
     except (
@@ -153,21 +171,15 @@
         return Err(f"{type(error).__name__}: {error}"[:120])
 
 
-def _unpack_ages(data: bytes) -> dict[str, int]:
-    """Returns the ages that follow a body, none if they are malformed."""
-    if not data or len(data) > MAX_AGES_BYTES:
+def _unpack_extra(data: bytes) -> dict[Any, Any]:
+    """Returns what follows a body, nothing if it is malformed."""
+    if not data or len(data) > MAX_EXTRA_BYTES:
         return {}
     try:
-        ages = msgpack.unpackb(data)
+        extra = msgpack.unpackb(data)
     except (ValueError, msgpack.UnpackException):
         return {}
-    if not isinstance(ages, dict):
-        return {}
-    return {
-        name: age
-        for name, age in ages.items()
-        if isinstance(name, str) and isinstance(age, int)
-    }
+    return extra if isinstance(extra, dict) else {}
 
 
 def _are_non_negative_ints(*values: Any) -> bool:
@@ -191,7 +203,8 @@
 
 def _pack(change: Change) -> tuple[Any, ...]:
     if isinstance(change, EndpointAnnounced):
-        fields = attrs.astuple(change.endpoint)
+        # The fields that the previous build decodes; `encode` adds the start.
+        *fields, _ = attrs.astuple(change.endpoint)
         return _ANNOUNCED, change.revision, fields
     if isinstance(change, EndpointRemoved):
         return _REMOVED, change.revision, change.name
@@ -233,37 +246,67 @@
     return route.name, route.host, route.port, splits, route.idempotent
 
 
-def _unpack(
-    identify: Identify | None,
-    refused: list[RefusedEntry],
-    kind: int,
-    revision: int,
-    value: Any,
-) -> Change | None:
-    """Returns a change, None if it is refused.
+@attrs.define
+class _Unpacker:
+    """Unpacks the changes of one update.
 
-    Args:
+    Attributes:
         identify: See `decode`.
-        refused: Gets the endpoints that are refused.
-        kind: The kind of change.
-        revision: The directory's revision of the change.
-        value: The packed rest.
+        starts: When the endpoints announced in the update started, in their
+            order.
+        refused: The endpoints that were refused so far.
     """
-    if not isinstance(revision, int):
-        raise ValueError("revision is not an integer")
-    if kind == _ANNOUNCED:
-        return _unpack_announced(identify, refused, revision, value)
-    if kind == _REMOVED:
-        return EndpointRemoved(_require_name(value), revision)
-    if kind == _ROUTES:
-        return RoutesPublished(_unpack_table(*value), revision)
-    if kind == _ROUTES_CHANGED:
-        return _unpack_routes_changed(*value, revision)
-    if kind == _DRAINED:
-        return ZoneDrained(_require_name(value), revision)
-    if kind == _RESTORED:
-        return ZoneRestored(_require_name(value), revision)
-    raise ValueError(f"unknown kind of change: {kind!r}")
+
+    identify: Identify | None
+    starts: Iterator[Any]
+    refused: list[RefusedEntry] = attrs.field(factory=list)
+
+    def unpack(self, kind: int, revision: int, value: Any) -> Change | None:
+        """Returns a change, None if it is refused.
+
+        Args:
+            kind: The kind of change.
+            revision: The directory's revision of the change.
+            value: The packed rest.
+        """
+        if not isinstance(revision, int):
+            raise ValueError("revision is not an integer")
+        if kind == _ANNOUNCED:
+            return self._unpack_announced(revision, value)
+        if kind == _REMOVED:
+            return EndpointRemoved(_require_name(value), revision)
+        if kind == _ROUTES:
+            return RoutesPublished(_unpack_table(*value), revision)
+        if kind == _ROUTES_CHANGED:
+            return _unpack_routes_changed(*value, revision)
+        if kind == _DRAINED:
+            return ZoneDrained(_require_name(value), revision)
+        if kind == _RESTORED:
+            return ZoneRestored(_require_name(value), revision)
+        raise ValueError(f"unknown kind of change: {kind!r}")
+
+    def _unpack_announced(
+        self, revision: int, value: Any
+    ) -> EndpointAnnounced | None:
+        name, number, token, *rest = value
+        started_ms = next(self.starts, None)
+        if self.identify is not None and isinstance(name, str):
+            identity = self.identify(name)
+            if identity is None:
+                self._refuse(EntryFault.ID, f"{name}: id")
+                return None
+            number, token = identity.number, identity.token
+        try:
+            endpoint = Endpoint(
+                name, number, token, *rest, started_ms=started_ms
+            )
+        except InvalidEndpointError as error:
+            self._refuse(EntryFault.FIELD, f"{name}: {error}")
+            return None
+        return EndpointAnnounced(endpoint, revision)
+
+    def _refuse(self, fault: EntryFault, description: str) -> None:
+        self.refused.append(RefusedEntry(fault, description))
 
 
 def _require_name(value: Any) -> str:
@@ -272,27 +315,6 @@
     return value
 
 
-def _unpack_announced(
-    identify: Identify | None,
-    refused: list[RefusedEntry],
-    revision: int,
-    value: Any,
-) -> EndpointAnnounced | None:
-    name, number, token, *rest = value
-    if identify is not None and isinstance(name, str):
-        identity = identify(name)
-        if identity is None:
-            refused.append(RefusedEntry(EntryFault.ID, f"{name}: id"))
-            return None
-        number, token = identity.number, identity.token
-    try:
-        endpoint = Endpoint(name, number, token, *rest)
-    except InvalidEndpointError as error:
-        refused.append(RefusedEntry(EntryFault.FIELD, f"{name}: {error}"))
-        return None
-    return EndpointAnnounced(endpoint, revision)
-
-
 def _unpack_routes_changed(
     base: int,
     version: int,
--- a/src/pollenmast/platform/_entries.py
+++ b/src/pollenmast/platform/_entries.py
@@ -12,7 +12,12 @@
     refuse,
 )
 from pollenmast.platform._identity import identify
-from pollenmast.steering import Endpoint, RefusedEntry, is_name
+from pollenmast.steering import (
+    NO_START_STATED,
+    Endpoint,
+    RefusedEntry,
+    is_name,
+)
 
 OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
@@ -47,6 +52,10 @@
         if state not in _STATES:
             raise FieldError("state")
         _check_unused(entry)
+        started_ms = NO_START_STATED
+        # Not all deployments' endpoints state when they started.
+        if "born" in entry:
+            started_ms = read_integer(entry, "born", 0, _MAX_INTEGER)
         return Ok(
             Endpoint(
                 name=name,
@@ -63,6 +72,7 @@
                     read_integer(entry, "warmupLeftMs", 0, 1 << 40) / 1000.0,
                     _MAX_WARM_IN_S,
                 ),
+                started_ms=started_ms,
             )
         )
     except (ValueError, RecursionError) as error:
@@ -78,9 +88,6 @@
     if not is_name(entry.get("version")):
         raise FieldError("version")
     read_integer(entry, "seqNo", 0, _MAX_INTEGER)
-    # Not all deployments' endpoints state when they started.
-    if "born" in entry:
-        read_integer(entry, "born", 0, _MAX_INTEGER)
 
 
 def parse_drain(zone: str, value: bytes) -> Result[str, RefusedEntry]:
--- a/src/pollenmast/steering/__init__.py
+++ b/src/pollenmast/steering/__init__.py
@@ -33,6 +33,7 @@
 from pollenmast.steering._load_signs import LoadSigns
 from pollenmast.steering._members import Members
 from pollenmast.steering._model import (
+    NO_START_STATED,
     Endpoint,
     EndpointIdentity,
     FlowKey,
@@ -57,6 +58,7 @@
 from pollenmast.steering._record import Presence, Record
 
 __all__ = [
+    "NO_START_STATED",
     "START_POSITION",
     "Applied",
     "Catalog",
--- a/src/pollenmast/steering/_catalog.py
+++ b/src/pollenmast/steering/_catalog.py
@@ -320,6 +320,9 @@
             return [record]
         if change.revision <= record.revision:
             return []
+        if endpoint.started_ms is None:
+            known_ms = record.endpoint.started_ms
+            endpoint = attrs.evolve(endpoint, started_ms=known_ms)
         withheld = self._is_withheld(record, endpoint)
         record.revision = change.revision
         if withheld:
--- a/src/pollenmast/steering/_model.py
+++ b/src/pollenmast/steering/_model.py
@@ -15,6 +15,10 @@
 _MAX_PORT = (1 << 16) - 1
 _MAX_NUMBER = (1 << 64) - 1
 _MAX_TOKEN = (1 << 32) - 1
+_MAX_STARTED_MS = (1 << 63) - 1
+
+NO_START_STATED = -1
+"""The start of an endpoint whose entry does not say when it started."""
 
 
 class InvalidEndpointError(ValueError):
@@ -124,6 +128,11 @@
         raise InvalidEndpointError(attribute.name)
 
 
+def _start(_: Any, attribute: attrs.Attribute, value: Any) -> None:
+    if value is not None:
+        _within(NO_START_STATED, _MAX_STARTED_MS)(_, attribute, value)
+
+
 def _duration(_: Any, attribute: attrs.Attribute, value: Any) -> None:
     known = isinstance(value, int | float) and not isinstance(value, bool)
     if not known or not 0 <= value < math.inf:
@@ -149,6 +158,9 @@
         draining: Whether it takes no new flows.
         warmup_left_s: The remaining warm-up time in seconds at the
             announcement.
+        started_ms: When the process started, in Unix milliseconds by its own
+            clock; `NO_START_STATED` if its entry does not say, None if that is
+            not known.
 
     Raises:
         InvalidEndpointError: A field has an invalid value.
@@ -164,6 +176,12 @@
     slots: int = attrs.field(default=2, validator=_within(1, MAX_SLOTS))
     draining: bool = attrs.field(default=False, validator=_flag)
     warmup_left_s: float = attrs.field(default=0.0, validator=_duration)
+    started_ms: int | None = attrs.field(default=None, validator=_start)
+
+    @property
+    def states_start(self) -> bool:
+        """Whether its entry is known to say when the process started."""
+        return self.started_ms not in (None, NO_START_STATED)
 
 
 @attrs.frozen
--- a/src/pollenmast/steering/_record.py
+++ b/src/pollenmast/steering/_record.py
@@ -40,7 +40,9 @@
         presence: Whether the endpoint exists.
         lapsed_at: When its entry was removed.
         cold_until: Until when it is cold regardless of its announcement.
-        created: The directory's revision at which its entry was created.
+        created: The directory's revision at which its entry was created, or
+            another number by which it is compared with the endpoints that have
+            the same token.
         usable_since: The number of this VM's update since which it is known and
             its service named by a configuration, or None.
         moved: Its entry as last announced, if that has another address or
--- a/src/pollenmast/steering/_token_owners.py
+++ b/src/pollenmast/steering/_token_owners.py
@@ -4,13 +4,14 @@
 each start of an endpoint. Packets of the older one's open flows must not go to
 the newer one, which would reset them. On a VM that knew the older one first,
 that one keeps the token. A VM that starts learns of both at once and compares
-when their entries were created. That is wrong where an entry was lost and
-written again, or where a configuration named the older one's service later. The
-VM therefore drops packets with such a token until another VM has told the order
-or `SETTLE_S` have passed; clients send them again.
+when they say that they started or, where one does not say, when their entries
+were created. The latter is wrong where an entry was lost and written again, and
+both are where a configuration named the older one's service later. The VM
+therefore drops packets with such a token until another VM has told the order or
+`SETTLE_S` have passed; clients send them again.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 from pollenmast.steering._record import Record
 from pollenmast.steering._shared_index import SharedIndex
@@ -70,7 +71,9 @@
             now: The time of the runtime's clock in seconds.
         """
         for token in self._by_token.shared:
-            if not _all_named(self._by_token.usable(token), told):
+            records = self._by_token.usable(token)
+            if not _all_named(records, told):
+                self._order_by_start(records)
                 self._unsettled_until[token] = now + SETTLE_S
 
     def expire(self, now: float) -> None:
@@ -106,12 +109,27 @@
             records = self._by_token.usable(token)
             if not _all_named(records, ages):
                 continue
-            for record in records:
-                record.created = ages[record.name]
-            for record in records:
-                self.sort(record)
+            self._set_ages(records, ages)
             del self._unsettled_until[token]
 
+    def _order_by_start(self, records: Sequence[Record]) -> None:
+        """Orders endpoints by when they started, if all of them say so."""
+        starts = {
+            record.name: record.endpoint.started_ms
+            for record in records
+            if record.endpoint.states_start
+        }
+        if _all_named(records, starts):
+            self._set_ages(records, starts)
+
+    def _set_ages(
+        self, records: Sequence[Record], ages: Mapping[str, int]
+    ) -> None:
+        for record in records:
+            record.created = ages[record.name]
+        for record in records:
+            self.sort(record)
+
 
 def _all_named(records: Iterable[Record], ages: Mapping[str, int]) -> bool:
     return all(record.name in ages for record in records)
--- a/tests/platform_entries_test.py
+++ b/tests/platform_entries_test.py
@@ -14,7 +14,7 @@
 )
 from pollenmast.platform._entries import MAX_ENTRY_BYTES, parse_endpoint
 from pollenmast.platform._settings import parse_settings
-from pollenmast.steering import ColdAllowance, Route, Warmup
+from pollenmast.steering import NO_START_STATED, ColdAllowance, Route, Warmup
 
 NAME = "i-7f3a91c2"
 ENTRY = {
@@ -167,10 +167,22 @@
         self.assertTrue(refused.description.startswith(NAME))
 
     def test_unknown_fields(self):
-        """Fields that are not known, and the time of a start, are allowed."""
-        value = _entry(born=1796360000000, other={"a": [1]})
+        """Fields that are not known are allowed."""
+        value = _entry(other={"a": [1]})
         self.assertIsInstance(parse_endpoint(NAME, value), Ok)
 
+    @parameterized.expand(
+        [
+            ("stated", {"born": 1796360000000}, 1796360000000),
+            ("zero", {"born": 0}, 0),
+            ("not_stated", {}, NO_START_STATED),
+        ]
+    )
+    def test_start(self, _, fields, started_ms):
+        """Not all deployments' endpoints state when they started."""
+        endpoint = parse_endpoint(NAME, _entry(**fields)).ok_value
+        self.assertEqual(started_ms, endpoint.started_ms)
+
     def test_all_digits(self):
         """Every hexadecimal digit of an id counts, not only its last part.
 
--- a/tests/steering_token_owners_test.py
+++ b/tests/steering_token_owners_test.py
@@ -10,6 +10,7 @@
 from pollenmast.counters import TOKENS_SHARED, Counters, DropReason
 from pollenmast.entry import _snapshot as snapshot
 from pollenmast.steering import (
+    NO_START_STATED,
     CheckResult,
     Drop,
     EndpointAnnounced,
@@ -32,6 +33,10 @@
 _GONE_AT = 20.0
 
 
+def _started(endpoint, started_ms: int):
+    return attrs.evolve(endpoint, started_ms=started_ms)
+
+
 def _announced(core, endpoint, revision: int, now: float = 1.0) -> None:
     change = EndpointAnnounced(endpoint, revision)
     core.apply(Update((change,), revision), now)
@@ -135,12 +140,18 @@
         [
             ("older_first", ((OLD, 11), (NEW, 12))),
             ("newer_first", ((NEW, 12), (OLD, 11))),
+            ("written_again", ((_started(NEW, 2), 12), (_started(OLD, 1), 90))),
+            ("one_start", ((_started(NEW, 1), 12), (OLD, 11))),
+            ("one_unknown", ((NEW, 12), (_started(OLD, 3), 11))),
         ]
     )
     def test_listed(self, _, created):
-        """Without other VMs the entry that was created first has the token.
+        """Without other VMs the endpoint that started first has the token.
 
-        Until another VM could have told the order, packets are dropped.
+        If one does not say when it started, the entry that was created first
+        counts. An entry that was lost and written again is newer than its
+        endpoint, whose open flows would be reset. Until another VM could have
+        told the order, packets are dropped.
         """
         core = _listed(*created)
         dropped = core.on_segment(group.segment(group.flow(), TOKEN), 1.1)
@@ -157,7 +168,7 @@
         peer = _running(OLD, NEW)
         _removed(peer, OLD, 20, 3.0)
         _announced(peer, OLD, 90, 3.5)
-        core = _listed((NEW, 12), (OLD, 90))
+        core = _listed((_started(NEW, 1), 12), (_started(OLD, 2), 90))
         told = snapshot.decode(snapshot.encode_ages(peer)).ok_value
         self.assertEqual((), told.changes)
         core.catalog.owners.on_ages_told(told.ages)
@@ -194,13 +205,31 @@
         core.apply(snapshot.decode(snapshot.encode(peer)).ok_value, 1.0)
         self.assertEqual(OLD.name, _sent_to(core))
 
+    @parameterized.expand([("stated", 5), ("not_stated", NO_START_STATED)])
+    def test_start_told(self, _, started_ms):
+        """A VM that hears only peers knows when endpoints started.
+
+        What a peer of an older build tells leaves that as it is.
+        """
+        core = group.steering()
+        told = snapshot.encode(_running(_started(OLD, started_ms)))
+        core.apply(snapshot.decode(told).ok_value, 1.0)
+        _announced(core, attrs.evolve(OLD, draining=True), 90)
+        known = core.catalog.get(OLD.name).endpoint
+        self.assertEqual((started_ms, True), (known.started_ms, known.draining))
+
     def test_unshared(self):
         """Nothing is told while no endpoints share a token."""
         core = _running(OLD, group.endpoint(8))
         self.assertEqual(b"", snapshot.encode_ages(core))
 
     @parameterized.expand(
-        [("text", b"x"), ("list", b"\x90"), ("types", b"\x81\xa1a\xa1b")]
+        [
+            ("text", b"x"),
+            ("list", b"\x90"),
+            ("types", b"\x81\xa1a\xa1b"),
+            ("starts", b"\x81\xa0\x01"),
+        ]
     )
     def test_malformed_ages(self, _, rest):
         """Malformed ages do not spoil the message that they follow."""
