An entry without the time of a start is not used where the others state it

Where servers state `born`, an entry of another writer that lacks only that was used: flows were placed at its address, which another service may have by now.

Cause: `born` is optional, as not all deployments have it, and an entry was judged by itself.

Change: such an entry gets no new flows while it and its like are at most a quarter of its service's known endpoints, those that are gone included. It is counted (entries_refused, fault "incomplete") and logged. Nothing depends on a deployment: where no server states the field, no entry lacks it. VMs that hear only peers are told the starts and decide alike.

--- a/src/pollenmast/counters/_catalogue.py
+++ b/src/pollenmast/counters/_catalogue.py
@@ -277,6 +277,9 @@
     LIMIT = "limit"
     """A VM knows as many endpoints as it keeps."""
 
+    INCOMPLETE = "incomplete"
+    """It lacks an optional field that the other entries of its service have."""
+
     IGNORED = "ignored"
     """An optional value of a configuration is not allowed; the rest is used."""
 
--- a/src/pollenmast/entry/_boot.py
+++ b/src/pollenmast/entry/_boot.py
@@ -254,7 +254,7 @@
         applied = steering.apply(response.ok_value, now)
         steering.on_confirmed(now)
         update, update_log = response.ok_value, UpdateLog(self._components.log)
-        update_log.log_refused(update, "directory")
+        update_log.log_refused(update, applied, "directory")
         update_log.log_zones(applied, update.epoch, "directory")
         update_log.log_routes(applied, update.position, "directory")
 
--- a/src/pollenmast/entry/_follow.py
+++ b/src/pollenmast/entry/_follow.py
@@ -185,7 +185,7 @@
             self._on_change()
         if position.epoch > before.epoch and before != START_POSITION:
             self._update_log.log_restore(before, update, source)
-        self._update_log.log_refused(update, source)
+        self._update_log.log_refused(update, applied, source)
         self._update_log.log_routes(applied, update.position, source)
         self._update_log.log_zones(applied, update.epoch, source)
         self._update_log.log_endpoints(applied, update.epoch, source)
--- a/src/pollenmast/entry/_update_log.py
+++ b/src/pollenmast/entry/_update_log.py
@@ -44,9 +44,11 @@
             source=source,
         )
 
-    def log_refused(self, update: Update, source: str) -> None:
-        """Logs the entries of an update that could not be parsed."""
-        for entry in update.refused:
+    def log_refused(
+        self, update: Update, applied: Applied, source: str
+    ) -> None:
+        """Logs the entries of an update that are not used."""
+        for entry in (*update.refused, *applied.refused):
             self._log.write(
                 ENTRY_REFUSED,
                 entry=entry.description,
--- a/src/pollenmast/steering/_catalog.py
+++ b/src/pollenmast/steering/_catalog.py
@@ -24,6 +24,7 @@
     ZoneRestored,
 )
 from pollenmast.steering._drains import Drains
+from pollenmast.steering._incomplete import find_incomplete
 from pollenmast.steering._model import Endpoint, Warmup
 from pollenmast.steering._moves import hold_move, take_lasting_move
 from pollenmast.steering._position import EARLIER_EPOCH_REVISION
@@ -70,6 +71,7 @@
         self._lacks_entries = False
         self._watchlist = Watchlist()
         self._lapsed: dict[str, Record] = {}
+        self._incomplete: frozenset[str] = frozenset()
         self._drains = Drains()
         self._confirmed_at = float("-inf")
         self._settles_at: float | None = None
@@ -94,6 +96,11 @@
         """How many announcements were left out because there are too many."""
         return self._left_out
 
+    @property
+    def incomplete(self) -> frozenset[str]:
+        """The names of the endpoints whose entries are incomplete."""
+        return self._incomplete
+
     @property
     def lacks_entries(self) -> bool:
         """Whether entries that were left out are needed, so all are read."""
@@ -172,7 +179,8 @@
         """Returns the endpoints of a service that may take new flows.
 
         An endpoint whose entry stays missing is left out even if it still
-        answers: it is leaving, and its address will be reassigned.
+        answers: it is leaving, and its address will be reassigned. One whose
+        entry is incomplete is left out too; see `find_incomplete`.
         """
         return [
             record
@@ -180,6 +188,7 @@
             if record.endpoint.service == service
             and not record.endpoint.draining
             and not self.is_missing(record)
+            and record.name not in self._incomplete
         ]
 
     def apply(
@@ -215,6 +224,8 @@
             for name, record in list(self._records.items()):
                 if name not in listed and record.revision <= update.revision:
                     changed += self._remove(name, update.revision, now)
+        if changed:
+            self._incomplete = find_incomplete(self._records.values())
         if first:
             self._owners.await_order(update.ages, now)
         return changed
--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -31,6 +31,7 @@
 )
 from pollenmast.steering._catalog import Catalog
 from pollenmast.steering._changes import (
+    RefusedEntry,
     Update,
     ZoneDrained,
     ZoneRestored,
@@ -87,12 +88,15 @@
             change.
         zones: Availability zones that were drained or restored.
         shadowed: Endpoints that get no flows, as an older one has their token.
+        refused: Entries that are not used from now on, as they lack what the
+            others of their service state.
     """
 
     records: list[Record]
     table: RouteTable | None
     zones: list[ZoneDrained | ZoneRestored] = attrs.field(factory=list)
     shadowed: list[Record] = attrs.field(factory=list)
+    refused: list[RefusedEntry] = attrs.field(factory=list)
 
 
 class Steering:
@@ -286,9 +290,18 @@
         self._mark_cold(zones, now)
         services = self.table.health_paths if self.table is not None else ()
         left_out = self._catalog.left_out
+        incomplete = self._catalog.incomplete
         records = self._catalog.apply(update, services, now)
         left_out = self._catalog.left_out - left_out
         self._counters.add(c.ENTRIES_REFUSED, c.EntryFault.LIMIT, left_out)
+        refused = [
+            RefusedEntry(
+                c.EntryFault.INCOMPLETE, f"{name}: no time of its start"
+            )
+            for name in self._catalog.incomplete - incomplete
+        ]
+        fault = c.EntryFault.INCOMPLETE
+        self._counters.add(c.ENTRIES_REFUSED, fault, len(refused))
         shadowed = [r for r in records if self._catalog.is_shadowed(r)]
         self._counters.add(c.TOKENS_SHARED, amount=len(shadowed))
         lapsed = [r for r in records if r.presence is Presence.LAPSED]
@@ -299,7 +312,7 @@
             effective = Update(applied, update.revision, update.complete)
             self._journal.add(effective, self._position.revision)
             self._position = update.position
-        return Applied(records, table, zones, shadowed)
+        return Applied(records, table, zones, shadowed, refused)
 
     def adopt_restored_state(self, now: float) -> Applied:
         """Applies a restored directory's entries once its writers had time.
--- a/tests/entry_junk_fuzz_test.py
+++ b/tests/entry_junk_fuzz_test.py
@@ -57,7 +57,7 @@
     def apply(self, update, now: float) -> None:
         applied = self.core.apply(update, now)
         self.core.on_confirmed(now)
-        self._log.log_refused(update, "t")
+        self._log.log_refused(update, applied, "t")
         self._log.log_routes(applied, update.position, "t")
         self._log.log_zones(applied, 0, "t")
         self._log.log_endpoints(applied, 0, "t")
--- a/tests/steering_catalog_test.py
+++ b/tests/steering_catalog_test.py
@@ -10,6 +10,7 @@
 from pollenmast.counters import ENTRIES_REFUSED, Counters, EntryFault
 from pollenmast.entry import _snapshot as snapshot
 from pollenmast.steering import (
+    NO_START_STATED,
     CheckResult,
     EndpointAnnounced,
     EndpointRemoved,
@@ -161,6 +162,67 @@
         self.assertEqual(["10.1.64.99"], hosts)
 
 
+class IncompleteTest(TestCase):
+    """Entries that do not state when their endpoint started."""
+
+    @parameterized.expand(
+        [
+            ("one_of_four", (1, 2, 3, None), 3),
+            ("two_of_eight", (1, 2, 3, 4, 5, 6, None, None), 6),
+            ("many", (1, 2, 3, 4, 5, None, None), 7),
+            ("few", (1, 2, None), 3),
+            ("none_states", (None, None, None), 3),
+        ]
+    )
+    def test_serving(self, _, starts, serving):
+        """An entry that lacks what its service's others state is not used.
+
+        It comes from another writer, and the server at its address would run
+        requests of another service. Where many lack it, the servers are being
+        replaced; where all do, they never state it. A VM that is told by a peer
+        decides alike.
+        """
+        endpoints = [
+            group.endpoint(n, started_ms=NO_START_STATED if s is None else s)
+            for n, s in enumerate(starts, 1)
+        ]
+        endpoints += [
+            group.endpoint(20 + n, service="other", started_ms=n)
+            for n in range(9)
+        ]
+        counters = Counters()
+        core = group.steering(*endpoints, counters=counters)
+        told = group.steering()
+        told.apply(snapshot.decode(snapshot.encode(core)).ok_value, 1.0)
+        for each in (core, told):
+            self.assertEqual(serving, len(each.catalog.serving("registry")))
+        refused = counters.value(ENTRIES_REFUSED, EntryFault.INCOMPLETE)
+        self.assertEqual(len(starts) - serving, refused)
+
+    def test_others_lost(self):
+        """An incomplete entry is not used when the others are lost either."""
+        known = [group.endpoint(n, started_ms=n) for n in range(1, 5)]
+        foreign = group.endpoint(9, started_ms=NO_START_STATED)
+        core = group.steering(*known, foreign)
+        removed = tuple(EndpointRemoved(e.name, 20) for e in known)
+        core.apply(Update(removed, 20), 1.0)
+        core.on_confirmed(9.0)
+        self.assertEqual([], core.catalog.serving("registry"))
+
+    def test_written_over(self):
+        """An endpoint that is written over is used after its own next write."""
+        known = [group.endpoint(n, started_ms=n) for n in range(1, 5)]
+        core = group.steering(*known)
+        foreign = attrs.evolve(known[0], started_ms=NO_START_STATED)
+        for revision, endpoint, serving in (
+            (11, foreign, 3),
+            (12, known[0], 4),
+        ):
+            change = EndpointAnnounced(endpoint, revision)
+            core.apply(Update((change,), revision), 1.0)
+            self.assertEqual(serving, len(core.catalog.serving("registry")))
+
+
 class ReadAgainTest(StoreCase):
     """A VM that left entries out before a configuration named their service."""
 
