Timeouts alone do not reset the open flows of an endpoint that is leaving

Cause, suspected: an endpoint about to end leaves connections unanswered while it still serves its flows, and three timeouts in a row from one VM were taken for its end, in 0.15 s.

Change: while an endpoint says that it is leaving and its entry is there, timeouts have to span 1.5 s, as under load. A refused connection counts at once.

--- a/src/pollenmast/steering/_core.py
+++ b/src/pollenmast/steering/_core.py
@@ -388,7 +388,9 @@
             result is CheckResult.TIMEOUT
             and self._load_signs.may_be_full(record, now)
         )
-        record.health.on_check(result, now, may_be_full)
+        listed = record.presence is Presence.LISTED
+        leaving = record.endpoint.draining and listed
+        record.health.on_check(result, now, may_be_full, leaving)
         if record.health.down and self._catalog.is_missing(record):
             record.presence = Presence.GONE
         if not record.health.down:
--- a/src/pollenmast/steering/_health.py
+++ b/src/pollenmast/steering/_health.py
@@ -43,9 +43,9 @@
 
 FULL_SPAN_S = 1.5
 """Minimum time in seconds from the first to the last failed check of an
-endpoint that may be full before it is down. Connects to a full accept queue
-time out until the endpoint has served some of its queue, which takes about a
-second at a quarter of its usual speed."""
+endpoint that may be full, or that is leaving, before it is down. Connects to a
+full accept queue time out until the endpoint has served some of its queue,
+which takes about a second at a quarter of its usual speed."""
 
 FULL_CHECK_INTERVAL_S = 0.5
 """Interval in seconds between the checks within this span. Each one takes a
@@ -329,20 +329,27 @@
         return self._check_at is not None and now >= self._check_at
 
     def on_check(
-        self, result: CheckResult, now: float, may_be_full: bool = False
+        self,
+        result: CheckResult,
+        now: float,
+        may_be_full: bool = False,
+        leaving: bool = False,
     ) -> bool:
         """Records a check's result.
 
         A connect to a full accept queue times out as it does for a dead
-        endpoint. While there are signs of load, timeouts therefore mark the
-        endpoint down only once they span `FULL_SPAN_S`. Progress of a client
-        meanwhile restarts the span.
+        endpoint, and so may one to an endpoint that takes no new work and still
+        serves its open flows. Timeouts then mark the endpoint down only once
+        they span `FULL_SPAN_S`. Progress of a client meanwhile restarts the
+        span.
 
         Args:
             result: The result.
             now: The runtime's clock in seconds.
             may_be_full: Whether there are signs of load, so that the endpoint
                 may be full rather than dead. It is only used for a timeout.
+            leaving: Whether the endpoint announces that it takes no new work
+                and has not left yet. It is only used for a timeout.
 
         Returns:
             Whether `down` has changed.
@@ -356,7 +363,7 @@
         self._failed_checks += 1
         self._failed_under_load |= may_be_full
         if result not in _CONCLUSIVE_FAILURES:
-            at = self._confirmation_at(now)
+            at = self._confirmation_at(now, leaving)
             if at is not None:
                 self._schedule_check(at, CheckReason.UNANSWERED)
                 return False
@@ -368,14 +375,15 @@
         self._down = True
         return changed
 
-    def _confirmation_at(self, now: float) -> float | None:
+    def _confirmation_at(self, now: float, leaving: bool) -> float | None:
         """Returns when to repeat a timed-out check, None if it is conclusive.
 
         Load seen at any of the failures counts for all of them, as its signs
-        may end while the endpoint is still full.
+        may end while the endpoint is still full. That an endpoint is leaving
+        counts until it has left.
         """
         span_ends_at = self._first_failed_at + FULL_SPAN_S
-        if self._failed_under_load and now < span_ends_at:
+        if (self._failed_under_load or leaving) and now < span_ends_at:
             return min(now + FULL_CHECK_INTERVAL_S, span_ends_at)
         return now if self._failed_checks < FAILURE_THRESHOLD else None
 
--- a/tests/steering_core_test.py
+++ b/tests/steering_core_test.py
@@ -1,5 +1,6 @@
 """Tests of steering._core: decisions about client segments."""
 
+import attrs
 from parameterized import parameterized
 from testtools import TestCase
 
@@ -18,11 +19,13 @@
 )
 from pollenmast.steering._catalog import GONE_RETENTION_S, LAPSE_GRACE_PERIOD_S
 from pollenmast.steering._core import DIRECTORY_SETTLE_S, MAX_VIEW_AGE_S
+from pollenmast.steering._health import FULL_SPAN_S
 from tests import steering_group as group
 
 FIRST = group.endpoint(1)
 SECOND = group.endpoint(2)
 FAR = group.endpoint(3, zone=group.OTHER_ZONE)
+REFUSED, TIMEOUT = CheckResult.REFUSED, CheckResult.TIMEOUT
 
 
 def _open(core, number: int, now: float):
@@ -203,6 +206,42 @@
         self.assertEqual(ResetReason.ENDPOINT_DOWN, late.reason)
 
 
+class LeavingTest(TestCase):
+    """Checks of an endpoint that announces that it is leaving."""
+
+    @parameterized.expand(
+        [
+            # Whether it is leaving, the results of its checks from 2 s on with
+            # the seconds between them, and when its entry goes.
+            ("ready", False, [TIMEOUT] * 3, 0.05, None, 2.1),
+            ("leaving", True, [TIMEOUT] * 9, 0.05, None, None),
+            ("long", True, [TIMEOUT] * 4, 0.5, None, 2.0 + FULL_SPAN_S),
+            ("left", True, [TIMEOUT] * 9, 0.05, 2.13, 2.15),
+            ("refused", True, [TIMEOUT, REFUSED], 0.05, None, 2.05),
+        ]
+    )
+    def test_timeouts(self, _, leaving, results, interval_s, left_at, reset_at):
+        """Timeouts do not reset the flows of an endpoint that is leaving.
+
+        It may leave new connections unanswered while it still serves its open
+        flows, and gets no new ones. Once its entry is gone they count.
+        """
+        core = group.steering(FIRST)
+        _open(core, 1, 1.0)
+        known = attrs.evolve(FIRST, draining=leaving)
+        core.apply(Update((EndpointAnnounced(known, 11),), 11), 1.5)
+        record = core.catalog.get(FIRST.name)
+        ended_at = None
+        for number, result in enumerate(results):
+            now = round(2.0 + number * interval_s, 3)
+            if left_at is not None and now > left_at:
+                removed = (EndpointRemoved(FIRST.name, 12),)
+                core.apply(Update(removed, 12), left_at)
+            if core.on_check(record, result, now) and ended_at is None:
+                ended_at = now
+        self.assertEqual(reset_at, ended_at)
+
+
 class LapseTest(TestCase):
     """Directory entries that disappear, most of which come back."""
 
