--- a/tests/steering_catalog_test.py
+++ b/tests/steering_catalog_test.py
@@ -177,10 +177,9 @@
     def test_serving(self, _, starts, serving):
         """An entry that lacks what its service's others state is not used.
 
-        It comes from another writer, and the server at its address would run
-        requests of another service. Where many lack it, the servers are being
-        replaced; where all do, they never state it. A VM that is told by a peer
-        decides alike.
+        It comes from another writer, and flows placed there get no answer.
+        Where many lack it, the servers are being replaced; where all do, they
+        never state it. A VM that is told by a peer decides alike.
         """
         endpoints = [
             group.endpoint(n, started_ms=NO_START_STATED if s is None else s)
--- a/tests/steering_token_owners_test.py
+++ b/tests/steering_token_owners_test.py
@@ -125,6 +125,17 @@
         self.assertEqual("", _sent_to(core, _GONE_AT + 99.0))
         self.assertIsNone(core.catalog.by_number(OLD.number))
 
+    def test_started_again(self):
+        """An endpoint that starts again under its id keeps its token.
+
+        Flows opened since its start would go to the other one if the order
+        changed when its entry is read.
+        """
+        core = _running(_started(OLD, 1), _started(NEW, 2))
+        _announced(core, _started(OLD, 3), 20)
+        self.assertEqual(3, core.catalog.get(OLD.name).endpoint.started_ms)
+        self.assertEqual(OLD.name, _sent_to(core))
+
     def test_service_named_later(self):
         """A configuration that names another service moves no open flows."""
         core = _running(OTHER, OLD)
